--- /dev/null
+++ b/cmd/tdfake/main.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Command tdfake holds small stand-ins for the systems that traildrift meets,
+// and the measuring caller. It serves tests, the demo and measurements only.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+type listenArgs struct {
+	Listen netip.AddrPort `arg:"--listen,required" help:"IP number and port"`
+	Seed   uint64         `arg:"--seed" default:"1" help:"seed of the faults"`
+}
+
+type objectsArgs struct {
+	listenArgs
+	VMs string `arg:"--vms" help:"YAML file with the VM list, read again when it changes"`
+}
+
+type engineArgs struct {
+	listenArgs
+	Slots      int         `arg:"--slots" default:"16" help:"batch size"`
+	FirstToken config.Span `arg:"--first-token" default:"20ms" help:"time to the first token"`
+	PerToken   config.Span `arg:"--per-token" default:"2ms" help:"time of each other token"`
+}
+
+type plainArgs struct {
+	listenArgs
+	Work config.Span `arg:"--work" default:"5ms" help:"time of a call"`
+}
+
+type demoArgs struct {
+	First  netip.AddrPort `arg:"--first,required" help:"an entry"`
+	Second netip.AddrPort `arg:"--second,required" help:"another entry"`
+	Key    string         `arg:"--key,required" help:"API key"`
+}
+
+type args struct {
+	Objects *objectsArgs `arg:"subcommand:objects" help:"object API and VM list"`
+	Engine  *engineArgs  `arg:"subcommand:engine" help:"model engine"`
+	Plain   *plainArgs   `arg:"subcommand:plain" help:"plain service"`
+	Demo    *demoArgs    `arg:"subcommand:demo" help:"send the demo's requests and check the answers"`
+}
+
+// Description is shown by --help.
+func (args) Description() string { return "tdfake stands in for what traildrift meets." }
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	if p.Subcommand() == nil {
+		p.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+	if err := run(&a); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(a *args) error {
+	switch {
+	case a.Objects != nil:
+		return a.Objects.run()
+	case a.Engine != nil:
+		o := fakes.EngineOptions{Slots: a.Engine.Slots, FirstToken: a.Engine.FirstToken, PerToken: a.Engine.PerToken, Seed: a.Engine.Seed}
+		return serve(a.Engine.Listen, fakes.NewEngine(o).Handle)
+	case a.Plain != nil:
+		return serve(a.Plain.Listen, fakes.NewPlain(a.Plain.Seed, a.Plain.Work).Handle)
+	default:
+		return a.Demo.run()
+	}
+}
+
+// serve answers until a signal.
+func serve(addr netip.AddrPort, handle fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return err
+	}
+	s := fakes.Serve(ln, handle)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	return s.Close()
+}
+
+// vmsEvery is how often the file of the VM list is read.
+const vmsEvery = 200 * time.Millisecond
+
+func (a *objectsArgs) run() error {
+	o := fakes.NewObjects(a.Seed)
+	if a.VMs != "" {
+		if err := readVMs(o, a.VMs); err != nil {
+			return err
+		}
+		go func() {
+			for range time.Tick(vmsEvery) {
+				if err := readVMs(o, a.VMs); err != nil {
+					fmt.Fprintln(os.Stderr, err)
+				}
+			}
+		}()
+	}
+	return serve(a.Listen, o.Handle)
+}
+
+func readVMs(o *fakes.Objects, file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var vms []store.VM
+	if err := yaml.UnmarshalWithOptions(text, &vms, yaml.Strict()); err != nil {
+		return errors.Wrap(err, file)
+	}
+	o.SetVMs(vms)
+	return nil
+}
+
+func (a *demoArgs) run() error {
+	d := drive.Demo{Out: os.Stdout, First: drive.NewCaller(a.First, a.Key), Second: drive.NewCaller(a.Second, a.Key)}
+	id, err := d.Run()
+	fmt.Println("explain:", id)
+	return err
+}
--- /dev/null
+++ b/cmd/traildrift/ask.go
@@ -0,0 +1,111 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/traildrift/traildrift/internal/desk"
+	"github.com/traildrift/traildrift/pkg/trail"
+)
+
+// operatorArgs name a process's operators' listener.
+type operatorArgs struct {
+	Operators netip.AddrPort `arg:"--operators" help:"a process's operators' listener"`
+	Token     string         `arg:"--token" help:"file with the operators' token"`
+}
+
+func (o operatorArgs) fetch(path string) ([]byte, error) {
+	token := ""
+	if o.Token != "" {
+		text, err := os.ReadFile(o.Token)
+		if err != nil {
+			return nil, err
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	return desk.Fetch(o.Operators, token, path)
+}
+
+type explainArgs struct {
+	operatorArgs
+	Platform netip.AddrPort `arg:"--platform,env:TRAILDRIFT_PLATFORM" help:"the object API, for requests of the past"`
+	Request  string         `arg:"positional,required" help:"request ID, from the header Traildrift-Request"`
+	JSON     bool           `arg:"--json" help:"write JSON"`
+}
+
+func (a *explainArgs) run(ctx context.Context) error {
+	r, err := a.find(ctx)
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(r)
+	}
+	return desk.Explain(os.Stdout, r)
+}
+
+// find asks the process if one is named, and the platform otherwise or if the
+// process does not know.
+func (a *explainArgs) find(ctx context.Context) (trail.Record, error) {
+	var r trail.Record
+	if a.Operators.IsValid() {
+		body, err := a.fetch("/explain?id=" + url.QueryEscape(a.Request))
+		if err == nil {
+			return r, json.Unmarshal(body, &r)
+		}
+		if !a.Platform.IsValid() {
+			return r, err
+		}
+	}
+	if !a.Platform.IsValid() {
+		return r, errUsage
+	}
+	return desk.FindTrail(ctx, platformArgs{a.Platform}.store(), a.Request)
+}
+
+type dumpArgs struct {
+	operatorArgs
+}
+
+func (a *dumpArgs) run() error {
+	body, err := a.fetch("/debug/state")
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(body)
+	return err
+}
+
+type billsArgs struct {
+	platformArgs
+	Workspace string `arg:"--workspace" help:"only this workspace"`
+	JSON      bool   `arg:"--json" help:"write JSON lines"`
+}
+
+func (a *billsArgs) run(ctx context.Context) error {
+	lines, err := desk.Bills(ctx, a.store(), a.Workspace)
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	for _, l := range lines {
+		if a.JSON {
+			if err := enc.Encode(l); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Printf("%-50s %-12s %-16s attempts %d cost %.6f\n", l.ID, l.Workspace, l.Workload, len(l.Attempts), l.Cost())
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/traildrift/main.go
@@ -0,0 +1,126 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Command traildrift is the router: the processes that run on VMs, and the
+// operator's tool.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/entry"
+	"github.com/traildrift/traildrift/internal/guard"
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// version is set by the linker at a release.
+var version = "development"
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// processArgs start a process of the system.
+type processArgs struct {
+	Config string `arg:"-c,--config,required" help:"process settings file"`
+}
+
+// noArgs are those of a command without any.
+type noArgs struct{}
+
+// args are the program's commands.
+type args struct {
+	Entry    *processArgs  `arg:"subcommand:entry" help:"run an entry: serve callers"`
+	Guard    *processArgs  `arg:"subcommand:guard" help:"run a guard: serve the endpoint on this VM"`
+	Settings *settingsArgs `arg:"subcommand:settings" help:"check, show and change fleet settings"`
+	Explain  *explainArgs  `arg:"subcommand:explain" help:"say why a request went where it went"`
+	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of a process"`
+	Bills    *billsArgs    `arg:"subcommand:bills" help:"show folded bills"`
+	Version  *noArgs       `arg:"subcommand:version" help:"show the version"`
+}
+
+// Description is shown by --help.
+func (args) Description() string {
+	return "traildrift routes requests to versions of models, and explains every choice."
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	err := run(&a)
+	if errors.Is(err, errUsage) {
+		p.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var ps config.Problems
+	if errors.As(err, &ps) {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailure)
+}
+
+// errUsage says that no command was named.
+var errUsage = errors.New("name a command")
+
+func run(a *args) error {
+	ctx := context.Background()
+	switch {
+	case a.Entry != nil:
+		return runEntry(ctx, a.Entry.Config)
+	case a.Guard != nil:
+		return runGuard(ctx, a.Guard.Config)
+	case a.Settings != nil:
+		return a.Settings.run(ctx)
+	case a.Explain != nil:
+		return a.Explain.run(ctx)
+	case a.Dump != nil:
+		return a.Dump.run()
+	case a.Bills != nil:
+		return a.Bills.run(ctx)
+	case a.Version != nil:
+		fmt.Println("traildrift", version)
+		return nil
+	default:
+		return errUsage
+	}
+}
+
+func runEntry(ctx context.Context, file string) error {
+	var s entry.Settings
+	if err := proc.Load(file, &s); err != nil {
+		return err
+	}
+	stages, release := s.Signals(ctx)
+	defer release()
+	e, err := entry.New(s)
+	if err != nil {
+		return err
+	}
+	return e.Run(stages)
+}
+
+func runGuard(ctx context.Context, file string) error {
+	var s guard.Settings
+	if err := proc.Load(file, &s); err != nil {
+		return err
+	}
+	stages, release := s.Signals(ctx)
+	defer release()
+	g, err := guard.New(s)
+	if err != nil {
+		return err
+	}
+	return g.Run(stages)
+}
--- /dev/null
+++ b/cmd/traildrift/settings.go
@@ -0,0 +1,213 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/traildrift/traildrift/internal/desk"
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/spread"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/seal"
+)
+
+// platformArgs name the platform.
+type platformArgs struct {
+	Platform netip.AddrPort `arg:"--platform,required,env:TRAILDRIFT_PLATFORM" help:"the object API, by IP number and port"`
+}
+
+func (p platformArgs) store() *store.Client { return store.New(p.Platform) }
+
+type settingsArgs struct {
+	Check   *checkArgs   `arg:"subcommand:check" help:"check a settings file"`
+	Get     *getArgs     `arg:"subcommand:get" help:"show the settings in force"`
+	Apply   *applyArgs   `arg:"subcommand:apply" help:"put a settings file in force"`
+	History *historyArgs `arg:"subcommand:history" help:"list the last changes"`
+	Diff    *diffArgs    `arg:"subcommand:diff" help:"show the effective difference of two revisions"`
+}
+
+type checkArgs struct {
+	File string `arg:"positional,required"`
+}
+
+type getArgs struct {
+	platformArgs
+	Effective string `arg:"--effective" help:"show values and their levels at WORKSPACE/WORKLOAD/DISTRICT"`
+}
+
+type applyArgs struct {
+	platformArgs
+	File   string        `arg:"positional,required"`
+	Reason string        `arg:"--reason,required" help:"goes into the history"`
+	Author string        `arg:"--author" help:"goes into the history; the user's name by default"`
+	Base   int64         `arg:"--base" default:"-1" help:"the revision that the file started from; the newest by default"`
+	DryRun bool          `arg:"--dry-run" help:"show the difference and write nothing"`
+	Wait   time.Duration `arg:"--wait" help:"wait so long for every live process to report the revision"`
+	Keys   string        `arg:"--keys" help:"key file, for --wait"`
+}
+
+type historyArgs struct {
+	platformArgs
+}
+
+type diffArgs struct {
+	platformArgs
+	From int64 `arg:"positional,required"`
+	To   int64 `arg:"positional,required"`
+}
+
+func (a *settingsArgs) run(ctx context.Context) error {
+	switch {
+	case a.Check != nil:
+		return a.Check.run()
+	case a.Get != nil:
+		return a.Get.run(ctx)
+	case a.Apply != nil:
+		return a.Apply.run(ctx)
+	case a.History != nil:
+		return a.History.run(ctx)
+	case a.Diff != nil:
+		return a.Diff.run(ctx)
+	default:
+		return errUsage
+	}
+}
+
+func parse(file string) (config.File, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return config.File{}, err
+	}
+	return config.ParseFile(file, text)
+}
+
+func (a *checkArgs) run() error {
+	f, err := parse(a.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d nodes are sound\n", a.File, len(f.Nodes()))
+	return nil
+}
+
+func (a *getArgs) run(ctx context.Context) error {
+	s, err := desk.ReadTree(ctx, a.store())
+	if err != nil {
+		return err
+	}
+	if a.Effective != "" {
+		p := append(strings.Split(a.Effective, "/"), "", "")
+		return desk.Effective(os.Stdout, s, p[0], p[1], p[2])
+	}
+	text, err := yaml.Marshal(config.FileOf(s.Nodes()))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("# revision %d\n%s", s.Head.Revision, text)
+	return nil
+}
+
+func (a *applyArgs) run(ctx context.Context) error {
+	f, err := parse(a.File)
+	if err != nil {
+		return err
+	}
+	c := a.store()
+	before, err := desk.ReadTree(ctx, c)
+	if err != nil {
+		return err
+	}
+	edit := desk.Edit{ID: proc.NewID(), Author: a.author(), Reason: a.Reason, At: time.Now().UTC(), Base: a.Base, Nodes: f.Nodes()}
+	if a.DryRun {
+		after, err := config.Preview(f.Nodes())
+		if err != nil {
+			return err
+		}
+		return desk.Diff(os.Stdout, before, after)
+	}
+	change, err := desk.Apply(ctx, c, edit)
+	if err != nil {
+		return err
+	}
+	after, err := desk.ReadTree(ctx, c)
+	if err != nil {
+		return err
+	}
+	if err := desk.Diff(os.Stdout, before, after); err != nil {
+		return err
+	}
+	fmt.Printf("accepted as revision %d, change %s\n", change.Revision, change.ID)
+	return a.wait(ctx, change.Revision)
+}
+
+func (a *applyArgs) author() string {
+	if a.Author != "" {
+		return a.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func (a *applyArgs) wait(ctx context.Context, revision int64) error {
+	if a.Wait == 0 {
+		return nil
+	}
+	var keys proc.Keys
+	if err := proc.Load(a.Keys, &keys); err != nil {
+		return err
+	}
+	ring, err := seal.NewRing(keys.Link)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Wait)
+	defer cancel()
+	if err := desk.Wait(ctx, store.NewVMs(a.Platform), ring, revision); err != nil {
+		return err
+	}
+	fmt.Printf("revision %d is in force everywhere\n", revision)
+	return nil
+}
+
+func (a *historyArgs) run(ctx context.Context) error {
+	head, _, err := spread.ReadHead(ctx, a.store())
+	if err != nil {
+		return err
+	}
+	for _, c := range head.Changes {
+		fmt.Printf("%d  %s  %s  %s  %s  %q\n", c.Revision, c.At.Format(time.RFC3339), c.ID, c.Author, c.Reason, c.Paths)
+	}
+	return nil
+}
+
+func (a *diffArgs) run(ctx context.Context) error {
+	c := a.store()
+	head, _, err := spread.ReadHead(ctx, c)
+	if err != nil {
+		return err
+	}
+	var snaps [2]*config.Snapshot
+	for i, revision := range []int64{a.From, a.To} {
+		h, err := desk.HeadAt(ctx, c, head, revision)
+		if err != nil {
+			return err
+		}
+		if snaps[i], err = desk.ReadSnapshot(ctx, c, h); err != nil {
+			return err
+		}
+	}
+	return desk.Diff(os.Stdout, snaps[0], snaps[1])
+}
--- /dev/null
+++ b/internal/desk/diff.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package desk
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// Diff writes the effective difference between two trees, path by path.
+func Diff(w io.Writer, a, b *config.Snapshot) error {
+	paths := a.Nodes()
+	maps.Copy(paths, b.Nodes())
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		for _, line := range diffPath(path, a, b) {
+			if _, err := fmt.Fprintln(w, line); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func diffPath(path string, a, b *config.Snapshot) []string {
+	var out []string
+	ea, eb := a.At(path), b.At(path)
+	for i, sb := range eb.All() {
+		if sa := ea.All()[i]; sa.Value != sb.Value {
+			out = append(out, fmt.Sprintf("%s: %s: %s -> %s (set at %s)", cmpName(path), sb.Key, sa.Value, sb.Value, originName(sb.Origin)))
+		}
+	}
+	return append(out, diffVersions(path, a.Candidates(ea), b.Candidates(eb))...)
+}
+
+func diffVersions(path string, a, b []config.Candidate) []string {
+	var out []string
+	old := byName(a)
+	for _, c := range b {
+		name := c.Model + "@" + c.Version
+		was, ok := old[name]
+		delete(old, name)
+		switch {
+		case !ok:
+			out = append(out, fmt.Sprintf("%s: version %s is allowed", cmpName(path), name))
+		case was.Spec != c.Spec:
+			out = append(out, fmt.Sprintf("%s: version %s: %+v -> %+v", cmpName(path), name, was.Spec, c.Spec))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(old)) {
+		out = append(out, fmt.Sprintf("%s: version %s is no longer allowed", cmpName(path), name))
+	}
+	return out
+}
+
+func byName(cs []config.Candidate) map[string]config.Candidate {
+	m := make(map[string]config.Candidate, len(cs))
+	for _, c := range cs {
+		m[c.Model+"@"+c.Version] = c
+	}
+	return m
+}
+
+func originName(o config.Origin) string {
+	if o.Level == config.LevelDefault {
+		return string(o.Level)
+	}
+	return fmt.Sprintf("%s %s, revision %d", o.Level, cmpName(o.Path), o.Revision)
+}
+
+// Effective writes every effective value at a path with the level that set it.
+func Effective(w io.Writer, s *config.Snapshot, workspace, workload, district string) error {
+	e := s.Effective(workspace, workload, district)
+	for _, v := range e.All() {
+		if _, err := fmt.Fprintf(w, "%-14s %-40s %s\n", v.Key, v.Value, originName(v.Origin)); err != nil {
+			return err
+		}
+	}
+	for _, c := range s.Candidates(e) {
+		if _, err := fmt.Fprintf(w, "%-14s %s@%s cost %v quality %v pool %s %s\n", "version", c.Model, c.Version, c.Spec.Cost, c.Spec.Quality, c.Spec.Pool, c.Spec.State); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/desk/explain.go
@@ -0,0 +1,164 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/ledger"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/bill"
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/trail"
+)
+
+// ErrUnknownRequest says that no trail holds the request.
+var ErrUnknownRequest = errors.New("no trail holds this request; it may be younger than a second, refused before a decision, or lost while the platform was down")
+
+// askWithin bounds one call to a process.
+const askWithin = 5 * time.Second
+
+// Fetch reads a path of a process's operators' listener.
+func Fetch(addr netip.AddrPort, token, path string) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr.String() + path)
+	if token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
+	}
+	if err := fasthttp.DoDeadline(req, resp, time.Now().Add(askWithin)); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Newf("%s answered %d: %s", addr, resp.StatusCode(), resp.Body())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// FindTrail returns the record of a past request from the platform. The
+// request ID begins with the incarnation that names the batches.
+func FindTrail(ctx context.Context, c *store.Client, requestID string) (trail.Record, error) {
+	incarnation, _, _ := strings.Cut(requestID, "-")
+	objects, err := c.List(ctx, ledger.KindTrail, incarnation)
+	if err != nil {
+		return trail.Record{}, err
+	}
+	for _, o := range objects {
+		var batch []trail.Record
+		if err := json.Unmarshal(o.Value, &batch); err != nil {
+			return trail.Record{}, errors.Wrapf(err, "trail batch %s", o.Name)
+		}
+		for _, r := range batch {
+			if r.RequestID == requestID {
+				return r, nil
+			}
+		}
+	}
+	return trail.Record{}, ErrUnknownRequest
+}
+
+// Bills returns the folded bill lines of a workspace, or of all.
+func Bills(ctx context.Context, c *store.Client, workspace string) ([]bill.Line, error) {
+	objects, err := c.List(ctx, ledger.KindBills, "")
+	if err != nil {
+		return nil, err
+	}
+	var lines []bill.Line
+	for _, o := range objects {
+		var batch []bill.Line
+		if err := json.Unmarshal(o.Value, &batch); err != nil {
+			return nil, errors.Wrapf(err, "bill batch %s", o.Name)
+		}
+		for _, l := range batch {
+			if workspace == "" || l.Workspace == workspace {
+				lines = append(lines, l)
+			}
+		}
+	}
+	return bill.Fold(lines), nil
+}
+
+// Explain writes a trail record for a person.
+func Explain(w io.Writer, r trail.Record) error {
+	p := &printer{w: w}
+	p.line("request   %s", r.RequestID)
+	p.line("for       %s", config.Path(r.Workspace, r.Workload, r.District))
+	p.line("entry     %s, settings revision %d", r.Entry, r.Revision)
+	p.line("times     arrived %s, ended %s, deadline %s", stamp(r.Arrived), stamp(r.Ended), stamp(r.Deadline))
+	p.line("bill      %s", r.BillID)
+	if r.Key != "" {
+		p.line("key       %s", r.Key)
+	}
+	if r.Session != "" {
+		p.line("session   %s", r.Session)
+	}
+	for _, s := range r.Steps {
+		p.step(s, r.Settings)
+	}
+	if r.Err != nil {
+		p.line("ended     %s", r.Err)
+	} else {
+		p.line("ended     whole")
+	}
+	p.line("settings")
+	for _, s := range r.Settings {
+		p.line("  %-14s %-40s %s", s.Key, s.Value, originName(s.Origin))
+	}
+	return p.err
+}
+
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
+
+// printer writes lines and keeps the first error.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+	}
+}
+
+func (p *printer) step(s trail.Step, settings []config.Setting) {
+	where := s.VM
+	if where == "" {
+		where = "no endpoint"
+	}
+	p.line("attempt %d at %s, revision %d: %s %s", s.Attempt, stamp(s.At), s.Revision, versionName(s.Model, s.Version), where)
+	for _, c := range s.Candidates {
+		p.line("  %-24s %-22s cost %-8v quality %-6v wait %-6.2f score %-8.3f %s", versionName(c.Model, c.Version), c.Reason, c.Cost, c.Quality, c.Wait, c.Score, why(c.Reason.Setting(), settings))
+	}
+	if s.Err != nil {
+		p.line("  ended: %s", s.Err)
+	}
+}
+
+func versionName(model, version string) string {
+	if model == "" {
+		return "(service)"
+	}
+	return model + "@" + version
+}
+
+// why names the setting that decided, with its value and origin.
+func why(key string, settings []config.Setting) string {
+	for _, s := range settings {
+		if s.Key == key {
+			return fmt.Sprintf("by %s %s from %s", s.Key, s.Value, originName(s.Origin))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/desk/wait.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package desk
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/link"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/seal"
+)
+
+// waitPoll is how often processes that lag are asked again.
+const waitPoll = 100 * time.Millisecond
+
+// Wait returns once every live VM's process reports the revision, or an error
+// that names those that do not by the deadline of ctx.
+func Wait(ctx context.Context, vms *store.VMs, keys *seal.Ring, revision int64) error {
+	local := &link.Local{
+		Identity: wire.Identity{VM: "operator", Role: "operator", Incarnation: fmt.Sprintf("operator-%d", time.Now().UnixNano())},
+		Keys:     keys,
+		Revision: func() int64 { return 0 },
+		Mux:      link.NewMux(func(task func()) error { task(); return nil }, nil),
+	}
+	for {
+		lagging, err := behind(ctx, local, vms, revision)
+		if err == nil && len(lagging) == 0 {
+			return nil
+		}
+		t := time.NewTimer(waitPoll)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			if err != nil {
+				return errors.Wrap(err, "the VM list does not answer")
+			}
+			return errors.Newf("revision %d is not in force at: %s", revision, strings.Join(lagging, ", "))
+		}
+	}
+}
+
+func behind(ctx context.Context, local *link.Local, vms *store.VMs, revision int64) ([]string, error) {
+	list, err := vms.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var lagging []string
+	for _, vm := range list {
+		if vm.State == store.VMLive && !has(ctx, local, vm, revision) {
+			lagging = append(lagging, vm.Name)
+		}
+	}
+	slices.Sort(lagging)
+	return lagging, nil
+}
+
+func has(ctx context.Context, local *link.Local, vm store.VM, revision int64) bool {
+	c, err := local.Dial(ctx, vm.Link)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	var reply wire.DeltaReply
+	err = c.Call(ctx, wire.MethodDelta, wire.Delta{Hashes: []string{""}}, &reply)
+	return err == nil && reply.Revision >= revision
+}
--- /dev/null
+++ b/internal/drive/caller.go
@@ -0,0 +1,210 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Package drive is the caller's side of tests, the demo and measurements: it
+// sends requests, checks every answer against what was asked, and measures.
+package drive
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// Caller sends requests with one API key.
+type Caller struct {
+	// Addr is an entry, or an engine for a direct call.
+	Addr netip.AddrPort
+	// Key is the API key.
+	Key  string
+	http *fasthttp.Client
+}
+
+// NewCaller returns a caller of addr.
+func NewCaller(addr netip.AddrPort, key string) *Caller {
+	return &Caller{Addr: addr, Key: key, http: &fasthttp.Client{
+		StreamResponseBody: true,
+		MaxConnsPerHost:    8192,
+		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Ask is one request.
+type Ask struct {
+	// Path is empty for a chat request.
+	Path string
+	// Chat is the body of a chat request, Body that of another.
+	Chat   fakes.ChatRequest
+	Body   string
+	Header map[string]string
+	// Deadline bounds the caller's own wait.
+	Deadline time.Time
+}
+
+// Answer is what came back.
+type Answer struct {
+	Status                                      int
+	Request, Model, Version, Session, RetryText string
+	Body                                        []byte
+	// Err is the failure that the answer names, if it does.
+	Err *fault.Error
+	// Sent, First and Done are when the request was sent, the first byte of
+	// the body was read and the last one.
+	Sent, First, Done time.Time
+	// Bad says why the answer is not a right one; empty for a right one.
+	Bad string
+}
+
+// ErrNoAnswer says that the connection broke before an answer was whole.
+var ErrNoAnswer = errors.New("drive: no whole answer")
+
+// Do sends a request and checks the answer. The error is ErrNoAnswer.
+func (c *Caller) Do(a Ask) (Answer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.prepare(req, &a)
+	out := Answer{Sent: time.Now()}
+	if err := c.http.DoDeadline(req, resp, a.Deadline); err != nil {
+		return out, errors.Mark(err, ErrNoAnswer)
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	out.readHeader(resp)
+	if err := out.readBody(resp); err != nil {
+		return out, errors.Mark(err, ErrNoAnswer)
+	}
+	out.check(&a)
+	return out, nil
+}
+
+func (c *Caller) prepare(req *fasthttp.Request, a *Ask) {
+	path := a.Path
+	body := []byte(a.Body)
+	if path == "" {
+		path = "/v1/chat/completions"
+		body, _ = json.Marshal(a.Chat)
+	}
+	req.SetRequestURI("http://" + c.Addr.String() + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	if c.Key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.Key)
+	}
+	for k, v := range a.Header {
+		req.Header.Set(k, v)
+	}
+	req.SetBodyRaw(body)
+}
+
+func (out *Answer) readHeader(resp *fasthttp.Response) {
+	h := &resp.Header
+	out.Status = resp.StatusCode()
+	out.Request = string(h.Peek("Traildrift-Request"))
+	out.Model = string(h.Peek("Traildrift-Model"))
+	out.Version = string(h.Peek("Traildrift-Version"))
+	out.Session = string(h.Peek("Traildrift-Session"))
+	out.RetryText = string(h.Peek(fasthttp.HeaderRetryAfter))
+}
+
+// readSize is the size of one read of an answer.
+const readSize = 32 << 10
+
+func (out *Answer) readBody(resp *fasthttp.Response) error {
+	r := resp.BodyStream()
+	if r == nil {
+		r = bytes.NewReader(resp.Body())
+	}
+	p := make([]byte, readSize)
+	for {
+		n, err := r.Read(p)
+		if n > 0 && out.First.IsZero() {
+			out.First = time.Now()
+		}
+		out.Body = append(out.Body, p[:n]...)
+		if errors.Is(err, io.EOF) {
+			out.Done = time.Now()
+			return nil
+		}
+		if err != nil {
+			out.Err = findError(out.Body)
+			return err
+		}
+	}
+}
+
+// check compares a chat answer with what the stand-in engine must answer.
+func (out *Answer) check(a *Ask) {
+	out.Err = findError(out.Body)
+	if out.Err != nil || a.Path != "" {
+		return
+	}
+	if out.Status != fasthttp.StatusOK {
+		out.Bad = "a status without an error"
+		return
+	}
+	want := strings.Join(fakes.Words(a.Chat), "")
+	got, whole := Text(out.Body, a.Chat.Stream)
+	switch {
+	case !whole:
+		out.Bad = "no end marker"
+	case got != want:
+		out.Bad = "another text than was asked for"
+	}
+}
+
+func findError(body []byte) *fault.Error {
+	i := bytes.LastIndex(body, []byte(`{"error":{`))
+	if i < 0 {
+		return nil
+	}
+	var e struct {
+		Error *fault.Error `json:"error"`
+	}
+	if json.NewDecoder(bytes.NewReader(body[i:])).Decode(&e) != nil {
+		return nil
+	}
+	return e.Error
+}
+
+// Text returns the text of a chat answer and whether it is whole.
+func Text(body []byte, streamed bool) (text string, whole bool) {
+	if !streamed {
+		var a struct {
+			Choices []struct {
+				Message fakes.Message `json:"message"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal(body, &a) != nil || len(a.Choices) == 0 {
+			return "", false
+		}
+		return a.Choices[0].Message.Content, true
+	}
+	var b strings.Builder
+	for line := range strings.SplitSeq(string(body), "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return b.String(), true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta fakes.Message `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			b.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	return b.String(), false
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,143 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// newHTTP returns the callers' listener's server.
+func (e *Entry) newHTTP() *fasthttp.Server {
+	readWithin := e.settings.ReadWithin.After(time.Time{}).Sub(time.Time{})
+	return &fasthttp.Server{
+		Handler:                      e.handle,
+		ErrorHandler:                 e.handleBroken,
+		Name:                         "traildrift",
+		MaxRequestBodySize:           e.settings.MaxBody,
+		ReadBufferSize:               e.settings.MaxHeader,
+		ReadTimeout:                  readWithin,
+		IdleTimeout:                  idleWithin,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+	}
+}
+
+// idleWithin bounds how long a connection of a caller may be idle.
+const idleWithin = 60 * time.Second
+
+// handleBroken answers requests that could not be read.
+func (e *Entry) handleBroken(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
+	switch {
+	case strings.Contains(err.Error(), "body size exceeds"):
+		e.refuse(ctx, fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", e.settings.MaxBody))
+	case strings.Contains(err.Error(), "small read buffer"):
+		e.refuse(ctx, fault.New(fault.TooLarge, fault.NotRun, "The headers have more than %d bytes.", e.settings.MaxHeader))
+	default:
+		e.refuse(ctx, fault.New(fault.BadRequest, fault.NotRun, "The request could not be read."))
+	}
+}
+
+// handle routes one call.
+func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
+		ctx.SetBodyString("alive\n")
+	case path == "/readyz":
+		e.serveReady(ctx)
+	case path == "/v1/models":
+		e.serveModels(ctx)
+	case path == chatPath:
+		e.serveChat(ctx)
+	case strings.HasPrefix(path, servicePrefix):
+		e.serveService(ctx)
+	default:
+		e.refuse(ctx, fault.New(fault.NotFound, fault.NotRun, "There is no %s.", path))
+	}
+}
+
+// serveReady tells the balancer whether new work is welcome.
+func (e *Entry) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case e.stopping.Load():
+		ctx.Error("stopping", fasthttp.StatusServiceUnavailable)
+	case e.Holder.Revision() == 0:
+		ctx.Error("no settings yet", fasthttp.StatusServiceUnavailable)
+	case !e.peers.ready():
+		ctx.Error("no links yet", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+func (e *Entry) serveChat(ctx *fasthttp.RequestCtx) {
+	workspace, err := e.authorize(ctx)
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	if !ctx.IsPost() {
+		e.refuse(ctx, fault.New(fault.BadRequest, fault.NotRun, "Chat requests are posted."))
+		return
+	}
+	call, key, err := e.parseHeaders(ctx, workspace)
+	if err == nil {
+		err = e.parseChat(&call)
+	}
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	e.serve(ctx, call, key)
+}
+
+func (e *Entry) serveService(ctx *fasthttp.RequestCtx) {
+	workspace, err := e.authorize(ctx)
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	call, key, err := e.parseHeaders(ctx, workspace)
+	if err == nil {
+		err = e.parseService(ctx, &call)
+	}
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	e.serve(ctx, call, key)
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models and chat workloads of the workspace.
+func (e *Entry) serveModels(ctx *fasthttp.RequestCtx) {
+	workspace, err := e.authorize(ctx)
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	for _, id := range e.Holder.Current().Names(workspace) {
+		list.Data = append(list.Data, model{ID: id, Object: "model", OwnedBy: workspace})
+	}
+	writeJSON(ctx, list)
+}
--- /dev/null
+++ b/internal/entry/parse.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// Headers of the callers' interface.
+const (
+	headerKey      = "Idempotency-Key"
+	headerDistrict = "Traildrift-District"
+	headerSession  = "Traildrift-Session"
+	headerDeadline = "Traildrift-Deadline"
+	headerPriority = "Traildrift-Priority"
+	headerRequest  = "Traildrift-Request"
+	headerModel    = "Traildrift-Model"
+	headerVersion  = "Traildrift-Version"
+)
+
+// keyMost bounds a caller's key, in bytes.
+const keyMost = 512
+
+// chatPath is where chat completions are asked for, here and at engines.
+const chatPath = "/v1/chat/completions"
+
+// authorize finds the workspace of the API key.
+func (e *Entry) authorize(ctx *fasthttp.RequestCtx) (string, *fault.Error) {
+	auth := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	key, ok := strings.CutPrefix(auth, "Bearer ")
+	if !ok || key == "" {
+		return "", fault.New(fault.Unauthorized, fault.NotRun, "An API key is required.")
+	}
+	workspace, ok := e.Holder.Current().Workspace(key)
+	if !ok {
+		return "", fault.New(fault.Unauthorized, fault.NotRun, "The API key is not known.")
+	}
+	return workspace, nil
+}
+
+// parseHeaders reads what chat requests and service calls have in common.
+func (e *Entry) parseHeaders(ctx *fasthttp.RequestCtx, workspace string) (wire.Call, string, *fault.Error) {
+	h := &ctx.Request.Header
+	c := wire.Call{
+		Workspace:   workspace,
+		District:    string(h.Peek(headerDistrict)),
+		Session:     string(h.Peek(headerSession)),
+		Priority:    string(h.Peek(headerPriority)),
+		Method:      string(ctx.Method()),
+		ContentType: string(h.ContentType()),
+		Body:        append([]byte(nil), ctx.PostBody()...),
+	}
+	if c.Priority != "" && c.Priority != config.Interactive && c.Priority != config.Patient {
+		return c, "", fault.New(fault.BadRequest, fault.NotRun, "%s is %s or %s.", headerPriority, config.Interactive, config.Patient)
+	}
+	if strings.Contains(c.District, "/") {
+		return c, "", fault.New(fault.BadRequest, fault.NotRun, "%s holds no /.", headerDistrict)
+	}
+	if text := string(h.Peek(headerDeadline)); text != "" {
+		t, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			return c, "", fault.New(fault.BadRequest, fault.NotRun, "%s is a time such as 2026-01-02T15:04:05Z.", headerDeadline)
+		}
+		if !t.After(e.Now()) {
+			return c, "", fault.New(fault.DeadlinePassed, fault.NotRun, "The deadline has passed.")
+		}
+		c.Deadline = t
+	}
+	key := string(h.Peek(headerKey))
+	if len(key) > keyMost {
+		return c, "", fault.New(fault.BadRequest, fault.NotRun, "%s has at most %d bytes.", headerKey, keyMost)
+	}
+	return c, key, nil
+}
+
+// chatBody is what the entry reads of a chat request.
+type chatBody struct {
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	MaxTokens int               `json:"max_tokens"`
+	Stream    bool              `json:"stream"`
+}
+
+// parseChat reads the body of a chat request.
+func (e *Entry) parseChat(c *wire.Call) *fault.Error {
+	var b chatBody
+	if err := json.Unmarshal(c.Body, &b); err != nil {
+		return fault.New(fault.BadRequest, fault.NotRun, "The body is no JSON of a chat request.")
+	}
+	if b.Model == "" || len(b.Messages) == 0 {
+		return fault.New(fault.BadRequest, fault.NotRun, "model and messages are required.")
+	}
+	if b.MaxTokens < 0 {
+		return fault.New(fault.BadRequest, fault.NotRun, "max_tokens is 0 or more.")
+	}
+	c.Path, c.Method = chatPath, fasthttp.MethodPost
+	c.Stream, c.MaxTokens = b.Stream, b.MaxTokens
+	snap := e.Holder.Current()
+	switch snap.Serves(c.Workspace, b.Model) {
+	case config.ServesChat:
+		c.Workload = b.Model
+	case "":
+		c.Model, _ = modelOf(b.Model)
+		return e.allowedModel(snap, c)
+	default:
+		return fault.New(fault.NotAllowed, fault.NotRun, "The workload %s serves no chat.", b.Model)
+	}
+	return nil
+}
+
+// allowedModel refuses a model that the workspace does not allow at all.
+func (e *Entry) allowedModel(snap *config.Snapshot, c *wire.Call) *fault.Error {
+	for _, cand := range snap.Candidates(snap.Effective(c.Workspace, "", "")) {
+		if cand.Model == c.Model {
+			return nil
+		}
+	}
+	return fault.New(fault.NotAllowed, fault.NotRun, "The workspace has no workload and allows no model %q.", c.Model)
+}
+
+// servicePrefix begins the path of a plain service's call.
+const servicePrefix = "/svc/"
+
+// parseService reads the path of a service call.
+func (e *Entry) parseService(ctx *fasthttp.RequestCtx, c *wire.Call) *fault.Error {
+	rest := strings.TrimPrefix(string(ctx.Path()), servicePrefix)
+	workload, path, _ := strings.Cut(rest, "/")
+	serves := e.Holder.Current().Serves(c.Workspace, workload)
+	if serves == "" || serves == config.ServesChat {
+		return fault.New(fault.NotFound, fault.NotRun, "The workspace has no workload %q of a plain service.", workload)
+	}
+	c.Workload, c.Service, c.Path = workload, serves, "/"+path
+	if q := ctx.URI().QueryString(); len(q) > 0 {
+		c.Path += "?" + string(q)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// sessionPrefix begins a session token.
+const sessionPrefix = "tds1"
+
+// openSession is the header value that opens a session.
+const openSession = "new"
+
+// pin is what a session token says.
+type pin struct {
+	Workspace string    `json:"workspace"`
+	Model     string    `json:"model"`
+	Version   string    `json:"version"`
+	OpenedAt  time.Time `json:"openedAt"`
+	EndsAt    time.Time `json:"endsAt"`
+}
+
+// sessionOf reads the session header of a request and pins its version.
+func (e *Entry) sessionOf(r *request) *fault.Error {
+	token := r.call.Session
+	if token == "" {
+		return nil
+	}
+	if token == openSession {
+		r.record.Session = "opened"
+		return nil
+	}
+	if !strings.HasPrefix(token, sessionPrefix+".") {
+		return fault.New(fault.SessionInvalid, fault.NotRun, "The session is %q or a token of this system.", openSession)
+	}
+	var p pin
+	if err := e.Tokens.Open(sessionPrefix, token, &p); err != nil {
+		return fault.New(fault.SessionInvalid, fault.NotRun, "The session token does not verify.")
+	}
+	if p.Workspace != r.call.Workspace {
+		return fault.New(fault.SessionInvalid, fault.NotRun, "The session token is another workspace's.")
+	}
+	if !e.Now().Before(p.EndsAt) {
+		return fault.New(fault.SessionEnded, fault.NotRun, "The session ended at %s.", p.EndsAt.Format(time.RFC3339))
+	}
+	return e.keep(r, &p)
+}
+
+// keep pins the request to the session's version, or moves the session where
+// the settings say so.
+func (e *Entry) keep(r *request, p *pin) *fault.Error {
+	v, ok := e.Holder.Current().Version(p.Model, p.Version)
+	if ok && v.State != config.StateWithdrawn {
+		r.pinned = p
+		r.record.Session = "kept"
+		return nil
+	}
+	if *r.effective.Values.OnWithdrawn == config.NewSession {
+		r.record.Session = "moved"
+		return nil
+	}
+	return fault.New(fault.VersionWithdrawn, fault.NotRun, "The session's version %s@%s is withdrawn.", p.Model, p.Version)
+}
+
+// sessionToken returns the token that goes back to the caller: the one that
+// was sent, or a new one for the version that serves.
+func (e *Entry) sessionToken(r *request, model, version string) string {
+	if r.call.Session == "" || model == "" {
+		return ""
+	}
+	if r.pinned != nil {
+		return r.call.Session
+	}
+	now := e.Now()
+	token, err := e.Tokens.Seal(sessionPrefix, pin{
+		Workspace: r.call.Workspace,
+		Model:     model,
+		Version:   version,
+		OpenedAt:  now,
+		EndsAt:    r.effective.Values.SessionFor.After(now),
+	})
+	if err != nil {
+		return ""
+	}
+	return token
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"net/netip"
+
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// Settings are the process settings of an entry.
+type Settings struct {
+	proc.Common  `yaml:",inline"`
+	Listen       netip.AddrPort `yaml:"listen" doc:"Where callers reach the entry."`
+	MaxBody      int            `yaml:"maxBody,omitempty" doc:"Greatest size of a request's body, in bytes."`
+	MaxHeader    int            `yaml:"maxHeader,omitempty" doc:"Greatest size of a request's headers, in bytes."`
+	ReadWithin   config.Span    `yaml:"readWithin,omitempty" doc:"How long the reading of a request may take."`
+	LinksPerPool int            `yaml:"linksPerPool,omitempty" doc:"How many endpoints of each pool the entry keeps links to."`
+	BeatEvery    config.Span    `yaml:"beatEvery,omitempty" doc:"How often each link carries a heartbeat."`
+	SuspectAfter config.Span    `yaml:"suspectAfter,omitempty" doc:"How long an endpoint may be silent before it gets no new work."`
+	ListEvery    config.Span    `yaml:"listEvery,omitempty" doc:"How often the VM list is read."`
+}
+
+// Defaults of the settings.
+const (
+	defaultMaxBody      = 4 << 20
+	defaultMaxHeader    = 16 << 10
+	defaultReadWithin   = "10s"
+	defaultLinksPerPool = 24
+	defaultBeatEvery    = "1s"
+	defaultSuspectAfter = "3s"
+	defaultListEvery    = "5s"
+)
+
+// fill sets defaults.
+func (s *Settings) fill() {
+	fillInt(&s.MaxBody, defaultMaxBody)
+	fillInt(&s.MaxHeader, defaultMaxHeader)
+	fillInt(&s.LinksPerPool, defaultLinksPerPool)
+	fillSpan(&s.ReadWithin, defaultReadWithin)
+	fillSpan(&s.BeatEvery, defaultBeatEvery)
+	fillSpan(&s.SuspectAfter, defaultSuspectAfter)
+	fillSpan(&s.ListEvery, defaultListEvery)
+}
+
+func fillInt(dst *int, n int) {
+	if *dst == 0 {
+		*dst = n
+	}
+}
+
+func fillSpan(dst *config.Span, text string) {
+	if *dst == 0 {
+		_ = dst.UnmarshalText([]byte(text))
+	}
+}
+
+// Check reports each key that is wrong.
+func (s *Settings) Check(report func(key, message string)) {
+	s.Common.Check(report)
+	if !s.Listen.IsValid() {
+		report("listen", "an IP number and port such as 10.0.0.1:8080 is required")
+	}
+	for key, n := range map[string]int{"maxBody": s.MaxBody, "maxHeader": s.MaxHeader, "linksPerPool": s.LinksPerPool} {
+		if n < 0 {
+			report(key, "0 (the default) or more is allowed")
+		}
+	}
+	for key, n := range map[string]config.Span{"readWithin": s.ReadWithin, "beatEvery": s.BeatEvery, "suspectAfter": s.SuspectAfter, "listEvery": s.ListEvery} {
+		if n < 0 {
+			report(key, "0s (the default) or more is allowed")
+		}
+	}
+	if s.MaxBody > maxAnswer {
+		report("maxBody", "8388608 or less is allowed")
+	}
+}
--- /dev/null
+++ b/internal/fakes/faults.go
@@ -0,0 +1,97 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package fakes
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// Faults are what a stand-in does wrong on request.
+type Faults struct {
+	// Down refuses every call before it has any effect.
+	Down bool `json:"down"`
+	// Delay is added to every call.
+	Delay config.Span `json:"delay"`
+	// LoseAnswers is the share of writes whose answer is lost after they
+	// took effect.
+	LoseAnswers float64 `json:"loseAnswers"`
+	// Fail is the share of runs that end in an error.
+	Fail float64 `json:"fail"`
+	// CutAfter cuts an answer after so many chunks; 0 cuts none.
+	CutAfter int `json:"cutAfter"`
+	// Slow multiplies the time of every step; 0 counts as 1.
+	Slow float64 `json:"slow"`
+}
+
+// faultBox holds the faults in force and a seeded source.
+type faultBox struct {
+	mu     sync.Mutex
+	faults Faults
+	rnd    *rand.Rand
+}
+
+func newFaultBox(seed uint64) *faultBox {
+	return &faultBox{rnd: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Set puts faults in force.
+func (b *faultBox) Set(f Faults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = f
+}
+
+func (b *faultBox) get() Faults {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults
+}
+
+// draw reports true with probability p.
+func (b *faultBox) draw(p float64) bool {
+	if p <= 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rnd.Float64() < p
+}
+
+// serve answers POST /faults and reports whether the request was that.
+func (b *faultBox) serve(ctx *fasthttp.RequestCtx) bool {
+	if string(ctx.Path()) != "/faults" {
+		return false
+	}
+	var f Faults
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return true
+	}
+	b.Set(f)
+	return true
+}
+
+// pause waits for the given length of time, or for the length of faults.
+func pause(s config.Span) {
+	if s > 0 {
+		time.Sleep(time.Duration(s))
+	}
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/fakes/plain.go
@@ -0,0 +1,84 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package fakes
+
+import (
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// Plain is a stand-in for a plain service, such as a title register. It
+// answers what it was asked and counts what it did.
+type Plain struct {
+	*faultBox
+	// Work is how long a call takes.
+	work config.Span
+	mu   sync.Mutex
+	// runs counts how often each run ID was really run.
+	runs map[string]int
+	// bodies counts how often each body was lodged.
+	bodies map[string]int
+}
+
+// PlainAnswer is what the service answers.
+type PlainAnswer struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// NewPlain returns a service whose calls take the given length of time.
+func NewPlain(seed uint64, work config.Span) *Plain {
+	return &Plain{faultBox: newFaultBox(seed), work: work, runs: make(map[string]int), bodies: make(map[string]int)}
+}
+
+// Runs returns how often each run ID was really run.
+func (s *Plain) Runs() map[string]int { return s.copyOf(s.runs) }
+
+// Bodies returns how often each body was lodged.
+func (s *Plain) Bodies() map[string]int { return s.copyOf(s.bodies) }
+
+func (s *Plain) copyOf(m map[string]int) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(m))
+	for k, n := range m {
+		out[k] = n
+	}
+	return out
+}
+
+// Handle serves one HTTP call.
+func (s *Plain) Handle(ctx *fasthttp.RequestCtx) {
+	if s.serve(ctx) {
+		return
+	}
+	f := s.get()
+	if f.Down {
+		ctx.Error("down", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	switch string(ctx.Path()) {
+	case "/runs":
+		writeJSON(ctx, s.Runs())
+		return
+	case "/bodies":
+		writeJSON(ctx, s.Bodies())
+		return
+	}
+	s.mu.Lock()
+	s.runs[string(ctx.Request.Header.Peek(RunHeader))]++
+	s.bodies[string(ctx.PostBody())]++
+	s.mu.Unlock()
+	pause(s.work)
+	pause(f.Delay)
+	if s.draw(f.Fail) {
+		_ = ctx.Conn().Close()
+		return
+	}
+	writeJSON(ctx, PlainAnswer{Method: string(ctx.Method()), Path: string(ctx.Path()), Body: string(ctx.PostBody())})
+}
--- /dev/null
+++ b/internal/fakes/serve.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package fakes
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Served is a stand-in that listens.
+type Served struct {
+	http *fasthttp.Server
+	done chan error
+}
+
+// Serve answers on ln with handle until Close.
+func Serve(ln net.Listener, handle fasthttp.RequestHandler) *Served {
+	s := &Served{
+		http: &fasthttp.Server{Handler: handle, CloseOnShutdown: true, MaxRequestBodySize: 32 << 20},
+		done: make(chan error, 1),
+	}
+	go func() { s.done <- s.http.Serve(ln) }()
+	return s
+}
+
+// Close ends the stand-in and returns what its listener ended with.
+func (s *Served) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	_ = s.http.ShutdownWithContext(ctx)
+	return <-s.done
+}
+
+// closeWithin bounds the wait for calls under way, such as waiting watches.
+const closeWithin = 200 * time.Millisecond
--- /dev/null
+++ b/internal/guard/endpoint.go
@@ -0,0 +1,241 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package guard
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/stream"
+)
+
+// Headers towards engines and services.
+const (
+	runHeader      = "X-Run-Id"
+	priorityHeader = "X-Priority"
+)
+
+// endMarker ends a whole event stream.
+const endMarker = "data: [DONE]"
+
+// Endpoint reaches the engine or service beside the guard. Its fields are
+// seams: tests replace them.
+type Endpoint struct {
+	// Run does the work once and appends the answer to b under attempt 0. It
+	// returns what is billed, and nil for a whole answer.
+	Run func(ctx context.Context, key wire.RunKey, w *wire.Work, b *stream.Buffer) (wire.Usage, *fault.Error)
+	// Alive returns nil if the endpoint takes connections.
+	Alive func(ctx context.Context) error
+}
+
+// client is the HTTP form of an Endpoint.
+type client struct {
+	addr netip.AddrPort
+	kind string
+	http *fasthttp.HostClient
+}
+
+// errDial marks that no connection was made, so that nothing was sent.
+var errDial = errors.New("guard: the endpoint takes no connection")
+
+const (
+	// dialWithin bounds the opening of a connection to the endpoint.
+	dialWithin = time.Second
+	// resumeMost is how often a cut stream is resumed.
+	resumeMost = 3
+	// readSize is the size of one read of an answer.
+	readSize = 16 << 10
+)
+
+// NewEndpoint returns an Endpoint of the given kind at addr.
+func NewEndpoint(kind string, addr netip.AddrPort) *Endpoint {
+	c := &client{addr: addr, kind: kind}
+	c.http = &fasthttp.HostClient{
+		Addr:                addr.String(),
+		MaxConns:            4096,
+		StreamResponseBody:  true,
+		MaxResponseBodySize: maxAnswer,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial:                dialEndpoint,
+		// A kept connection that the endpoint has closed would make a run
+		// that never started look like one that may have.
+		MaxIdleConnDuration: time.Second,
+	}
+	return &Endpoint{Run: c.run, Alive: c.alive}
+}
+
+func dialEndpoint(addr string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, dialWithin)
+	if err != nil {
+		return nil, errors.Mark(err, errDial)
+	}
+	return conn, nil
+}
+
+func (c *client) alive(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialWithin}
+	conn, err := d.DialContext(ctx, "tcp", c.addr.String())
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// runID is how the endpoint knows an attempt.
+func runID(k wire.RunKey) string { return k.RunID + "." + strconv.Itoa(k.Attempt) }
+
+func (c *client) run(ctx context.Context, key wire.RunKey, w *wire.Work, b *stream.Buffer) (wire.Usage, *fault.Error) {
+	stop := context.AfterFunc(ctx, func() { c.cancel(key) })
+	defer stop()
+	err := c.call(w, b, func(req *fasthttp.Request) { c.prepare(req, key, w) })
+	for i := 0; i < resumeMost && c.resumable(err, b) && ctx.Err() == nil; i++ {
+		err = c.call(w, b, func(req *fasthttp.Request) { c.prepareResume(req, key, b.Len()) })
+	}
+	body := b.Bytes()
+	usage := readUsage(body)
+	if err == nil && w.Model != "" {
+		err = checkWhole(body, w.Stream)
+	}
+	return usage, err
+}
+
+func (c *client) resumable(err *fault.Error, b *stream.Buffer) bool {
+	return c.kind == KindEngine && err != nil && err.Kind == fault.NotWhole && b.Len() > 0
+}
+
+func (c *client) prepare(req *fasthttp.Request, key wire.RunKey, w *wire.Work) {
+	req.SetRequestURI("http://" + c.addr.String() + w.Path)
+	req.Header.SetMethod(w.Method)
+	req.Header.Set(runHeader, runID(key))
+	req.Header.Set(priorityHeader, w.Priority)
+	if w.ContentType != "" {
+		req.Header.SetContentType(w.ContentType)
+	}
+	req.SetBodyRaw(w.Body)
+}
+
+func (c *client) prepareResume(req *fasthttp.Request, key wire.RunKey, offset int) {
+	req.SetRequestURI("http://" + c.addr.String() + "/v1/runs/" + runID(key) + "?offset=" + strconv.Itoa(offset))
+}
+
+// call makes one HTTP call and appends its body to b.
+func (c *client) call(w *wire.Work, b *stream.Buffer, prepare func(*fasthttp.Request)) *fault.Error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	prepare(req)
+	if err := c.http.DoDeadline(req, resp, w.Deadline); err != nil {
+		return callFault(err, w.Deadline)
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	status := resp.StatusCode()
+	if c.kind == KindEngine && status != fasthttp.StatusOK {
+		return engineRefusal(status, resp)
+	}
+	b.SetHead(0, stream.Head{Status: status, ContentType: string(resp.Header.ContentType()), Model: w.Model, Version: w.Version})
+	return appendBody(resp, b)
+}
+
+func callFault(err error, deadline time.Time) *fault.Error {
+	switch {
+	case errors.Is(err, errDial):
+		return fault.New(fault.EndpointLost, fault.NotRun, "The endpoint takes no connection.")
+	case errors.Is(err, fasthttp.ErrTimeout) && !time.Now().Before(deadline):
+		return fault.New(fault.DeadlinePassed, fault.MayHaveRun, "The endpoint did not answer before the deadline.")
+	default:
+		return fault.New(fault.EndpointLost, fault.MayHaveRun, "The endpoint's connection broke.")
+	}
+}
+
+// engineRefusal reads a status other than 200: by the engines' protocol 429
+// and 503 say that the run was not taken.
+func engineRefusal(status int, resp *fasthttp.Response) *fault.Error {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return fault.New(fault.Overloaded, fault.NotRun, "The engine takes no more work.")
+	case fasthttp.StatusBadRequest, fasthttp.StatusNotFound:
+		return fault.New(fault.BadRequest, fault.NotRun, "The engine refused the request.")
+	default:
+		_ = resp.CloseBodyStream()
+		return fault.New(fault.EndpointFailed, fault.MayHaveRun, "The engine answered status %d.", status)
+	}
+}
+
+func appendBody(resp *fasthttp.Response, b *stream.Buffer) *fault.Error {
+	r := resp.BodyStream()
+	if r == nil {
+		r = bytes.NewReader(resp.Body())
+	}
+	p := make([]byte, readSize)
+	for {
+		n, err := r.Read(p)
+		if n > 0 {
+			if b.Append(0, b.Len(), p[:n]) != nil {
+				return fault.New(fault.TooLarge, fault.Ran, "The answer is too large.")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fault.New(fault.NotWhole, fault.Ran, "The endpoint broke off its answer.")
+		}
+	}
+}
+
+// checkWhole looks for the end marker of a model's answer.
+func checkWhole(body []byte, streamed bool) *fault.Error {
+	if streamed && !strings.HasSuffix(strings.TrimSpace(string(tail(body))), endMarker) {
+		return fault.New(fault.NotWhole, fault.Ran, "The answer has no end marker.")
+	}
+	if !streamed && !json.Valid(body) {
+		return fault.New(fault.NotWhole, fault.Ran, "The answer is cut.")
+	}
+	return nil
+}
+
+// tailSize is how much of an answer's end is looked at.
+const tailSize = 2 << 10
+
+func tail(body []byte) []byte { return body[max(0, len(body)-tailSize):] }
+
+// readUsage finds the usage that an engine reports at the end of an answer.
+func readUsage(body []byte) wire.Usage {
+	var found struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+	}
+	end := tail(body)
+	i := bytes.LastIndex(end, []byte(`"usage":`))
+	if i < 0 {
+		return wire.Usage{}
+	}
+	_ = json.NewDecoder(bytes.NewReader(end[i+len(`"usage":`):])).Decode(&found)
+	return wire.Usage{PromptTokens: found.Prompt, CompletionTokens: found.Completion}
+}
+
+// cancel asks the engine to end a run; a service has no such call.
+func (c *client) cancel(key wire.RunKey) {
+	if c.kind != KindEngine {
+		return
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.addr.String() + "/v1/runs/" + runID(key) + "/cancel")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	_ = c.http.DoDeadline(req, resp, time.Now().Add(dialWithin))
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,320 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package guard
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/internal/assert"
+	"github.com/traildrift/traildrift/internal/ledger"
+	"github.com/traildrift/traildrift/internal/link"
+	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/admit"
+	"github.com/traildrift/traildrift/pkg/bill"
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+const (
+	// maxAnswer bounds one answer, in bytes.
+	maxAnswer = 8 << 20
+	// spareHandlers is how many link messages beyond runs are handled at a
+	// time.
+	spareHandlers = 128
+	// tickEvery is how often deadlines are looked at.
+	tickEvery = 100 * time.Millisecond
+	// aliveEvery is how often the endpoint is tried.
+	aliveEvery = time.Second
+	// billsHeld bounds the bill lines that wait for the platform.
+	billsHeld = 100_000
+	// billAfter is how long the guard waits for an entry to bill a run
+	// before it writes the line itself.
+	billAfter = 30 * time.Second
+)
+
+// Guard is one guard process. Use New.
+type Guard struct {
+	*proc.Proc
+	settings Settings
+	endpoint *Endpoint
+	kill     context.Context
+	killNow  context.CancelFunc
+	mu       sync.Mutex
+	queue    *admit.Queue
+	runs     map[wire.RunKey]*record
+	// links holds the newest link of each peer incarnation.
+	links map[string]*link.Conn
+	// leaving says that no new work is taken; it never goes back.
+	leaving bool
+	down    bool
+	// unbilled holds the lines that no entry has confirmed yet.
+	unbilled map[wire.RunKey]unbilled
+	bills    *ledger.Writer[bill.Line]
+	counts   counts
+}
+
+// unbilled is a bill line that waits for its entry.
+type unbilled struct {
+	line bill.Line
+	// writeAt is when the guard writes it itself.
+	writeAt time.Time
+}
+
+// counts are the guard's metrics.
+type counts struct {
+	started, refused, tombstones, duplicates tally.Counter
+	running, queued                          tally.Gauge
+}
+
+// New builds a guard; Run starts it.
+func New(s Settings) (*Guard, error) {
+	g := &Guard{
+		settings: s,
+		endpoint: NewEndpoint(s.Kind, s.Endpoint),
+		runs:     make(map[wire.RunKey]*record),
+		links:    make(map[string]*link.Conn),
+		unbilled: make(map[wire.RunKey]unbilled),
+	}
+	limits := admit.Limits{Slots: s.Slots, Reserved: s.Reserved, Waiting: s.Waiting}
+	if s.AgeAfter > 0 {
+		limits.AgeAt = s.AgeAfter.After
+	}
+	g.queue = admit.New(limits)
+	p, err := proc.New(s.Common, proc.Options{
+		Role:     store.RoleEndpoint,
+		Handlers: s.Slots + s.Waiting + spareHandlers,
+		OnMove:   g.onMove,
+		OnProven: g.onProven,
+		State:    g.state,
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.Proc = p
+	g.bills = ledger.New[bill.Line](p.Log, p.Store, ledger.KindBills, p.Identity.Incarnation, billsHeld, nil)
+	g.count()
+	link.On(p.Local.Mux, wire.MethodBeat, g.handleBeat)
+	link.On(p.Local.Mux, wire.MethodRun, g.handleRun)
+	link.On(p.Local.Mux, wire.MethodAsk, g.handleAsk)
+	link.Inline(p.Local.Mux, wire.MethodCancel, g.handleCancel)
+	return g, nil
+}
+
+func (g *Guard) count() {
+	s := g.Scope.SubScope("guard")
+	g.counts = counts{
+		started:    s.Counter("runs_started"),
+		refused:    s.Counter("runs_refused"),
+		tombstones: s.Counter("tombstones"),
+		duplicates: s.Counter("duplicates_refused"),
+		running:    s.Gauge("running"),
+		queued:     s.Gauge("queued"),
+	}
+}
+
+// Run serves until the stages end it. It returns nil after a planned stop
+// that cut off nothing.
+func (g *Guard) Run(stages proc.Stages) error {
+	g.kill, g.killNow = context.WithCancel(stages.Kill)
+	defer g.killNow()
+	ctx, end := context.WithCancel(stages.Kill)
+	defer end()
+	g.Start(ctx)
+	g.Tasks.Go(ctx, "ticks", g.tick)
+	g.Tasks.Go(ctx, "alive", g.watchEndpoint)
+	g.Tasks.Go(ctx, "bills", g.bills.Run)
+	g.Log.Info("guard: Serving.", zap.String("vm", g.Common.VM), zap.String("pool", g.settings.Pool))
+	<-stages.Stop.Done()
+	g.leave()
+	err := g.drain(stages.Kill)
+	end()
+	g.killNow()
+	g.Close()
+	return err
+}
+
+// leave refuses everything that has no slot yet.
+func (g *Guard) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	for _, r := range g.runs {
+		if r.phase == phaseQueued && g.queue.Remove(r.queueID()) {
+			g.tombstone(r, g.refusal(fault.Stopping, "The endpoint is leaving."))
+		}
+	}
+	g.Log.Info("guard: Leaving.", zap.Int("running", g.queue.Running()))
+}
+
+// drain waits for the running runs and writes the bills.
+func (g *Guard) drain(kill context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		g.mu.Lock()
+		n := g.queue.Running()
+		g.mu.Unlock()
+		if n == 0 {
+			break
+		}
+		select {
+		case <-tick.C:
+		case <-kill.Done():
+			return errors.Newf("guard: %d runs were cut off", n)
+		}
+	}
+	g.billNow()
+	return g.bills.Flush(kill)
+}
+
+// tick looks at deadlines until ctx is done.
+func (g *Guard) tick(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			g.step(g.Now())
+		}
+	}
+}
+
+// step expires waiting runs, forgets old ones and bills orphans.
+func (g *Guard) step(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, it := range g.queue.Expire(now, nil) {
+		if r := g.byQueueID(it.ID); r != nil {
+			g.tombstone(r, g.refusal(fault.DeadlinePassed, "The deadline passed in the queue."))
+		}
+	}
+	g.admitNext(g.queue.Next(now, nil))
+	g.forget(now)
+	maps.DeleteFunc(g.links, func(_ string, c *link.Conn) bool { return isDone(c.Done()) })
+	for key, u := range g.unbilled {
+		if now.After(u.writeAt) {
+			g.billLocked(key, u.line)
+		}
+	}
+	g.counts.running.Update(float64(g.queue.Running()))
+	g.counts.queued.Update(float64(g.queue.Waiting()))
+}
+
+// billNow writes every line that no entry has confirmed.
+func (g *Guard) billNow() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, u := range g.unbilled {
+		g.billLocked(key, u.line)
+	}
+}
+
+func (g *Guard) billLocked(key wire.RunKey, line bill.Line) {
+	if !g.bills.Add(line) {
+		return
+	}
+	delete(g.unbilled, key)
+	if r, ok := g.runs[key]; ok {
+		r.settled = true
+	}
+}
+
+// watchEndpoint tries the endpoint until ctx is done.
+func (g *Guard) watchEndpoint(ctx context.Context) error {
+	t := time.NewTicker(aliveEvery)
+	defer t.Stop()
+	for {
+		err := g.endpoint.Alive(ctx)
+		g.mu.Lock()
+		changed := g.down != (err != nil)
+		g.down = err != nil
+		g.mu.Unlock()
+		if changed {
+			g.Log.Warn("guard: The endpoint has changed.", zap.Bool("down", err != nil), logs.Err(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// onMove takes withdrawn versions out of the queue: queued work is new work.
+func (g *Guard) onMove(s *config.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.runs {
+		if r.phase != phaseQueued {
+			continue
+		}
+		if refused := g.notAllowed(s, &r.work); refused != nil && g.queue.Remove(r.queueID()) {
+			g.tombstone(r, wire.RunReply{Err: refused})
+		}
+	}
+}
+
+// onProven replaces the older link of the same incarnation.
+func (g *Guard) onProven(c *link.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old, ok := g.links[c.Peer.Incarnation]; ok {
+		old.Supersede()
+	}
+	g.links[c.Peer.Incarnation] = c
+}
+
+// notAllowed returns why the settings forbid new work, or nil.
+func (g *Guard) notAllowed(s *config.Snapshot, w *wire.Work) *fault.Error {
+	if w.Model == "" {
+		return nil
+	}
+	v, ok := s.Version(w.Model, w.Version)
+	if !ok || v.State == config.StateWithdrawn {
+		return fault.New(fault.VersionWithdrawn, fault.NotRun, "%s@%s is withdrawn.", w.Model, w.Version)
+	}
+	e := s.Effective(w.Workspace, w.Workload, w.District)
+	for _, c := range s.Candidates(e) {
+		if c.Model == w.Model && c.Version == w.Version {
+			return nil
+		}
+	}
+	return fault.New(fault.NotAllowed, fault.NotRun, "The workspace does not allow %s@%s.", w.Model, w.Version)
+}
+
+// refusal is the reply of a run that never started.
+func (g *Guard) refusal(k fault.Kind, message string) wire.RunReply {
+	return wire.RunReply{Err: fault.New(k, fault.NotRun, "%s", message)}
+}
+
+// byQueueID finds the record of an item; g.mu is held.
+func (g *Guard) byQueueID(id string) *record {
+	for _, r := range g.runs {
+		if r.phase == phaseQueued && r.queueID() == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// admitNext gives slots to items that the queue has started; g.mu is held.
+func (g *Guard) admitNext(items []admit.Item) {
+	for _, it := range items {
+		if r := g.byQueueID(it.ID); assert.That(r != nil, "admittedRunIsQueued") {
+			close(r.admitted)
+		}
+	}
+}
--- /dev/null
+++ b/internal/guard/settings.go
@@ -0,0 +1,55 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package guard
+
+import (
+	"net/netip"
+
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// Kinds of endpoint.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// Settings are the process settings of a guard.
+type Settings struct {
+	proc.Common `yaml:",inline"`
+	Pool        string         `yaml:"pool" doc:"Pool that the endpoint belongs to."`
+	Kind        string         `yaml:"kind" doc:"engine or service."`
+	Endpoint    netip.AddrPort `yaml:"endpoint" doc:"Where the endpoint beside the guard listens, by IP number."`
+	Slots       int            `yaml:"slots" doc:"How many runs the endpoint takes at a time."`
+	Reserved    int            `yaml:"reserved,omitempty" doc:"How many slots patient runs must leave free."`
+	Waiting     int            `yaml:"waiting,omitempty" doc:"How many runs may wait."`
+	AgeAfter    config.Span    `yaml:"ageAfter,omitempty" doc:"How long a patient run waits before it counts as interactive."`
+}
+
+// Check reports each key that is wrong.
+func (s *Settings) Check(report func(key, message string)) {
+	s.Common.Check(report)
+	if s.Pool == "" {
+		report("pool", "a name is required")
+	}
+	if s.Kind != KindEngine && s.Kind != KindService {
+		report("kind", "allowed: engine, service")
+	}
+	if !s.Endpoint.IsValid() {
+		report("endpoint", "an IP number and port such as 10.0.0.1:8000 is required")
+	}
+	if s.Slots < 1 {
+		report("slots", "1 or more is allowed")
+	}
+	if s.Reserved < 0 || s.Reserved >= max(s.Slots, 1) {
+		report("reserved", "0 to slots-1 is allowed")
+	}
+	if s.Waiting < 0 {
+		report("waiting", "0 or more is allowed")
+	}
+	if s.AgeAfter < 0 {
+		report("ageAfter", "0s or more is allowed")
+	}
+}
--- /dev/null
+++ b/internal/ledger/writer.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Package ledger writes records to the platform in batches, each exactly once:
+// a batch is an object with a name of its own, written only if it does not
+// exist, so that a repeated write is harmless.
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/store"
+)
+
+// Kinds of the ledgers' objects.
+const (
+	KindBills = "bills"
+	KindTrail = "trail"
+)
+
+const (
+	// writeEvery is how long records are gathered before they are written.
+	writeEvery = time.Second
+	// batchMost bounds the records of one object.
+	batchMost = 400
+	// waitAfterError is how long a failed write waits before it is repeated.
+	waitAfterError = time.Second
+	// putWithin bounds one write.
+	putWithin = 5 * time.Second
+)
+
+// Writer gathers records of one kind and writes them in batches.
+type Writer[T any] struct {
+	log   *zap.Logger
+	store *store.Client
+	kind  string
+	// prefix names the process's objects; it holds the incarnation.
+	prefix string
+	// onWritten hears of every batch that the platform has confirmed.
+	onWritten func([]T)
+	mu        sync.Mutex
+	// held is what is not confirmed yet, oldest first; never longer than
+	// most.
+	held []T
+	most int
+	// seq numbers the next batch.
+	seq int
+	// lost counts records that were dropped because held was full.
+	lost int64
+	// wake is signalled when a batch is full or a flush is wanted.
+	wake chan struct{}
+}
+
+// New returns a writer of objects kind/prefix-number that holds at most most
+// records. onWritten may be nil.
+func New[T any](log *zap.Logger, c *store.Client, kind, prefix string, most int, onWritten func([]T)) *Writer[T] {
+	return &Writer[T]{log: log, store: c, kind: kind, prefix: prefix, most: most, onWritten: onWritten, wake: make(chan struct{}, 1)}
+}
+
+// Add takes a record; it reports false, and counts it as lost, when the buffer
+// is full.
+func (w *Writer[T]) Add(r T) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.held) >= w.most {
+		w.lost++
+		return false
+	}
+	w.held = append(w.held, r)
+	if len(w.held)%batchMost == 0 {
+		w.poke()
+	}
+	return true
+}
+
+func (w *Writer[T]) poke() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Held returns how many records are not confirmed and how many were lost.
+func (w *Writer[T]) Held() (held int, lost int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.held), w.lost
+}
+
+// Find returns the first held record that match accepts.
+func (w *Writer[T]) Find(match func(T) bool) (T, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.held {
+		if match(r) {
+			return r, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+// Run writes batches until ctx is done.
+func (w *Writer[T]) Run(ctx context.Context) error {
+	tick := time.NewTicker(writeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-w.wake:
+		}
+		for w.writeOne(ctx) {
+			if ctx.Err() != nil {
+				return nil
+			}
+		}
+	}
+}
+
+// Flush writes all that is held, or returns the error of ctx.
+func (w *Writer[T]) Flush(ctx context.Context) error {
+	for {
+		held, _ := w.Held()
+		if held == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(ctx.Err(), "ledger: %d records of %s are not written", held, w.kind)
+		}
+		if !w.writeOne(ctx) {
+			wait(ctx, waitAfterError)
+		}
+	}
+}
+
+// writeOne writes the oldest batch and reports whether it was confirmed.
+func (w *Writer[T]) writeOne(ctx context.Context) bool {
+	w.mu.Lock()
+	batch := w.held[:min(len(w.held), batchMost)]
+	name := fmt.Sprintf("%s-%08d", w.prefix, w.seq)
+	w.mu.Unlock()
+	if len(batch) == 0 {
+		return false
+	}
+	body, err := json.Marshal(batch)
+	if err != nil {
+		w.log.Error("ledger: A batch does not encode.", logs.Err(err))
+		return false
+	}
+	put, cancel := context.WithTimeout(ctx, putWithin)
+	defer cancel()
+	_, err = w.store.Put(put, w.kind, name, 0, body)
+	if errors.Is(err, store.ErrConflict) {
+		return w.settle(put, name)
+	}
+	if err != nil {
+		w.log.Warn("ledger: A batch could not be written.", zap.String("name", name), logs.Err(err))
+		return false
+	}
+	w.confirmed(len(batch))
+	return true
+}
+
+// settle reads back an object whose earlier write took effect though its
+// answer was lost. The batch may have grown since: what the object holds is
+// confirmed.
+func (w *Writer[T]) settle(ctx context.Context, name string) bool {
+	o, err := w.store.Get(ctx, w.kind, name)
+	if err != nil {
+		return false
+	}
+	var written []T
+	if err := json.Unmarshal(o.Value, &written); err != nil {
+		return false
+	}
+	w.confirmed(len(written))
+	return true
+}
+
+func (w *Writer[T]) confirmed(n int) {
+	w.mu.Lock()
+	n = min(n, len(w.held))
+	batch := append([]T(nil), w.held[:n]...)
+	w.held = append([]T(nil), w.held[n:]...)
+	w.seq++
+	w.mu.Unlock()
+	if w.onWritten != nil {
+		w.onWritten(batch)
+	}
+}
+
+func wait(ctx context.Context, s time.Duration) {
+	t := time.NewTimer(s)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Package logs builds the process's logger: JSON lines of short sentences,
+// each with the fixed prefix of its part.
+package logs
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes JSON lines to standard error at the given
+// level; an empty or unknown one is info.
+func New(level string) *zap.Logger {
+	cfg := zap.NewProductionConfig()
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.DisableCaller = true
+	cfg.DisableStacktrace = true
+	cfg.Sampling = nil
+	if l, err := zapcore.ParseLevel(level); err == nil && level != "" {
+		cfg.Level.SetLevel(l)
+	}
+	l, err := cfg.Build()
+	if err != nil {
+		return zap.NewNop()
+	}
+	return l
+}
+
+// Err is the field for an error: its text alone, without a stack.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- /dev/null
+++ b/internal/proc/settings.go
@@ -0,0 +1,102 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Package proc holds what every process of the system has: its settings file,
+// keys, logger, metrics, links, fleet settings and operators' listener.
+package proc
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/seal"
+)
+
+// Common are the process settings that entries and guards share.
+type Common struct {
+	VM               string         `yaml:"vm" doc:"Name of the VM, as in the VM list."`
+	AvailabilityZone string         `yaml:"availabilityZone" doc:"Availability zone of the VM."`
+	Link             netip.AddrPort `yaml:"link" doc:"Where peers reach the process, by IP number."`
+	Operators        netip.AddrPort `yaml:"operators" doc:"Where operators reach the process; off loopback only with operatorsToken."`
+	OperatorsToken   string         `yaml:"operatorsToken,omitempty" doc:"File with the token that operators must send."`
+	Platform         netip.AddrPort `yaml:"platform" doc:"The platform's object API and VM list."`
+	Keys             string         `yaml:"keys" doc:"File with the link and token keys."`
+	StopWithin       config.Span    `yaml:"stopWithin,omitempty" doc:"How long a planned stop may take, counted from the signal."`
+	LogLevel         string         `yaml:"logLevel,omitempty" doc:"debug, info, warn or error."`
+}
+
+// Check returns what is wrong with the settings, key by key.
+func (c *Common) Check(report func(key, message string)) {
+	if c.VM == "" {
+		report("vm", "a name is required")
+	}
+	if c.AvailabilityZone == "" {
+		report("availabilityZone", "a name is required")
+	}
+	for key, addr := range map[string]netip.AddrPort{"link": c.Link, "operators": c.Operators, "platform": c.Platform} {
+		if !addr.IsValid() {
+			report(key, "an IP number and port such as 10.0.0.1:7000 is required")
+		}
+	}
+	if c.Operators.IsValid() && !c.Operators.Addr().IsLoopback() && c.OperatorsToken == "" {
+		report("operators", "off loopback only with operatorsToken")
+	}
+	if c.Keys == "" {
+		report("keys", "a file is required")
+	}
+	if c.StopWithin < 0 {
+		report("stopWithin", "0s or more is allowed")
+	}
+	switch c.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		report("logLevel", fmt.Sprintf("%q is not allowed; allowed: debug, info, warn, error", c.LogLevel))
+	}
+}
+
+// Checked is a settings struct that can check itself.
+type Checked interface {
+	// Check reports each key that is wrong, with what is allowed.
+	Check(report func(key, message string))
+}
+
+// Load reads a process settings file strictly into dst, which must be a
+// pointer. The error is config.Problems: file, line, key and what is allowed.
+func Load(file string, dst Checked) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return config.Problems{{File: file, Line: 1, Key: "(file)", Message: err.Error()}}
+	}
+	if err := config.Decode(file, text, dst); err != nil {
+		return err
+	}
+	lines := config.NewLines(text)
+	var ps config.Problems
+	dst.Check(func(key, message string) {
+		ps = append(ps, config.Problem{File: file, Line: lines.Of(key), Key: key, Message: message})
+	})
+	if len(ps) > 0 {
+		return ps
+	}
+	return nil
+}
+
+// Keys is the key file: it is named in the process settings and holds secrets
+// that never stand in a log or dump.
+type Keys struct {
+	// Link proves processes to each other.
+	Link []seal.Key `yaml:"link"`
+	// Token seals session tokens and tickets.
+	Token []seal.Key `yaml:"token"`
+}
+
+// Check reports keys that are missing or too short.
+func (k *Keys) Check(report func(key, message string)) {
+	for name, keys := range map[string][]seal.Key{"link": k.Link, "token": k.Token} {
+		if _, err := seal.NewRing(keys); err != nil {
+			report(name, err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/vms.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Roles of a VM.
+const (
+	RoleEntry    = "entry"
+	RoleEndpoint = "endpoint"
+)
+
+// States of a VM.
+const (
+	VMLive    = "live"
+	VMLeaving = "leaving"
+)
+
+// VM is one row of the platform's VM list, which lags.
+type VM struct {
+	Name             string `json:"name" yaml:"name"`
+	Role             string `json:"role" yaml:"role"`
+	AvailabilityZone string `json:"availabilityZone" yaml:"availabilityZone"`
+	// Pool names the pool of an endpoint VM.
+	Pool string `json:"pool,omitempty" yaml:"pool,omitempty"`
+	// Link is where the system's process on the VM listens for its peers.
+	Link  netip.AddrPort `json:"link" yaml:"link"`
+	State string         `json:"state" yaml:"state"`
+}
+
+// VMs reaches the platform's VM list. Its field is a seam.
+type VMs struct {
+	// List returns the VMs, or ErrDown.
+	List func(ctx context.Context) ([]VM, error)
+}
+
+// NewVMs returns a client of the VM list at addr.
+func NewVMs(addr netip.AddrPort) *VMs {
+	h := &wire{base: "http://" + addr.String(), conns: newConns()}
+	h.http = &fasthttp.HostClient{Addr: addr.String(), Dial: h.conns.dial}
+	return &VMs{List: h.vms}
+}
+
+func (h *wire) vms(ctx context.Context) ([]VM, error) {
+	var out []VM
+	err := h.do(ctx, func(req *fasthttp.Request) {
+		req.SetRequestURI(h.base + "/v1/vms")
+	}, func(resp *fasthttp.Response) error {
+		return readJSON(resp, &out)
+	})
+	return out, readOnly(err)
+}
+
+func readJSON(resp *fasthttp.Response, dst any) error {
+	if err := statusError(resp.StatusCode()); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(resp.Body(), dst); err != nil {
+		return ErrDown
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,249 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+// Package wire holds the typed messages between entries and guards. Every
+// message and every reply carries the sender's settings revision.
+package wire
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/stream"
+)
+
+// Methods of the inner link.
+const (
+	MethodHello  = "hello"
+	MethodProve  = "prove"
+	MethodBeat   = "beat"
+	MethodDelta  = "delta"
+	MethodRun    = "run"
+	MethodAsk    = "ask"
+	MethodCancel = "cancel"
+	MethodChunk  = "chunk"
+	MethodJoin   = "join"
+)
+
+// Stamp is the sender's settings revision.
+type Stamp struct {
+	Revision int64 `json:"revision,omitempty"`
+}
+
+// Stamped is what every message is.
+type Stamped interface {
+	// StampedRevision returns the sender's revision.
+	StampedRevision() int64
+}
+
+// StampedRevision returns the sender's revision.
+func (s Stamp) StampedRevision() int64 { return s.Revision }
+
+// Identity names a process to its peers.
+type Identity struct {
+	// VM names the machine it runs on.
+	VM string `json:"vm"`
+	// Role is entry or endpoint.
+	Role string `json:"role"`
+	// Incarnation is new at every start of a process.
+	Incarnation      string `json:"incarnation"`
+	AvailabilityZone string `json:"availabilityZone"`
+	// Link is where the process listens for its peers.
+	Link netip.AddrPort `json:"link"`
+}
+
+// Hello opens a link.
+type Hello struct {
+	Stamp
+	Identity Identity `json:"identity"`
+	// Nonce is fresh; the other side answers it with a MAC.
+	Nonce string `json:"nonce"`
+}
+
+// HelloReply answers Hello.
+type HelloReply struct {
+	Stamp
+	Identity Identity `json:"identity"`
+	Nonce    string   `json:"nonce"`
+	// MAC proves the answerer's key over the caller's nonce.
+	MAC []byte `json:"mac"`
+}
+
+// Prove answers the nonce of HelloReply.
+type Prove struct {
+	Stamp
+	MAC []byte `json:"mac"`
+}
+
+// Empty is a reply that carries nothing but the stamp.
+type Empty struct {
+	Stamp
+}
+
+// Beat is the heartbeat of an entry towards a guard or another entry.
+type Beat struct {
+	Stamp
+	// Settled lists the runs whose bill line the platform has confirmed.
+	Settled []RunKey `json:"settled,omitempty"`
+}
+
+// BeatReply answers Beat with the load of the endpoint.
+type BeatReply struct {
+	Stamp
+	Load Load `json:"load"`
+}
+
+// Load is what a guard says of its endpoint.
+type Load struct {
+	Pool string `json:"pool"`
+	// Slots is how many runs the endpoint takes at a time.
+	Slots int `json:"slots"`
+	// Running and Queued count runs.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Tokens counts the tokens that the running runs may still generate.
+	Tokens int `json:"tokens"`
+	// Leaving says that no new work is taken.
+	Leaving bool `json:"leaving,omitempty"`
+	// Down says that the endpoint itself does not answer.
+	Down bool `json:"down,omitempty"`
+}
+
+// Delta asks for the settings that follow revision Have.
+type Delta struct {
+	Stamp
+	// Hashes names the nodes wanted; empty asks for the head alone.
+	Hashes []string `json:"hashes,omitempty"`
+}
+
+// DeltaReply answers Delta.
+type DeltaReply struct {
+	Stamp
+	Head   config.Head       `json:"head"`
+	Bodies map[string][]byte `json:"bodies,omitempty"`
+}
+
+// RunKey names one attempt of a run.
+type RunKey struct {
+	// RunID is unique to a request.
+	RunID string `json:"runID"`
+	// Attempt counts from 1.
+	Attempt int `json:"attempt"`
+}
+
+// Work is what an endpoint is asked to do.
+type Work struct {
+	Workspace string `json:"workspace"`
+	Workload  string `json:"workload"`
+	District  string `json:"district,omitempty"`
+	// Model and Version are empty for a plain service.
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	// Service is empty for a model.
+	Service string `json:"service,omitempty"`
+	// Method, Path and ContentType are those of the call.
+	Method      string `json:"method"`
+	Path        string `json:"path"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	// Stream asks for the answer in pieces.
+	Stream     bool      `json:"stream,omitempty"`
+	MaxTokens  int       `json:"maxTokens,omitempty"`
+	Priority   string    `json:"priority"`
+	Deadline   time.Time `json:"deadline"`
+	Repeatable bool      `json:"repeatable,omitempty"`
+	// BillID names the line that the run is billed on.
+	BillID string `json:"billID"`
+	// Cost is per million tokens.
+	Cost float64 `json:"cost,omitempty"`
+}
+
+// Run asks a guard to run work once.
+type Run struct {
+	Stamp
+	Key  RunKey `json:"key"`
+	Work Work   `json:"work"`
+	// Guard is the incarnation that the request is meant for; another one
+	// refuses it.
+	Guard string `json:"guard"`
+}
+
+// Ask asks what became of a run, after a broken link. A guard that has never
+// seen the run leaves a tombstone and answers that it did not run; one that
+// has sends the chunks from Offset and answers as Run does.
+type Ask struct {
+	Stamp
+	Key      RunKey    `json:"key"`
+	Guard    string    `json:"guard"`
+	Offset   int       `json:"offset"`
+	Deadline time.Time `json:"deadline"`
+}
+
+// Cancel ends a run that is no longer wanted.
+type Cancel struct {
+	Stamp
+	Key RunKey `json:"key"`
+}
+
+// Chunk is a piece of an answer.
+type Chunk struct {
+	Stamp
+	Key    RunKey `json:"key"`
+	Offset int    `json:"offset"`
+	// Head comes with the first chunk.
+	Head *stream.Head `json:"head,omitempty"`
+	Data []byte       `json:"data,omitempty"`
+}
+
+// RunReply says how a run ended.
+type RunReply struct {
+	Stamp
+	// Length is the whole answer's, in bytes.
+	Length int `json:"length"`
+	// Usage is what is billed.
+	Usage Usage `json:"usage"`
+	// Err is nil for a whole answer.
+	Err *fault.Error `json:"err,omitempty"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"promptTokens"`
+	CompletionTokens int `json:"completionTokens"`
+}
+
+// Join asks another entry for the answer of a request that it claimed, or
+// brings it the request of a ticket that only it may start.
+type Join struct {
+	Stamp
+	// Incarnation is the entry that is meant.
+	Incarnation string `json:"incarnation"`
+	// Key is the caller's own key or ticket, with its workspace.
+	Key string `json:"key"`
+	// BodyHash is that of the request, as the key binds it.
+	BodyHash string `json:"bodyHash"`
+	// Stream numbers the chunks sent back for this call.
+	Stream RunKey `json:"stream"`
+	// Start is the request of a ticket; nil only asks.
+	Start *Call `json:"start,omitempty"`
+}
+
+// Call is a caller's request on its way between entries.
+type Call struct {
+	Workspace   string    `json:"workspace"`
+	Workload    string    `json:"workload"`
+	District    string    `json:"district,omitempty"`
+	Model       string    `json:"model,omitempty"`
+	Session     string    `json:"session,omitempty"`
+	Service     string    `json:"service,omitempty"`
+	Method      string    `json:"method"`
+	Path        string    `json:"path"`
+	ContentType string    `json:"contentType,omitempty"`
+	Body        []byte    `json:"body,omitempty"`
+	Stream      bool      `json:"stream,omitempty"`
+	MaxTokens   int       `json:"maxTokens,omitempty"`
+	Priority    string    `json:"priority,omitempty"`
+	Deadline    time.Time `json:"deadline"`
+}
--- /dev/null
+++ b/pkg/config/check.go
@@ -0,0 +1,196 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// checker collects the problems of one file.
+type checker struct {
+	name     string
+	lines    Lines
+	problems Problems
+}
+
+func (c *checker) add(keys []string, format string, args ...any) {
+	c.problems = append(c.problems, Problem{
+		File:    c.name,
+		Line:    c.lines.Of(keys...),
+		Key:     strings.Join(keys, "."),
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+func (c *checker) file(f File) {
+	for _, m := range slices.Sorted(maps.Keys(f.Models)) {
+		c.checkName([]string{"models", m})
+		for _, v := range slices.Sorted(maps.Keys(f.Models[m].Versions)) {
+			c.version([]string{"models", m, "versions", v}, f.Models[m].Versions[v])
+		}
+	}
+	for _, s := range slices.Sorted(maps.Keys(f.Services)) {
+		c.checkName([]string{"services", s})
+		if f.Services[s].Pool == "" {
+			c.add([]string{"services", s, "pool"}, "a pool must be named")
+		}
+	}
+	c.values(f, nil, f.Values)
+	hashes := make(map[string]string)
+	for _, ws := range slices.Sorted(maps.Keys(f.Workspaces)) {
+		c.workspace(f, ws, hashes)
+	}
+	if len(c.problems) == 0 {
+		c.allowed(f)
+	}
+}
+
+func (c *checker) checkName(keys []string) {
+	name := keys[len(keys)-1]
+	if name == "" || strings.ContainsAny(name, "/@ \t") {
+		c.add(keys, "a name without space, / and @ is allowed")
+	}
+}
+
+func (c *checker) version(keys []string, v Version) {
+	c.checkName(keys)
+	if v.Pool == "" {
+		c.add(append(keys, "pool"), "a pool must be named")
+	}
+	if v.Cost < 0 {
+		c.add(append(keys, "cost"), "%v is not allowed; allowed: 0 or more", v.Cost)
+	}
+	if v.Quality < 0 || v.Quality > 1 {
+		c.add(append(keys, "quality"), "%v is not allowed; allowed: 0 to 1", v.Quality)
+	}
+	if !slices.Contains([]string{"", StateServing, StateWithdrawn}, v.State) {
+		c.add(append(keys, "state"), "%q is not allowed; allowed: %s, %s", v.State, StateServing, StateWithdrawn)
+	}
+}
+
+func (c *checker) workspace(f File, ws string, hashes map[string]string) {
+	at := []string{"workspaces", ws}
+	c.checkName(at)
+	w := f.Workspaces[ws]
+	for _, h := range w.KeyHashes {
+		if !strings.HasPrefix(h, "sha256:") || len(h) != len(KeyHash("")) {
+			c.add(append(at, "keyHashes"), "sha256: and 64 hexadecimal digits are allowed")
+		}
+		if other, ok := hashes[h]; ok {
+			c.add(append(at, "keyHashes"), "the key also belongs to workspace %s", other)
+		}
+		hashes[h] = ws
+	}
+	c.values(f, at, w.Values)
+	for _, wl := range slices.Sorted(maps.Keys(w.Workloads)) {
+		c.workload(f, append(slices.Clone(at), "workloads", wl), w.Workloads[wl])
+	}
+}
+
+func (c *checker) workload(f File, at []string, l WorkloadNode) {
+	c.checkName(at)
+	if _, ok := f.Services[l.Serves]; !ok && l.Serves != "" && l.Serves != ServesChat {
+		c.add(append(slices.Clone(at), "serves"), "%q is not allowed; allowed: %s or one of services", l.Serves, ServesChat)
+	}
+	c.values(f, at, l.Values)
+	for _, d := range slices.Sorted(maps.Keys(l.Districts)) {
+		dat := append(slices.Clone(at), "districts", d)
+		c.checkName(dat)
+		c.values(f, dat, l.Districts[d].Values)
+	}
+}
+
+func (c *checker) values(f File, at []string, v Values) {
+	for _, k := range keys {
+		if msg := k.check(v); msg != "" {
+			c.add(append(slices.Clone(at), "values", k.Name), "%s", msg)
+		}
+	}
+	for _, a := range v.Allow {
+		if len(Expand(f.Models, []string{a})) == 0 {
+			c.add(append(slices.Clone(at), "values", "allow"), "%q names no model or model@version of models", a)
+		}
+	}
+}
+
+// allowed reports chat workloads that are left with no version they could run
+// on: none allowed, all withdrawn, or a target that none meets.
+func (c *checker) allowed(f File) {
+	s, err := snapshotOf(f.Nodes())
+	if err != nil {
+		return
+	}
+	for _, path := range slices.Sorted(maps.Keys(s.nodes)) {
+		p := strings.Split(path, "/")
+		if len(p) < 2 || s.Serves(p[0], p[1]) != ServesChat {
+			continue
+		}
+		e := s.effective[path]
+		if !*e.Values.Enabled {
+			continue
+		}
+		if msg := unserved(e, s.candidates[path]); msg != "" {
+			c.add(yamlKeys(path), "%s", msg)
+		}
+	}
+}
+
+func unserved(e *Effective, candidates []Candidate) string {
+	best := -1.0
+	serving := 0
+	for _, cand := range candidates {
+		if cand.Spec.State == StateWithdrawn || cand.Spec.Cost > *e.Values.MaxCost {
+			continue
+		}
+		serving++
+		best = max(best, cand.Spec.Quality)
+	}
+	if len(candidates) == 0 {
+		return "no version is allowed here"
+	}
+	if serving == 0 {
+		return "every allowed version is withdrawn or dearer than maxCost"
+	}
+	if best < *e.Values.QualityTarget {
+		return fmt.Sprintf("qualityTarget %v cannot be met; the best version has %v", *e.Values.QualityTarget, best)
+	}
+	return ""
+}
+
+func yamlKeys(path string) []string {
+	p := strings.Split(path, "/")
+	out := []string{"workspaces", p[0], "workloads", p[1]}
+	if len(p) > 2 {
+		out = append(out, "districts", p[2])
+	}
+	return out
+}
+
+func snapshotOf(nodes map[string]Node) (*Snapshot, error) {
+	head := Head{Revision: 1, Nodes: make(map[string]Ref)}
+	bodies := make(map[string][]byte)
+	for path, n := range nodes {
+		body, hash := n.Encode()
+		head.Nodes[path] = Ref{Hash: hash, Revision: 1}
+		bodies[hash] = body
+	}
+	return Build(head, bodies)
+}
+
+// CheckNodes checks a whole tree that did not come from a file. The error is
+// Problems, whose keys are those a file would have.
+func CheckNodes(name string, nodes map[string]Node) error {
+	c := checker{name: name}
+	c.file(FileOf(nodes))
+	if len(c.problems) > 0 {
+		return c.problems
+	}
+	return nil
+}
+
+// Preview returns the tree that nodes would make, as revision 1.
+func Preview(nodes map[string]Node) (*Snapshot, error) { return snapshotOf(nodes) }
--- /dev/null
+++ b/pkg/config/file.go
@@ -0,0 +1,191 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// File is the tree as operators write it.
+type File struct {
+	Models     map[string]Model         `yaml:"models"`
+	Services   map[string]Service       `yaml:"services,omitempty"`
+	Values     Values                   `yaml:"values,omitempty"`
+	Workspaces map[string]WorkspaceNode `yaml:"workspaces"`
+}
+
+// WorkspaceNode is a workspace as operators write it.
+type WorkspaceNode struct {
+	KeyHashes []string                `yaml:"keyHashes"`
+	Values    Values                  `yaml:"values,omitempty"`
+	Workloads map[string]WorkloadNode `yaml:"workloads,omitempty"`
+}
+
+// WorkloadNode is a workload as operators write it.
+type WorkloadNode struct {
+	Serves    string                  `yaml:"serves,omitempty"`
+	Values    Values                  `yaml:"values,omitempty"`
+	Districts map[string]DistrictNode `yaml:"districts,omitempty"`
+}
+
+// DistrictNode is a district as operators write it.
+type DistrictNode struct {
+	Values Values `yaml:"values,omitempty"`
+}
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	File    string
+	Line    int
+	Key     string
+	Message string
+}
+
+// Error returns file, line, key and what is allowed.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Message)
+}
+
+// Problems are all faults of a settings file.
+type Problems []Problem
+
+// Error returns one line for each fault.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Decode reads one YAML document into dst, which must be a pointer to a
+// struct. Unknown keys and wrong types are Problems with their line.
+func Decode(name string, text []byte, dst any) error {
+	err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(dst)
+	if err == nil {
+		return nil
+	}
+	p := Problem{File: name, Line: 1, Key: "(document)", Message: err.Error()}
+	var yerr yaml.Error
+	if asYAML(err, &yerr) {
+		p.Message = yerr.GetMessage()
+		if t := yerr.GetToken(); t != nil {
+			p.Line = t.Position.Line
+			p.Key = t.Value
+		}
+	}
+	return Problems{p}
+}
+
+func asYAML(err error, dst *yaml.Error) bool {
+	for err != nil {
+		if e, ok := err.(yaml.Error); ok {
+			*dst = e
+			return true
+		}
+		u, ok := err.(interface{ Unwrap() error })
+		if !ok {
+			return false
+		}
+		err = u.Unwrap()
+	}
+	return false
+}
+
+// Lines finds the line of a key in a YAML document.
+type Lines struct {
+	root ast.Node
+}
+
+// NewLines parses text; a document that does not parse has line 1 everywhere.
+func NewLines(text []byte) Lines {
+	f, err := parser.ParseBytes(text, 0)
+	if err != nil || len(f.Docs) == 0 {
+		return Lines{}
+	}
+	return Lines{root: f.Docs[0].Body}
+}
+
+// Of returns the line of the nested key, or of the nearest key above it.
+func (l Lines) Of(keys ...string) int {
+	line := 1
+	n := l.root
+	for _, key := range keys {
+		n = child(n, key, &line)
+	}
+	return line
+}
+
+func child(n ast.Node, key string, line *int) ast.Node {
+	var entries []*ast.MappingValueNode
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		entries = m.Values
+	case *ast.MappingValueNode:
+		entries = []*ast.MappingValueNode{m}
+	}
+	for _, e := range entries {
+		if t := e.Key.GetToken(); t.Value == key {
+			*line = t.Position.Line
+			return e.Value
+		}
+	}
+	return nil
+}
+
+// ParseFile reads and checks a whole tree. The error is Problems.
+func ParseFile(name string, text []byte) (File, error) {
+	var f File
+	if err := Decode(name, text, &f); err != nil {
+		return f, err
+	}
+	c := checker{name: name, lines: NewLines(text)}
+	c.file(f)
+	if len(c.problems) > 0 {
+		return f, c.problems
+	}
+	return f, nil
+}
+
+// Nodes returns the tree by path.
+func (f File) Nodes() map[string]Node {
+	out := map[string]Node{"": {Models: f.Models, Services: f.Services, Values: f.Values}}
+	for ws, w := range f.Workspaces {
+		out[Path(ws)] = Node{KeyHashes: w.KeyHashes, Values: w.Values}
+		for wl, l := range w.Workloads {
+			out[Path(ws, wl)] = Node{Serves: l.Serves, Values: l.Values}
+			for d, n := range l.Districts {
+				out[Path(ws, wl, d)] = Node{Values: n.Values}
+			}
+		}
+	}
+	return out
+}
+
+// FileOf returns the tree as operators write it.
+func FileOf(nodes map[string]Node) File {
+	fleet := nodes[""]
+	f := File{Models: fleet.Models, Services: fleet.Services, Values: fleet.Values, Workspaces: map[string]WorkspaceNode{}}
+	for _, path := range slices.Sorted(maps.Keys(nodes)) {
+		n := nodes[path]
+		p := strings.Split(path, "/")
+		switch LevelOf(path) {
+		case LevelWorkspace:
+			f.Workspaces[p[0]] = WorkspaceNode{KeyHashes: n.KeyHashes, Values: n.Values, Workloads: map[string]WorkloadNode{}}
+		case LevelWorkload:
+			f.Workspaces[p[0]].Workloads[p[1]] = WorkloadNode{Serves: n.Serves, Values: n.Values, Districts: map[string]DistrictNode{}}
+		case LevelDistrict:
+			f.Workspaces[p[0]].Workloads[p[1]].Districts[p[2]] = DistrictNode{Values: n.Values}
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/config/snapshot.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Snapshot is the tree at one revision, ready for decisions. It never changes
+// once built.
+type Snapshot struct {
+	// Head is what the snapshot was built from.
+	Head Head
+	// nodes holds the node of every path of Head.
+	nodes map[string]Node
+	// bodies holds the stored form of every node, by hash.
+	bodies map[string][]byte
+	// effective holds the settings in force for every path.
+	effective map[string]*Effective
+	// workspaces finds the workspace of a key's hash.
+	workspaces map[string]string
+	// candidates holds the versions each path's allow list expands to.
+	candidates map[string][]Candidate
+}
+
+// Candidate is a version that an allow list names.
+type Candidate struct {
+	Model, Version string
+	Spec           Version
+}
+
+// Empty returns the snapshot of revision 0, which allows nothing.
+func Empty() *Snapshot {
+	s, err := Build(Head{}, nil)
+	if err != nil {
+		panic("config: the empty head builds: " + err.Error())
+	}
+	return s
+}
+
+// Build returns the snapshot of head. Nodes are taken from bodies, by hash. It
+// returns ErrMissing if one is not there and ErrCorrupt if one is damaged.
+func Build(head Head, bodies map[string][]byte) (*Snapshot, error) {
+	s := &Snapshot{
+		Head:       head,
+		nodes:      make(map[string]Node),
+		bodies:     make(map[string][]byte),
+		effective:  make(map[string]*Effective),
+		workspaces: make(map[string]string),
+		candidates: make(map[string][]Candidate),
+	}
+	for path, ref := range head.Nodes {
+		body, ok := bodies[ref.Hash]
+		if !ok {
+			return nil, ErrMissing
+		}
+		n, err := DecodeNode(ref.Hash, body)
+		if err != nil {
+			return nil, err
+		}
+		s.nodes[path] = n
+		s.bodies[ref.Hash] = body
+	}
+	s.inherit()
+	return s, nil
+}
+
+func (s *Snapshot) inherit() {
+	fleet := s.nodes[""]
+	s.effective[""] = defaultEffective().override("", s.Head.Nodes[""].Revision, fleet.Values)
+	paths := slices.Sorted(maps.Keys(s.nodes))
+	slices.SortStableFunc(paths, func(a, b string) int {
+		return strings.Count(a, "/") - strings.Count(b, "/")
+	})
+	for _, path := range paths {
+		n := s.nodes[path]
+		if path != "" {
+			s.effective[path] = s.inherited(Parent(path)).override(path, s.Head.Nodes[path].Revision, n.Values)
+		}
+		s.candidates[path] = Expand(fleet.Models, s.effective[path].Values.Allow)
+		for _, h := range n.KeyHashes {
+			s.workspaces[h] = path
+		}
+	}
+}
+
+// inherited returns what is in force at path, or at the nearest level above
+// that has a node.
+func (s *Snapshot) inherited(path string) *Effective {
+	for {
+		if e, ok := s.effective[path]; ok {
+			return e
+		}
+		path = Parent(path)
+	}
+}
+
+// Expand returns the versions that an allow list names, in the order of
+// model and version. An entry is model or model@version.
+func Expand(models map[string]Model, allow []string) []Candidate {
+	var out []Candidate
+	for _, name := range slices.Sorted(maps.Keys(models)) {
+		for _, version := range slices.Sorted(maps.Keys(models[name].Versions)) {
+			if slices.Contains(allow, name) || slices.Contains(allow, name+"@"+version) {
+				out = append(out, Candidate{Model: name, Version: version, Spec: models[name].Versions[version]})
+			}
+		}
+	}
+	return out
+}
+
+// Effective returns the settings in force for a workspace, workload and
+// district; empty names and unknown ones fall back to the level above.
+func (s *Snapshot) Effective(workspace, workload, district string) *Effective {
+	return s.inherited(Path(workspace, workload, district))
+}
+
+// Candidates returns the versions allowed at the path of e.
+func (s *Snapshot) Candidates(e *Effective) []Candidate { return s.candidates[e.Path] }
+
+// Workspace returns the workspace that an API key belongs to.
+func (s *Snapshot) Workspace(key string) (string, bool) {
+	w, ok := s.workspaces[KeyHash(key)]
+	return w, ok
+}
+
+// Serves returns what a workload serves: "chat", the name of a plain service,
+// or "" for an unknown workload.
+func (s *Snapshot) Serves(workspace, workload string) string {
+	n, ok := s.nodes[Path(workspace, workload)]
+	if !ok || workload == "" {
+		return ""
+	}
+	if n.Serves == "" {
+		return ServesChat
+	}
+	return n.Serves
+}
+
+// ServesChat is what a workload serves that names no plain service.
+const ServesChat = "chat"
+
+// Version returns a version of a model and whether there is one.
+func (s *Snapshot) Version(model, version string) (Version, bool) {
+	v, ok := s.nodes[""].Models[model].Versions[version]
+	return v, ok
+}
+
+// Service returns a plain service and whether there is one.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	v, ok := s.nodes[""].Services[name]
+	return v, ok
+}
+
+// Body returns the stored form of a node.
+func (s *Snapshot) Body(hash string) ([]byte, bool) {
+	b, ok := s.bodies[hash]
+	return b, ok
+}
+
+// Missing returns the hashes that head names and s does not hold.
+func (s *Snapshot) Missing(head Head) []string {
+	var out []string
+	for _, ref := range head.Nodes {
+		if _, ok := s.bodies[ref.Hash]; !ok && !slices.Contains(out, ref.Hash) {
+			out = append(out, ref.Hash)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Advance returns the snapshot of head, built from the nodes of s and the
+// additional ones. It returns ErrRevision unless head is newer than s: this is
+// the one place where a revision is taken over.
+func (s *Snapshot) Advance(head Head, added map[string][]byte) (*Snapshot, error) {
+	if head.Revision <= s.Head.Revision {
+		return nil, ErrRevision
+	}
+	bodies := maps.Clone(s.bodies)
+	maps.Copy(bodies, added)
+	return Build(head, bodies)
+}
+
+// Nodes returns the nodes by path; the map is a copy.
+func (s *Snapshot) Nodes() map[string]Node { return maps.Clone(s.nodes) }
+
+// Names returns the chat workloads of a workspace and the models it allows,
+// in alphabetical order.
+func (s *Snapshot) Names(workspace string) []string {
+	var out []string
+	for path := range s.nodes {
+		ws, workload, ok := strings.Cut(path, "/")
+		if ok && ws == workspace && !strings.Contains(workload, "/") && s.Serves(ws, workload) == ServesChat {
+			out = append(out, workload)
+		}
+	}
+	for _, c := range s.Candidates(s.Effective(workspace, "", "")) {
+		out = append(out, c.Model)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// At returns the settings in force at a path.
+func (s *Snapshot) At(path string) *Effective { return s.inherited(path) }
