--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # traildrift: the commands of README.md.
 
-.PHONY: build demo test fmt
+.PHONY: build demo test fmt lint soak capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -8,5 +8,15 @@
 demo: build
 	scripts/demo.sh
 
+# Everything that CI runs.
+test: lint
+	go test -race -count=1 -timeout 20m ./...
+
+lint:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: the files above are not formatted"; exit 1; }
+	go vet ./...
+	go tool -modfile=tools/go.mod staticcheck ./...
+	go tool -modfile=tools/go.mod revive -config revive.toml -formatter unix ./...
+
 fmt:
 	gofmt -w .
--- a/cmd/traildrift/main.go
+++ b/cmd/traildrift/main.go
@@ -15,7 +15,6 @@
 
 	"github.com/traildrift/traildrift/internal/entry"
 	"github.com/traildrift/traildrift/internal/guard"
-	"github.com/traildrift/traildrift/internal/proc"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -78,9 +77,9 @@
 	ctx := context.Background()
 	switch {
 	case a.Entry != nil:
-		return runEntry(ctx, a.Entry.Config)
+		return entry.Main(ctx, a.Entry.Config)
 	case a.Guard != nil:
-		return runGuard(ctx, a.Guard.Config)
+		return guard.Main(ctx, a.Guard.Config)
 	case a.Settings != nil:
 		return a.Settings.run(ctx)
 	case a.Explain != nil:
@@ -96,31 +95,3 @@
 		return errUsage
 	}
 }
-
-func runEntry(ctx context.Context, file string) error {
-	var s entry.Settings
-	if err := proc.Load(file, &s); err != nil {
-		return err
-	}
-	stages, release := s.Signals(ctx)
-	defer release()
-	e, err := entry.New(s)
-	if err != nil {
-		return err
-	}
-	return e.Run(stages)
-}
-
-func runGuard(ctx context.Context, file string) error {
-	var s guard.Settings
-	if err := proc.Load(file, &s); err != nil {
-		return err
-	}
-	stages, release := s.Signals(ctx)
-	defer release()
-	g, err := guard.New(s)
-	if err != nil {
-		return err
-	}
-	return g.Run(stages)
-}
--- a/internal/drive/demo.go
+++ b/internal/drive/demo.go
@@ -30,8 +30,8 @@
 // within bounds each request of the demo.
 const within = 20 * time.Second
 
-// ready waits until an entry serves.
-func ready(addr netip.AddrPort, deadline time.Time) error {
+// Ready waits until an entry serves.
+func Ready(addr netip.AddrPort, deadline time.Time) error {
 	c := NewCaller(addr, "")
 	for time.Now().Before(deadline) {
 		a, err := c.Do(Ask{Path: "/readyz", Deadline: time.Now().Add(time.Second)})
@@ -48,7 +48,7 @@
 func (d *Demo) Run() (string, error) {
 	deadline := time.Now().Add(within)
 	for _, c := range []*Caller{d.First, d.Second} {
-		if err := ready(c.Addr, deadline); err != nil {
+		if err := Ready(c.Addr, deadline); err != nil {
 			return "", err
 		}
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"math"
 	"net"
@@ -131,11 +130,3 @@
 		r.cancel()
 	}
 }
-
-// wait returns once the request has ended or ctx is done.
-func (r *request) wait(ctx context.Context) {
-	select {
-	case <-r.done:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/entry/main.go
@@ -0,0 +1,26 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"context"
+
+	"github.com/traildrift/traildrift/internal/proc"
+)
+
+// Main runs the entry that a process settings file describes, until a signal
+// ends it. It returns nil after a planned stop that cut off nothing.
+func Main(ctx context.Context, file string) error {
+	var s Settings
+	if err := proc.Load(file, &s); err != nil {
+		return err
+	}
+	stages, release := s.Signals(ctx)
+	defer release()
+	e, err := New(s)
+	if err != nil {
+		return err
+	}
+	return e.Run(stages)
+}
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -79,7 +79,7 @@
 }
 
 // Handle takes one message in the reading goroutine.
-func (h handler) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+func (h handler) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	<-h.ready
 	c := h.conn
 	c.local.Messages.Add(1)
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,125 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package rig
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/assert"
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestMain(m *testing.M) {
+	Main()
+	assert.SetFatal()
+	os.Exit(m.Run())
+}
+
+// testKey is the API key of the workspace in testSettings.
+const testKey = "rig-key"
+
+// testSettings are the settings of most tests: a dear and a cheap model and a
+// service whose calls may not be repeated.
+var testSettings = `
+models:
+  deedwriter:
+    versions:
+      "3": {pool: deedwriter, cost: 12, quality: 0.95}
+  mapcore:
+    versions:
+      "1": {pool: mapcore, cost: 2, quality: 0.8}
+services:
+  register: {pool: register}
+values:
+  answerWithin: 20s
+workspaces:
+  kahurangi:
+    keyHashes: ["` + config.KeyHash(testKey) + `"]
+    values: {allow: [deedwriter, mapcore]}
+    workloads:
+      history: {values: {qualityTarget: 0.9}}
+      tags: {values: {qualityTarget: 0.5}}
+      notes: {serves: register, values: {repeatable: false}}
+      fetch: {serves: register}
+  lima:
+    keyHashes: ["` + config.KeyHash("lima-key") + `"]
+    values: {allow: [mapcore]}
+    workloads:
+      hints: {}
+`
+
+// testPools has n endpoints of each pool.
+func testPools(n int) []Pool {
+	engine := fakes.EngineOptions{FirstToken: span("10ms"), PerToken: span("2ms")}
+	return []Pool{
+		{Name: "deedwriter", Kind: "engine", Endpoints: n, Slots: 16, Waiting: 64, Engine: engine},
+		{Name: "mapcore", Kind: "engine", Endpoints: n, Slots: 16, Waiting: 64, Engine: engine},
+		{Name: "register", Kind: "service", Endpoints: n, Slots: 16, Waiting: 64, Work: span("5ms")},
+	}
+}
+
+func span(text string) config.Span {
+	var s config.Span
+	if err := s.UnmarshalText([]byte(text)); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// startFleet starts a fleet that ends with the test.
+func startFleet(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	o.Dir = t.TempDir()
+	if o.Settings == "" {
+		o.Settings = testSettings
+	}
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"akl-a", "akl-b"}
+	}
+	if o.Seed == 0 {
+		o.Seed = 1
+	}
+	f, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.Close()
+		if !t.Failed() {
+			return
+		}
+		for _, n := range f.Nodes() {
+			t.Logf("%s:\n%s", n.VM.Name, n.Log())
+		}
+	})
+	return f
+}
+
+// chat is a request of the given workload.
+func chat(workload, text string, streamed bool) drive.Ask {
+	return drive.Ask{
+		Chat:     fakes.ChatRequest{Model: workload, Messages: []fakes.Message{{Role: "user", Content: text}}, MaxTokens: 8, Stream: streamed},
+		Header:   map[string]string{},
+		Deadline: soon(),
+	}
+}
+
+// note is a request that may not be repeated.
+func note(key, text string) drive.Ask {
+	a := drive.Ask{Path: "/svc/notes/lodge", Body: text, Header: map[string]string{}, Deadline: soon()}
+	if key != "" {
+		a.Header["Idempotency-Key"] = key
+	}
+	return a
+}
+
+// soon bounds a step of a test.
+func soon() time.Time { return time.Now().Add(20 * time.Second) }
--- /dev/null
+++ b/internal/rig/session_test.go
@@ -0,0 +1,100 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package rig
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/traildrift/traildrift/internal/desk"
+	"github.com/traildrift/traildrift/internal/drive"
+)
+
+// changing are the parts of an answer that differ from run to run.
+var changing = []struct {
+	re   *regexp.Regexp
+	with string
+}{
+	{regexp.MustCompile(`\b[0-9a-f]{16}-[0-9a-f]{11}-[0-9a-f]+\b`), "REQUEST"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+(Z|[+-]\d\d:\d\d)`), "TIME"},
+	{regexp.MustCompile(`tds1\.[\w.-]+`), "TOKEN"},
+}
+
+func normalise(text string) string {
+	for _, c := range changing {
+		text = c.re.ReplaceAllString(text, c.with)
+	}
+	return text
+}
+
+// checkGolden compares got with the named golden file.
+func checkGolden(t *testing.T, name, got string) {
+	t.Helper()
+	file := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
+	}
+}
+
+// TestSession holds a whole session through real processes against its golden
+// file: chats, a session, a service, refusals, explanation and bills.
+func TestSession(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(1)})
+	var out bytes.Buffer
+	say := func(title string, entry int, key string, a drive.Ask) drive.Answer {
+		got, err := f.Caller(entry, key).Do(a)
+		fmt.Fprintf(&out, "== %s\nstatus %d model %q version %q session %q retry %q bad %q err %v\n%s\n", title,
+			got.Status, got.Model, got.Version, got.Session, got.RetryText, got.Bad, err, got.Body)
+		return got
+	}
+	say("chat, whole", 0, testKey, chat("history", "lot 7", false))
+	streamed := say("chat, streamed", 1, testKey, chat("history", "lot 8", true))
+	open := chat("tags", "lot 9", false)
+	open.Header["Traildrift-Session"] = "new"
+	opened := say("session opened", 0, testKey, open)
+	kept := chat("tags", "lot 10", false)
+	kept.Header["Traildrift-Session"] = opened.Session
+	say("session kept at another entry", 1, testKey, kept)
+	foreign := chat("hints", "bar 1", false)
+	foreign.Header["Traildrift-Session"] = opened.Session
+	say("session of another workspace", 0, "lima-key", foreign)
+	say("service", 0, testKey, note("", "mortgage discharged"))
+	say("model not allowed", 0, "lima-key", chat("deedwriter", "bar 2", false))
+	say("wrong key", 0, "nobody", chat("history", "lot 11", false))
+	late := chat("history", "lot 12", false)
+	late.Header["Traildrift-Deadline"] = "2020-01-01T00:00:00Z"
+	say("deadline passed", 0, testKey, late)
+	say("no JSON", 0, testKey, drive.Ask{Path: "/v1/chat/completions", Body: "{", Deadline: soon()})
+	rec, err := desk.FindTrail(t.Context(), f.Store, streamed.Request)
+	for err != nil && t.Context().Err() == nil {
+		rec, err = desk.FindTrail(t.Context(), f.Store, streamed.Request)
+	}
+	fmt.Fprintln(&out, "== explain the streamed chat")
+	if err := desk.Explain(&out, rec); err != nil {
+		t.Fatal(err)
+	}
+	checkGolden(t, "session.golden", normalise(out.String()))
+	for _, n := range f.Nodes() {
+		if err := n.Stop(soon()); err != nil {
+			t.Errorf("planned stop of %s: got %v, want nil", n.VM.Name, err)
+		}
+	}
+	lines, err := desk.Bills(t.Context(), f.Store, "")
+	if err != nil || len(lines) != 5 {
+		t.Errorf("bills: got %d lines and %v, want 5 and nil", len(lines), err)
+	}
+}
--- /dev/null
+++ b/pkg/admit/queue_test.go
@@ -0,0 +1,129 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestInvariants drives the queue at random and checks after each step what
+// must hold: the slots, the reserved room, the bound on waiting, and that every
+// item ends in exactly one way.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{
+			Slots:   rapid.IntRange(1, 6).Draw(t, "slots"),
+			Waiting: rapid.IntRange(0, 6).Draw(t, "waiting"),
+			AgeAt:   func(arrived time.Time) time.Time { return arrived.Add(50 * time.Millisecond) },
+		}
+		l.Reserved = rapid.IntRange(0, l.Slots-1).Draw(t, "reserved")
+		q := New(l)
+		state := make(map[string]string)
+		now := 0
+		started := func(items []Item) {
+			for _, it := range items {
+				if state[it.ID] != "waiting" {
+					t.Fatalf("%s started from %q", it.ID, state[it.ID])
+				}
+				state[it.ID] = "running"
+			}
+		}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += rapid.IntRange(0, 20).Draw(t, "pass")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0, 1:
+				it := Item{ID: fmt.Sprint(i), Patient: rapid.Bool().Draw(t, "patient"), Arrived: at(now), Deadline: at(now + rapid.IntRange(1, 200).Draw(t, "within"))}
+				v := q.Offer(at(now), it)
+				ways := 0
+				for _, way := range []bool{v.Admitted, v.Queued, v.Refused != ""} {
+					if way {
+						ways++
+					}
+				}
+				if ways != 1 {
+					t.Fatalf("verdict %+v is not one way", v)
+				}
+				if v.Admitted {
+					state[it.ID] = "running"
+				} else if v.Queued {
+					state[it.ID] = "waiting"
+				} else if !v.RetryAt.After(at(now)) {
+					t.Fatalf("refused with %v at %v", v, at(now))
+				}
+			case 2:
+				for id, s := range state {
+					if s == "running" {
+						state[id] = "done"
+						started(q.Done(at(now), id, nil))
+						break
+					}
+				}
+			case 3:
+				for _, it := range q.Expire(at(now), nil) {
+					if it.Deadline.After(at(now)) || state[it.ID] != "waiting" {
+						t.Fatalf("%+v expired at %v", it, at(now))
+					}
+					state[it.ID] = "expired"
+				}
+				started(q.Next(at(now), nil))
+			}
+			count := map[string]int{}
+			for _, s := range state {
+				count[s]++
+			}
+			if count["running"] != q.Running() || count["waiting"] != q.Waiting() {
+				t.Fatalf("got running %d waiting %d, want %d and %d", q.Running(), q.Waiting(), count["running"], count["waiting"])
+			}
+			if q.Running() > l.Slots || q.Waiting() > l.Waiting || len(q.patient) > l.Slots-l.Reserved {
+				t.Fatalf("running %d waiting %d patient %d with limits %+v", q.Running(), q.Waiting(), len(q.patient), l)
+			}
+		}
+	})
+}
+
+func TestOrder(t *testing.T) {
+	q := New(Limits{Slots: 2, Reserved: 1, Waiting: 10, AgeAt: func(a time.Time) time.Time { return a.Add(100 * time.Millisecond) }})
+	item := func(id string, patient bool, arrived, deadline int) Item {
+		return Item{ID: id, Patient: patient, Arrived: at(arrived), Deadline: at(deadline)}
+	}
+	steps := []struct {
+		name string
+		got  Verdict
+		want Verdict
+	}{
+		{"patient takes the unreserved slot", q.Offer(at(0), item("p1", true, 0, 1000)), Verdict{Admitted: true}},
+		{"patient leaves the reserved slot", q.Offer(at(0), item("p2", true, 0, 1000)), Verdict{Queued: true}},
+		{"interactive takes the reserved slot", q.Offer(at(1), item("i1", false, 1, 900)), Verdict{Admitted: true}},
+		{"interactive waits", q.Offer(at(2), item("i2", false, 2, 800)), Verdict{Queued: true}},
+		{"interactive with an earlier deadline waits", q.Offer(at(3), item("i3", false, 3, 700)), Verdict{Queued: true}},
+		{"passed deadline", q.Offer(at(4), item("x", false, 4, 4)), Verdict{Refused: fault.DeadlinePassed}},
+	}
+	for _, s := range steps {
+		if s.got != s.want {
+			t.Errorf("%s: got %+v, want %+v", s.name, s.got, s.want)
+		}
+	}
+	var order []string
+	for _, done := range []string{"i1", "p1", "i3"} {
+		for _, it := range q.Done(at(10), done, nil) {
+			order = append(order, it.ID)
+		}
+	}
+	if got, want := fmt.Sprint(order), "[i3 i2]"; got != want {
+		t.Errorf("order of starts: got %s, want %s", got, want)
+	}
+	if got, want := len(q.Next(at(150), nil)), 1; got != want {
+		t.Errorf("aged patient items that start in the reserved slot: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/pkg/seal/seal_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package seal
+
+import (
+	"strings"
+	"testing"
+)
+
+const (
+	hexA = "00112233445566778899aabbccddeeff"
+	hexB = "ffeeddccbbaa99887766554433221100"
+)
+
+func ring(t *testing.T, keys ...Key) *Ring {
+	t.Helper()
+	r, err := NewRing(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestOpen holds rotation without a gap and the refusal of what was not
+// sealed here.
+func TestOpen(t *testing.T) {
+	a, b := Key{ID: "a", Hex: hexA}, Key{ID: "b", Hex: hexB}
+	old, rotated, later := ring(t, a), ring(t, b, a), ring(t, b)
+	token, err := old.Seal("p", 42)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh, _ := rotated.Seal("p", 42)
+	tests := []struct {
+		name   string
+		ring   *Ring
+		prefix string
+		token  string
+		want   error
+	}{
+		{"same key", old, "p", token, nil},
+		{"rotated ring verifies the old key", rotated, "p", token, nil},
+		{"rotated ring seals with the first key", later, "p", fresh, nil},
+		{"dropped key", later, "p", token, ErrForged},
+		{"other prefix", old, "q", token, ErrMalformed},
+		{"changed payload", old, "p", strings.Replace(token, ".NDI.", ".NDM.", 1), ErrForged},
+		{"cut", old, "p", token[:len(token)-20], ErrForged},
+		{"no token", old, "p", "hello", ErrMalformed},
+	}
+	for _, tt := range tests {
+		var v int
+		got := tt.ring.Open(tt.prefix, tt.token, &v)
+		if got != tt.want || (got == nil && v != 42) {
+			t.Errorf("%s: got %v %d, want %v", tt.name, got, v, tt.want)
+		}
+	}
+}
+
+func TestWeakKeys(t *testing.T) {
+	for _, k := range []Key{{ID: "a", Hex: "0011"}, {ID: "a", Hex: "zz"}, {ID: "", Hex: hexA}, {ID: "a.b", Hex: hexA}} {
+		if _, got := NewRing([]Key{k}); got != ErrWeakKey {
+			t.Errorf("%+v: got %v, want %v", k, got, ErrWeakKey)
+		}
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	r, _ := NewRing([]Key{{ID: "a", Hex: hexA}})
+	token, _ := r.Seal("p", "x")
+	f.Add(token)
+	f.Add("p.a..")
+	f.Fuzz(func(t *testing.T, text string) {
+		var v any
+		if err := r.Open("p", text, &v); err == nil && text != token {
+			t.Errorf("opened %q", text)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/stream/buffer_test.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package stream
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// TestAppendAnyOrder draws chunks of an answer doubled, overlapping, out of
+// order and mixed with those of another attempt: the answer comes out whole.
+func TestAppendAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "answer")
+		b := New(1000)
+		b.Begin(2)
+		type chunk struct{ from, to int }
+		var chunks []chunk
+		for at := 0; at < len(want); {
+			to := min(len(want), at+rapid.IntRange(1, 20).Draw(t, "size"))
+			chunks = append(chunks, chunk{max(0, at-rapid.IntRange(0, 3).Draw(t, "overlap")), to})
+			at = to
+		}
+		chunks = append(chunks, chunks[rapid.IntRange(0, len(chunks)-1).Draw(t, "doubled")])
+		for _, c := range rapid.Permutation(chunks).Draw(t, "order") {
+			if err := b.Append(1, c.from, bytes.Repeat([]byte{0xee}, c.to-c.from)); err != nil {
+				t.Fatal(err)
+			}
+			if err := b.Append(2, c.from, want[c.from:c.to]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.Finish(len(want), nil)
+		_, got, end, err := b.Whole(context.Background())
+		if err != nil || end.Err != nil || !bytes.Equal(got, want) {
+			t.Errorf("got %v %v %v, want %v", got, end, err, want)
+		}
+	})
+}
+
+func TestFinish(t *testing.T) {
+	tests := []struct {
+		name   string
+		data   string
+		length int
+		err    *fault.Error
+		want   fault.Kind
+	}{
+		{"whole", "abc", 3, nil, ""},
+		{"short", "ab", 3, nil, fault.NotWhole},
+		{"failed", "ab", 2, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost"), fault.EndpointLost},
+	}
+	for _, tt := range tests {
+		b := New(100)
+		_ = b.Append(0, 0, []byte(tt.data))
+		if !b.Finish(tt.length, tt.err) {
+			t.Errorf("%s: the first Finish got false, want true", tt.name)
+		}
+		if b.Finish(0, fault.New(fault.Internal, fault.Ran, "second")) {
+			t.Errorf("%s: a second Finish got true, want false", tt.name)
+		}
+		got := fault.Kind("")
+		if e := b.Ended().Err; e != nil {
+			got = e.Kind
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestOneAttemptOnly(t *testing.T) {
+	b := New(100)
+	b.Begin(1)
+	_ = b.Append(1, 0, []byte("first"))
+	if b.Begin(2) {
+		t.Error("Begin of another attempt after a byte was taken: got true, want false")
+	}
+}
+
+func TestLimit(t *testing.T) {
+	b := New(4)
+	if got := b.Append(0, 0, []byte("12345")); got != fault.TooLarge {
+		t.Errorf("got %v, want %v", got, fault.TooLarge)
+	}
+}
