Mend the queue's order test and split it into a model

The expectation was wrong: once both interactive runs have ended, the waiting patient run takes a slot, as the reserved room is free again. The test now asks for that order, and for the reserved room and ageing one by one.

--- a/pkg/admit/queue_test.go
+++ b/pkg/admit/queue_test.go
@@ -17,6 +17,68 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+// model is what a queue must agree with: the state of every item offered.
+type model struct {
+	t     *rapid.T
+	q     *Queue
+	l     Limits
+	state map[string]string
+}
+
+func (m *model) started(items []Item) {
+	for _, it := range items {
+		if m.state[it.ID] != "waiting" {
+			m.t.Fatalf("%s started from %q", it.ID, m.state[it.ID])
+		}
+		m.state[it.ID] = "running"
+	}
+}
+
+func (m *model) offer(now int, it Item) {
+	v := m.q.Offer(at(now), it)
+	switch {
+	case v.Admitted && !v.Queued && v.Refused == "":
+		m.state[it.ID] = "running"
+	case !v.Admitted && v.Queued && v.Refused == "":
+		m.state[it.ID] = "waiting"
+	case v.Admitted || v.Queued || !v.RetryAt.After(at(now)):
+		m.t.Fatalf("verdict %+v at %v is not one way", v, at(now))
+	}
+}
+
+func (m *model) done(now int) {
+	for id, s := range m.state {
+		if s == "running" {
+			m.state[id] = "done"
+			m.started(m.q.Done(at(now), id, nil))
+			return
+		}
+	}
+}
+
+func (m *model) expire(now int) {
+	for _, it := range m.q.Expire(at(now), nil) {
+		if it.Deadline.After(at(now)) || m.state[it.ID] != "waiting" {
+			m.t.Fatalf("%+v expired at %v", it, at(now))
+		}
+		m.state[it.ID] = "expired"
+	}
+	m.started(m.q.Next(at(now), nil))
+}
+
+func (m *model) check() {
+	count := map[string]int{}
+	for _, s := range m.state {
+		count[s]++
+	}
+	if count["running"] != m.q.Running() || count["waiting"] != m.q.Waiting() {
+		m.t.Fatalf("got running %d waiting %d, want %d and %d", m.q.Running(), m.q.Waiting(), count["running"], count["waiting"])
+	}
+	if m.q.Running() > m.l.Slots || m.q.Waiting() > m.l.Waiting || len(m.q.patient) > m.l.Slots-m.l.Reserved {
+		m.t.Fatalf("running %d waiting %d patient %d with limits %+v", m.q.Running(), m.q.Waiting(), len(m.q.patient), m.l)
+	}
+}
+
 // TestInvariants drives the queue at random and checks after each step what
 // must hold: the slots, the reserved room, the bound on waiting, and that every
 // item ends in exactly one way.
@@ -28,66 +90,20 @@
 			AgeAt:   func(arrived time.Time) time.Time { return arrived.Add(50 * time.Millisecond) },
 		}
 		l.Reserved = rapid.IntRange(0, l.Slots-1).Draw(t, "reserved")
-		q := New(l)
-		state := make(map[string]string)
+		m := &model{t: t, q: New(l), l: l, state: make(map[string]string)}
 		now := 0
-		started := func(items []Item) {
-			for _, it := range items {
-				if state[it.ID] != "waiting" {
-					t.Fatalf("%s started from %q", it.ID, state[it.ID])
-				}
-				state[it.ID] = "running"
-			}
-		}
 		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now += rapid.IntRange(0, 20).Draw(t, "pass")
 			switch rapid.IntRange(0, 3).Draw(t, "kind") {
 			case 0, 1:
-				it := Item{ID: fmt.Sprint(i), Patient: rapid.Bool().Draw(t, "patient"), Arrived: at(now), Deadline: at(now + rapid.IntRange(1, 200).Draw(t, "within"))}
-				v := q.Offer(at(now), it)
-				ways := 0
-				for _, way := range []bool{v.Admitted, v.Queued, v.Refused != ""} {
-					if way {
-						ways++
-					}
-				}
-				if ways != 1 {
-					t.Fatalf("verdict %+v is not one way", v)
-				}
-				if v.Admitted {
-					state[it.ID] = "running"
-				} else if v.Queued {
-					state[it.ID] = "waiting"
-				} else if !v.RetryAt.After(at(now)) {
-					t.Fatalf("refused with %v at %v", v, at(now))
-				}
+				deadline := now + rapid.IntRange(1, 200).Draw(t, "within")
+				m.offer(now, Item{ID: fmt.Sprint(i), Patient: rapid.Bool().Draw(t, "patient"), Arrived: at(now), Deadline: at(deadline)})
 			case 2:
-				for id, s := range state {
-					if s == "running" {
-						state[id] = "done"
-						started(q.Done(at(now), id, nil))
-						break
-					}
-				}
+				m.done(now)
 			case 3:
-				for _, it := range q.Expire(at(now), nil) {
-					if it.Deadline.After(at(now)) || state[it.ID] != "waiting" {
-						t.Fatalf("%+v expired at %v", it, at(now))
-					}
-					state[it.ID] = "expired"
-				}
-				started(q.Next(at(now), nil))
-			}
-			count := map[string]int{}
-			for _, s := range state {
-				count[s]++
-			}
-			if count["running"] != q.Running() || count["waiting"] != q.Waiting() {
-				t.Fatalf("got running %d waiting %d, want %d and %d", q.Running(), q.Waiting(), count["running"], count["waiting"])
-			}
-			if q.Running() > l.Slots || q.Waiting() > l.Waiting || len(q.patient) > l.Slots-l.Reserved {
-				t.Fatalf("running %d waiting %d patient %d with limits %+v", q.Running(), q.Waiting(), len(q.patient), l)
+				m.expire(now)
 			}
+			m.check()
 		}
 	})
 }
@@ -120,9 +136,15 @@
 			order = append(order, it.ID)
 		}
 	}
-	if got, want := fmt.Sprint(order), "[i3 i2]"; got != want {
+	if got, want := fmt.Sprint(order), "[i3 i2 p2]"; got != want {
 		t.Errorf("order of starts: got %s, want %s", got, want)
 	}
+	if got, want := q.Offer(at(20), item("p3", true, 20, 1000)), (Verdict{Queued: true}); got != want {
+		t.Errorf("patient leaves the reserved slot again: got %+v, want %+v", got, want)
+	}
+	if got, want := len(q.Done(at(30), "i2", nil)), 0; got != want {
+		t.Errorf("patient items that start in the reserved slot: got %d, want %d", got, want)
+	}
 	if got, want := len(q.Next(at(150), nil)), 1; got != want {
 		t.Errorf("aged patient items that start in the reserved slot: got %d, want %d", got, want)
 	}
