--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # traildrift: the commands of README.md.
 
-.PHONY: build demo test fmt lint soak capacity
+.PHONY: build demo test fmt lint capacity path
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,3 +20,10 @@
 
 fmt:
 	gofmt -w .
+
+# The slopes of docs/CAPACITY.md: about 5 minutes, up to 100 processes.
+capacity: build
+	bin/tdfake measure capacity
+
+path: build
+	bin/tdfake measure path
--- a/cmd/tdfake/main.go
+++ b/cmd/tdfake/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
@@ -21,6 +22,8 @@
 
 	"github.com/traildrift/traildrift/internal/drive"
 	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/gauge"
+	"github.com/traildrift/traildrift/internal/rig"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/pkg/config"
 )
@@ -57,6 +60,7 @@
 	Objects *objectsArgs `arg:"subcommand:objects" help:"object API and VM list"`
 	Engine  *engineArgs  `arg:"subcommand:engine" help:"model engine"`
 	Plain   *plainArgs   `arg:"subcommand:plain" help:"plain service"`
+	Measure *measureArgs `arg:"subcommand:measure" help:"start fleets on loopback and measure them"`
 	Demo    *demoArgs    `arg:"subcommand:demo" help:"send the demo's requests and check the answers"`
 }
 
@@ -64,6 +68,7 @@
 func (args) Description() string { return "tdfake stands in for what traildrift meets." }
 
 func main() {
+	rig.Main()
 	var a args
 	p := arg.MustParse(&a)
 	if p.Subcommand() == nil {
@@ -85,6 +90,8 @@
 		return serve(a.Engine.Listen, fakes.NewEngine(o).Handle)
 	case a.Plain != nil:
 		return serve(a.Plain.Listen, fakes.NewPlain(a.Plain.Seed, a.Plain.Work).Handle)
+	case a.Measure != nil:
+		return a.Measure.run()
 	default:
 		return a.Demo.run()
 	}
@@ -142,3 +149,28 @@
 	fmt.Println("explain:", id)
 	return err
 }
+
+type measureArgs struct {
+	What string `arg:"positional,required" help:"path or capacity"`
+}
+
+// measureMost bounds a whole measurement.
+const measureMost = 15 * time.Minute
+
+func (a *measureArgs) run() error {
+	dir, err := os.MkdirTemp("", "tdfake")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	ctx, cancel := context.WithTimeout(context.Background(), measureMost)
+	defer cancel()
+	switch a.What {
+	case "path":
+		return gauge.Path(os.Stdout, dir)
+	case "capacity":
+		return gauge.Capacity(ctx, os.Stdout, dir)
+	default:
+		return errors.Newf("there is no measurement %q", a.What)
+	}
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -111,10 +111,12 @@
 	ctx.Error("the request is not known here", fasthttp.StatusNotFound)
 }
 
-// Memory is the process's memory, in bytes.
+// Memory is the process's memory, in bytes; Mallocs counts allocations since
+// the start.
 type Memory struct {
 	HeapAlloc  uint64 `json:"heapAlloc"`
 	Sys        uint64 `json:"sys"`
+	Mallocs    uint64 `json:"mallocs"`
 	Goroutines int    `json:"goroutines"`
 }
 
@@ -122,5 +124,5 @@
 func ReadMemory() Memory {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return Memory{HeapAlloc: m.HeapAlloc, Sys: m.Sys, Goroutines: runtime.NumGoroutine()}
+	return Memory{HeapAlloc: m.HeapAlloc, Sys: m.Sys, Mallocs: m.Mallocs, Goroutines: runtime.NumGoroutine()}
 }
--- /dev/null
+++ b/internal/gauge/path.go
@@ -0,0 +1,195 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package gauge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// gaugeKey is the API key of the measuring workspace.
+const gaugeKey = "gauge-key"
+
+// settings are those of a measured fleet.
+var settings = `
+models:
+  m:
+    versions:
+      "1": {pool: m, cost: 1, quality: 0.9}
+services:
+  s: {pool: s}
+values: {answerWithin: 30s, concurrency: 100000}
+workspaces:
+  w:
+    keyHashes: ["` + config.KeyHash(gaugeKey) + `"]
+    values: {allow: [m]}
+    workloads:
+      chat: {}
+      once: {serves: s, values: {repeatable: false}}
+`
+
+// span is a length of time for settings and stand-ins.
+func span(s time.Duration) config.Span { return config.Span(s) }
+
+func ask(n, words int, streamed bool, model string) drive.Ask {
+	return drive.Ask{
+		Chat: fakes.ChatRequest{
+			Model:     model,
+			Messages:  []fakes.Message{{Role: "user", Content: fmt.Sprintf("measure %d", n)}},
+			MaxTokens: words,
+			Stream:    streamed,
+		},
+		Deadline: time.Now().Add(30 * time.Second),
+	}
+}
+
+// Path measures the added latency of entry and guard over a direct call to the
+// stand-in engine in the same run, the rate, allocations and processor time
+// per request, and the memory of idle processes.
+func Path(out io.Writer, dir string) error {
+	f, err := rig.Start(rig.Options{
+		Dir: dir, Zones: []string{"a"}, Entries: 1, Settings: settings, Seed: 1,
+		Pools: []rig.Pool{{Name: "m", Kind: "engine", Endpoints: 1, Slots: 256, Waiting: 1024}},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := idle(out, f); err != nil {
+		return err
+	}
+	added(out, f)
+	return rates(out, f)
+}
+
+func idle(out io.Writer, f *rig.Fleet) error {
+	for _, n := range f.Nodes() {
+		u, err := n.Usage()
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(out, "idle %s: resident %.1f MB\n", n.VM.Name, megabytes(u.Resident))
+	}
+	return nil
+}
+
+func megabytes(n int64) float64 { return float64(n) / (1 << 20) }
+
+// addedRequests is how many calls of each kind the latency is taken from.
+const addedRequests = 3000
+
+// added calls the engine directly and through the path by turns.
+func added(out io.Writer, f *rig.Fleet) {
+	through := f.Caller(0, gaugeKey)
+	direct := drive.NewCaller(f.Endpoint(f.Guards[0]), "")
+	for _, streamed := range []bool{false, true} {
+		var hs [2]*hdrhistogram.Histogram
+		for i := range hs {
+			hs[i] = hdrhistogram.New(1, 60_000_000, 3)
+		}
+		for n := range addedRequests {
+			for i, c := range []*drive.Caller{direct, through} {
+				model := [2]string{"m@1", "chat"}[i]
+				a, err := c.Do(ask(n, 1, streamed, model))
+				if err == nil && a.Bad == "" && a.Err == nil {
+					_ = hs[i].RecordValue(a.Done.Sub(a.Sent).Microseconds())
+				}
+			}
+		}
+		for i, name := range []string{"direct", "through entry and guard"} {
+			_, _ = fmt.Fprintf(out, "latency %s, streamed %v: n %d p50 %d us p99 %d us\n", name, streamed, hs[i].TotalCount(), hs[i].ValueAtQuantile(50), hs[i].ValueAtQuantile(99))
+		}
+		_, _ = fmt.Fprintf(out, "added, streamed %v: p50 %d us p99 %d us\n", streamed,
+			hs[1].ValueAtQuantile(50)-hs[0].ValueAtQuantile(50), hs[1].ValueAtQuantile(99)-hs[0].ValueAtQuantile(99))
+	}
+}
+
+// workers send one request after the other until the deadline, and return how
+// many were answered right.
+func workers(c *drive.Caller, n int, until time.Time, make func(i int) drive.Ask) int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	right := 0
+	for w := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			mine := 0
+			for i := w; time.Now().Before(until); i += n {
+				if a, err := c.Do(make(i)); err == nil && a.Bad == "" && a.Err == nil {
+					mine++
+				}
+			}
+			mu.Lock()
+			right += mine
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+	return right
+}
+
+// rateFor is how long each rate is measured.
+const rateFor = 4 * time.Second
+
+func rates(out io.Writer, f *rig.Fleet) error {
+	for _, shape := range []struct {
+		name    string
+		words   int
+		workers int
+	}{{"1 token", 1, 64}, {"100 tokens", 100, 64}} {
+		before, err := usages(f)
+		if err != nil {
+			return err
+		}
+		start := time.Now()
+		n := workers(f.Caller(0, gaugeKey), shape.workers, start.Add(rateFor), func(i int) drive.Ask {
+			return ask(i, shape.words, true, "chat")
+		})
+		seconds := time.Since(start).Seconds()
+		after, err := usages(f)
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(out, "rate, streamed, %s: %.0f requests/s\n", shape.name, float64(n)/seconds)
+		for i, node := range f.Nodes() {
+			cpu := after[i].CPU.Sub(before[i].CPU).Seconds()
+			_, _ = fmt.Fprintf(out, "  %s: %.1f us of processor and %.0f allocations per request, resident %.1f MB\n", node.VM.Name,
+				cpu/float64(n)*1e6, float64(after[i].Mallocs-before[i].Mallocs)/float64(n), megabytes(after[i].Resident))
+		}
+	}
+	return nil
+}
+
+func usages(f *rig.Fleet) ([]rig.Usage, error) {
+	var out []rig.Usage
+	for _, n := range f.Nodes() {
+		u, err := n.Usage()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, u)
+	}
+	return out, nil
+}
+
+// rest waits for a length of time, or until ctx is done.
+func rest(ctx context.Context, s time.Duration) {
+	t := time.NewTimer(s)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -285,6 +285,11 @@
 	return drive.NewCaller(f.Entries[i].Callers, key)
 }
 
+// Endpoint returns where the engine or service beside a guard listens.
+func (f *Fleet) Endpoint(n *Node) netip.AddrPort {
+	return netip.AddrPortFrom(n.Operators.Addr(), portEndpoint)
+}
+
 // Nodes returns every VM of the fleet.
 func (f *Fleet) Nodes() []*Node { return append(append([]*Node(nil), f.Entries...), f.Guards...) }
 
--- /dev/null
+++ b/internal/rig/usage.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/admin"
+	"github.com/traildrift/traildrift/internal/desk"
+)
+
+// Usage is what a process has used since its start.
+type Usage struct {
+	// CPU is user and system time, as the end of a span that began at the
+	// zero time.
+	CPU time.Time
+	// Resident is the memory in bytes.
+	Resident int64
+	// Mallocs counts allocations.
+	Mallocs uint64
+	// LinkBytes and LinkMessages count what the links carried, both ways.
+	LinkBytes, LinkMessages int64
+	Revision                int64
+	Violations              int64
+}
+
+// ticksPerSecond is the kernel's unit of processor time (USER_HZ).
+const ticksPerSecond = 100
+
+// Usage reads what the process has used from the kernel and its dump.
+func (n *Node) Usage() (Usage, error) {
+	u := Usage{}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.Pid()))
+	if err != nil {
+		return u, err
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	const utime, stime, rss = 11, 12, 21
+	if len(fields) <= rss {
+		return u, errors.New("rig: /proc/PID/stat is not as expected")
+	}
+	user, _ := strconv.ParseInt(fields[utime], 10, 64)
+	system, _ := strconv.ParseInt(fields[stime], 10, 64)
+	pages, _ := strconv.ParseInt(fields[rss], 10, 64)
+	u.CPU = time.Time{}.Add(time.Duration(user+system) * time.Second / ticksPerSecond)
+	u.Resident = pages * int64(os.Getpagesize())
+	body, err := desk.Fetch(n.Operators, "", "/debug/state")
+	if err != nil {
+		return u, err
+	}
+	var d struct {
+		Memory       admin.Memory `json:"memory"`
+		LinkBytes    int64        `json:"linkBytes"`
+		LinkMessages int64        `json:"linkMessages"`
+		Revision     int64        `json:"revision"`
+		Violations   int64        `json:"violations"`
+	}
+	if err := json.Unmarshal(body, &d); err != nil {
+		return u, err
+	}
+	u.Mallocs, u.LinkBytes, u.LinkMessages = d.Memory.Mallocs, d.LinkBytes, d.LinkMessages
+	u.Revision, u.Violations = d.Revision, d.Violations
+	return u, nil
+}
