Keep answers and records at the guard only as long as they are needed

Cause: the guard kept each answer and record until the deadline of its request and 30 s more; at 8000 requests/s it held 245 MB (make path, 64 callers, 100 tokens). Ruled out: the entry's buffers, which are freed when the request ends (49 MB), and the admission queue. Change: an answer is released once the run's bill is confirmed, a repeatable run's record is dropped then; records of runs that may not be repeated stay until their deadline. Settings stand in a trail batch once for each path and are written out only when a record is read: a batch of 400 records would have outgrown the platform's 1 MB and been stuck; batches are now also cut to fit. Bills and trail are gathered for 5 s: at 1 s, 370 entries would make 740 writes/s.

--- a/internal/desk/explain.go
+++ b/internal/desk/explain.go
@@ -55,8 +55,8 @@
 		return trail.Record{}, err
 	}
 	for _, o := range objects {
-		var batch []trail.Record
-		if err := json.Unmarshal(o.Value, &batch); err != nil {
+		batch, err := trail.Decode(o.Value)
+		if err != nil {
 			return trail.Record{}, errors.Wrapf(err, "trail batch %s", o.Name)
 		}
 		for _, r := range batch {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,8 +100,12 @@
 	if e.listener, err = net.Listen("tcp", s.Listen.String()); err != nil {
 		return nil, err
 	}
-	e.bills = ledger.New(p.Log, p.Store, ledger.KindBills, p.Identity.Incarnation, recordsHeld, e.settle)
-	e.trail = ledger.New[trail.Record](p.Log, p.Store, ledger.KindTrail, p.Identity.Incarnation, recordsHeld, nil)
+	e.bills = ledger.New(p.Log, p.Store, ledger.Options[bill.Line]{
+		Kind: ledger.KindBills, Prefix: p.Identity.Incarnation, Most: recordsHeld, Every: p.Common.WriteEvery, OnWritten: e.settle,
+	})
+	e.trail = ledger.New(p.Log, p.Store, ledger.Options[trail.Record]{
+		Kind: ledger.KindTrail, Prefix: p.Identity.Incarnation, Most: recordsHeld, Every: p.Common.WriteEvery, Encode: trail.Encode,
+	})
 	sc := p.Scope.SubScope("entry")
 	e.counts = counts{
 		lateChunks:  sc.Counter("late_chunks"),
@@ -217,6 +221,7 @@
 	if !ok {
 		return nil, false
 	}
+	rec.Fill()
 	body, err := json.Marshal(rec)
 	return body, err == nil
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -79,7 +79,7 @@
 		Arrived:   now,
 		Deadline:  r.call.Deadline,
 		BillID:    r.billID(),
-		Settings:  eff.All(),
+		Effective: eff,
 	}
 	return r
 }
--- a/internal/gauge/path.go
+++ b/internal/gauge/path.go
@@ -39,9 +39,6 @@
       once: {serves: s, values: {repeatable: false}}
 `
 
-// span is a length of time for settings and stand-ins.
-func span(s time.Duration) config.Span { return config.Span(s) }
-
 func ask(n, words int, streamed bool, model string) drive.Ask {
 	return drive.Ask{
 		Chat: fakes.ChatRequest{
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -102,7 +102,9 @@
 		return nil, err
 	}
 	g.Proc = p
-	g.bills = ledger.New[bill.Line](p.Log, p.Store, ledger.KindBills, p.Identity.Incarnation, billsHeld, nil)
+	g.bills = ledger.New(p.Log, p.Store, ledger.Options[bill.Line]{
+		Kind: ledger.KindBills, Prefix: p.Identity.Incarnation, Most: billsHeld, Every: p.Common.WriteEvery,
+	})
 	g.count()
 	link.On(p.Local.Mux, wire.MethodBeat, g.handleBeat)
 	link.On(p.Local.Mux, wire.MethodRun, g.handleRun)
@@ -226,9 +228,16 @@
 	if !g.bills.Add(line) {
 		return
 	}
+	g.settle(key)
+}
+
+// settle notes that a run's bill line is out of the guard's hands, and gives up
+// its answer, which the entry that billed it had whole; g.mu is held.
+func (g *Guard) settle(key wire.RunKey) {
 	delete(g.unbilled, key)
 	if r, ok := g.runs[key]; ok {
 		r.settled = true
+		r.buf.Release()
 	}
 }
 
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -25,10 +25,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, key := range p.Settled {
-		delete(g.unbilled, key)
-		if r, ok := g.runs[key]; ok {
-			r.settled = true
-		}
+		g.settle(key)
 	}
 	return wire.BeatReply{Stamp: g.Stamp(), Load: g.load()}, nil
 }
@@ -200,6 +197,7 @@
 	defer g.mu.Unlock()
 	assert.That(r.phase == phaseRunning, "runEndsOnce", zap.String("run", runID(r.key)))
 	r.phase = phaseEnded
+	r.work.Body = nil
 	r.reply = wire.RunReply{Length: r.buf.Len(), Usage: usage, Err: err}
 	r.buf.Finish(r.reply.Length, err)
 	if err != nil && err.Run == fault.NotRun {
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -55,11 +55,13 @@
 // keepAfterDeadline is how long a record outlives the deadline of its run.
 const keepAfterDeadline = 30 * time.Second
 
-// forget drops records whose time has come; g.mu is held.
+// forget drops records whose time has come: those of repeatable runs once they
+// are billed, others after their deadline; g.mu is held.
 func (g *Guard) forget(now time.Time) {
 	for key, r := range g.runs {
 		over := r.phase == phaseEnded || r.phase == phaseTombstone
-		if over && r.settled && now.After(r.forgetAt) {
+		billed := r.phase == phaseEnded && r.work.Repeatable
+		if over && r.settled && (billed || now.After(r.forgetAt)) {
 			delete(g.runs, key)
 		}
 	}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -18,6 +18,7 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/config"
 )
 
 // Kinds of the ledgers' objects.
@@ -27,30 +28,42 @@
 )
 
 const (
-	// writeEvery is how long records are gathered before they are written.
-	writeEvery = time.Second
 	// batchMost bounds the records of one object.
 	batchMost = 400
+	// bytesMost bounds the size of one object; it lies under the platform's
+	// limit.
+	bytesMost = store.MaxValue * 9 / 10
 	// waitAfterError is how long a failed write waits before it is repeated.
 	waitAfterError = time.Second
 	// putWithin bounds one write.
 	putWithin = 5 * time.Second
 )
 
+// Options shape a Writer.
+type Options[T any] struct {
+	Kind string
+	// Prefix names the process's objects; it holds the incarnation.
+	Prefix string
+	// Most bounds the records that are held.
+	Most int
+	// Every is how long records are gathered before they are written.
+	Every config.Span
+	// Encode returns a batch as a JSON array; json.Marshal if it is nil.
+	Encode func([]T) ([]byte, error)
+	// OnWritten hears of every batch that the platform has confirmed; it may
+	// be nil.
+	OnWritten func([]T)
+}
+
 // Writer gathers records of one kind and writes them in batches.
 type Writer[T any] struct {
 	log   *zap.Logger
 	store *store.Client
-	kind  string
-	// prefix names the process's objects; it holds the incarnation.
-	prefix string
-	// onWritten hears of every batch that the platform has confirmed.
-	onWritten func([]T)
-	mu        sync.Mutex
+	opts  Options[T]
+	mu    sync.Mutex
 	// held is what is not confirmed yet, oldest first; never longer than
-	// most.
+	// opts.Most.
 	held []T
-	most int
 	// seq numbers the next batch.
 	seq int
 	// lost counts records that were dropped because held was full.
@@ -59,10 +72,12 @@
 	wake chan struct{}
 }
 
-// New returns a writer of objects kind/prefix-number that holds at most most
-// records. onWritten may be nil.
-func New[T any](log *zap.Logger, c *store.Client, kind, prefix string, most int, onWritten func([]T)) *Writer[T] {
-	return &Writer[T]{log: log, store: c, kind: kind, prefix: prefix, most: most, onWritten: onWritten, wake: make(chan struct{}, 1)}
+// New returns a writer of objects kind/prefix-number.
+func New[T any](log *zap.Logger, c *store.Client, o Options[T]) *Writer[T] {
+	if o.Encode == nil {
+		o.Encode = func(batch []T) ([]byte, error) { return json.Marshal(batch) }
+	}
+	return &Writer[T]{log: log, store: c, opts: o, wake: make(chan struct{}, 1)}
 }
 
 // Add takes a record; it reports false, and counts it as lost, when the buffer
@@ -70,7 +85,7 @@
 func (w *Writer[T]) Add(r T) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.held) >= w.most {
+	if len(w.held) >= w.opts.Most {
 		w.lost++
 		return false
 	}
@@ -110,14 +125,15 @@
 
 // Run writes batches until ctx is done.
 func (w *Writer[T]) Run(ctx context.Context) error {
-	tick := time.NewTicker(writeEvery)
-	defer tick.Stop()
 	for {
+		tick := time.NewTimer(time.Until(w.opts.Every.After(time.Now())))
 		select {
 		case <-ctx.Done():
+			tick.Stop()
 			return nil
 		case <-tick.C:
 		case <-w.wake:
+			tick.Stop()
 		}
 		for w.writeOne(ctx) {
 			if ctx.Err() != nil {
@@ -135,7 +151,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return errors.Wrapf(ctx.Err(), "ledger: %d records of %s are not written", held, w.kind)
+			return errors.Wrapf(ctx.Err(), "ledger: %d records of %s are not written", held, w.opts.Kind)
 		}
 		if !w.writeOne(ctx) {
 			wait(ctx, waitAfterError)
@@ -147,19 +163,19 @@
 func (w *Writer[T]) writeOne(ctx context.Context) bool {
 	w.mu.Lock()
 	batch := w.held[:min(len(w.held), batchMost)]
-	name := fmt.Sprintf("%s-%08d", w.prefix, w.seq)
+	name := fmt.Sprintf("%s-%08d", w.opts.Prefix, w.seq)
 	w.mu.Unlock()
 	if len(batch) == 0 {
 		return false
 	}
-	body, err := json.Marshal(batch)
+	batch, body, err := w.encode(batch)
 	if err != nil {
 		w.log.Error("ledger: A batch does not encode.", logs.Err(err))
 		return false
 	}
 	put, cancel := context.WithTimeout(ctx, putWithin)
 	defer cancel()
-	_, err = w.store.Put(put, w.kind, name, 0, body)
+	_, err = w.store.Put(put, w.opts.Kind, name, 0, body)
 	if errors.Is(err, store.ErrConflict) {
 		return w.settle(put, name)
 	}
@@ -171,11 +187,22 @@
 	return true
 }
 
+// encode returns the batch, cut in halves until it fits an object.
+func (w *Writer[T]) encode(batch []T) ([]T, []byte, error) {
+	for {
+		body, err := w.opts.Encode(batch)
+		if err != nil || len(body) <= bytesMost || len(batch) == 1 {
+			return batch, body, err
+		}
+		batch = batch[:len(batch)/2]
+	}
+}
+
 // settle reads back an object whose earlier write took effect though its
 // answer was lost. The batch may have grown since: what the object holds is
 // confirmed.
 func (w *Writer[T]) settle(ctx context.Context, name string) bool {
-	o, err := w.store.Get(ctx, w.kind, name)
+	o, err := w.store.Get(ctx, w.opts.Kind, name)
 	if err != nil {
 		return false
 	}
@@ -194,8 +221,8 @@
 	w.held = append([]T(nil), w.held[n:]...)
 	w.seq++
 	w.mu.Unlock()
-	if w.onWritten != nil {
-		w.onWritten(batch)
+	if w.opts.OnWritten != nil {
+		w.opts.OnWritten(batch)
 	}
 }
 
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -68,6 +68,9 @@
 // New opens the listeners and builds the shared part. Nothing runs until
 // Start.
 func New(c Common, o Options) (*Proc, error) {
+	if c.WriteEvery == 0 {
+		c.WriteEvery = defaultWriteEvery
+	}
 	var keys Keys
 	if err := Load(c.Keys, &keys); err != nil {
 		return nil, err
@@ -183,6 +186,10 @@
 	return s
 }
 
+// defaultWriteEvery keeps the platform's writes few: 370 entries that write two
+// kinds make 148 a second.
+const defaultWriteEvery = config.Span(5 * time.Second)
+
 // dumpedChanges is how many settings changes a dump shows.
 const dumpedChanges = 5
 
--- a/internal/proc/settings.go
+++ b/internal/proc/settings.go
@@ -24,6 +24,7 @@
 	Platform         netip.AddrPort `yaml:"platform" doc:"The platform's object API and VM list."`
 	Keys             string         `yaml:"keys" doc:"File with the link and token keys."`
 	StopWithin       config.Span    `yaml:"stopWithin,omitempty" doc:"How long a planned stop may take, counted from the signal."`
+	WriteEvery       config.Span    `yaml:"writeEvery,omitempty" doc:"How long bills and trail are gathered before they are written; 5s if left out."`
 	LogLevel         string         `yaml:"logLevel,omitempty" doc:"debug, info, warn or error."`
 }
 
@@ -49,6 +50,9 @@
 	if c.StopWithin < 0 {
 		report("stopWithin", "0s or more is allowed")
 	}
+	if c.WriteEvery < 0 {
+		report("writeEvery", "0s (the default) or more is allowed")
+	}
 	switch c.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -200,7 +200,7 @@
 func (f *Fleet) common(n *Node, zone string, ip netip.Addr) string {
 	n.VM.AvailabilityZone = zone
 	n.Operators = netip.AddrPortFrom(ip, portOperators)
-	return fmt.Sprintf("vm: %s\navailabilityZone: %s\nlink: %s\noperators: %s\nplatform: %s\nkeys: %s\nstopWithin: 30s\n",
+	return fmt.Sprintf("vm: %s\navailabilityZone: %s\nlink: %s\noperators: %s\nplatform: %s\nkeys: %s\nstopWithin: 30s\nwriteEvery: 500ms\n",
 		n.VM.Name, zone, netip.AddrPortFrom(ip, portLink), n.Operators, f.Platform, f.keyFile)
 }
 
--- a/internal/rig/main.go
+++ b/internal/rig/main.go
@@ -7,6 +7,9 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"runtime/pprof"
+	"time"
 
 	"github.com/traildrift/traildrift/internal/entry"
 	"github.com/traildrift/traildrift/internal/guard"
@@ -18,6 +21,8 @@
 const (
 	envRole = "TRAILDRIFT_RIG_ROLE"
 	envFile = "TRAILDRIFT_RIG_FILE"
+	// envProfile names a folder for processor profiles, one a process.
+	envProfile = "TRAILDRIFT_RIG_PROFILE"
 )
 
 // Main runs the process that the environment asks for and exits; it returns
@@ -27,6 +32,7 @@
 	if role == "" {
 		return
 	}
+	profile(role)
 	if err := runRole(role, os.Getenv(envFile)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -34,6 +40,22 @@
 	os.Exit(0)
 }
 
+// profile takes a processor profile of the first seconds, if asked for.
+func profile(role string) {
+	dir := os.Getenv(envProfile)
+	if dir == "" {
+		return
+	}
+	out, err := os.Create(filepath.Join(dir, fmt.Sprintf("%s-%d.pprof", role, os.Getpid())))
+	if err != nil || pprof.StartCPUProfile(out) != nil {
+		return
+	}
+	time.AfterFunc(profileFor, pprof.StopCPUProfile)
+}
+
+// profileFor is how long a profile is taken.
+const profileFor = 12 * time.Second
+
 func runRole(role, file string) error {
 	ctx := context.Background()
 	if role == store.RoleEntry {
--- a/pkg/stream/buffer.go
+++ b/pkg/stream/buffer.go
@@ -168,6 +168,19 @@
 	b.changed = make(chan struct{})
 }
 
+// Release gives up the bytes of an ended answer. A reader that still wants some
+// of them is told that the answer is not whole.
+func (b *Buffer) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end == nil || len(b.data) == 0 {
+		return
+	}
+	b.data = nil
+	b.end = &End{Err: fault.New(fault.NotWhole, fault.Ran, "The answer is no longer kept.")}
+	b.wake()
+}
+
 // Len returns how many bytes were taken so far.
 func (b *Buffer) Len() int {
 	b.mu.Lock()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,7 +29,7 @@
   echo "- {name: $1, role: $2, availabilityZone: $3, pool: \"$4\", link: \"$5\", state: live}" >>"$dir/vms.yaml"
 }
 common() { # name zone link operators
-  printf 'vm: %s\navailabilityZone: %s\nlink: %s\noperators: %s\nplatform: %s\nkeys: %s\nstopWithin: 20s\n' \
+  printf 'vm: %s\navailabilityZone: %s\nlink: %s\noperators: %s\nplatform: %s\nkeys: %s\nstopWithin: 20s\nwriteEvery: 1s\n' \
     "$1" "$2" "$3" "$4" "$(port 0)" "$dir/keys.yaml"
 }
 entry() { # name zone number
