--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # traildrift: the commands of README.md.
 
-.PHONY: build demo test fmt lint capacity path
+.PHONY: build demo test fmt lint capacity path soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,3 +27,10 @@
 
 path: build
 	bin/tdfake measure path
+
+# A long randomised run: make soak SEED=n FOR=1m RUNS=3
+SEED ?= 1
+FOR ?= 30s
+RUNS ?= 1
+soak: build
+	bin/tdfake soak --seed $(SEED) --for $(FOR) --runs $(RUNS)
--- a/cmd/tdfake/main.go
+++ b/cmd/tdfake/main.go
@@ -24,6 +24,7 @@
 	"github.com/traildrift/traildrift/internal/fakes"
 	"github.com/traildrift/traildrift/internal/gauge"
 	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/internal/soak"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/pkg/config"
 )
@@ -61,6 +62,7 @@
 	Engine  *engineArgs  `arg:"subcommand:engine" help:"model engine"`
 	Plain   *plainArgs   `arg:"subcommand:plain" help:"plain service"`
 	Measure *measureArgs `arg:"subcommand:measure" help:"start fleets on loopback and measure them"`
+	Soak    *soakArgs    `arg:"subcommand:soak" help:"run a fleet under randomised faults and check what must hold"`
 	Demo    *demoArgs    `arg:"subcommand:demo" help:"send the demo's requests and check the answers"`
 }
 
@@ -90,6 +92,8 @@
 		return serve(a.Engine.Listen, fakes.NewEngine(o).Handle)
 	case a.Plain != nil:
 		return serve(a.Plain.Listen, fakes.NewPlain(a.Plain.Seed, a.Plain.Work).Handle)
+	case a.Soak != nil:
+		return a.Soak.run()
 	case a.Measure != nil:
 		return a.Measure.run()
 	default:
@@ -174,3 +178,25 @@
 		return errors.Newf("there is no measurement %q", a.What)
 	}
 }
+
+type soakArgs struct {
+	Seed    uint64      `arg:"--seed" default:"1" help:"first seed of the faults and requests"`
+	Runs    int         `arg:"--runs" default:"1" help:"how many seeds to run, one after the other"`
+	For     config.Span `arg:"--for" default:"30s" help:"how long faults are drawn for each seed"`
+	Callers int         `arg:"--callers" default:"12" help:"callers that send one request after the other"`
+}
+
+func (a *soakArgs) run() error {
+	for i := range a.Runs {
+		dir, err := os.MkdirTemp("", "tdsoak")
+		if err != nil {
+			return err
+		}
+		err = soak.Run(context.Background(), soak.Options{Seed: a.Seed + uint64(i), For: a.For, Callers: a.Callers, Dir: dir, Out: os.Stdout})
+		if err != nil {
+			return errors.Wrapf(err, "files are in %s", dir)
+		}
+		_ = os.RemoveAll(dir)
+	}
+	return nil
+}
--- a/internal/drive/caller.go
+++ b/internal/drive/caller.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/netip"
@@ -25,19 +26,41 @@
 	// Addr is an entry, or an engine for a direct call.
 	Addr netip.AddrPort
 	// Key is the API key.
-	Key  string
-	http *fasthttp.Client
+	Key    string
+	scheme string
+	http   *fasthttp.Client
 }
 
 // NewCaller returns a caller of addr.
 func NewCaller(addr netip.AddrPort, key string) *Caller {
-	return &Caller{Addr: addr, Key: key, http: &fasthttp.Client{
+	return &Caller{Addr: addr, Key: key, scheme: "http://", http: &fasthttp.Client{
 		StreamResponseBody: true,
 		MaxConnsPerHost:    8192,
 		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
 
+// Secure makes the caller use TLS and take any certificate.
+func (c *Caller) Secure() {
+	c.scheme = "https://"
+	c.http.TLSConfig = &tls.Config{InsecureSkipVerify: true}
+}
+
+// readyPoll is how often readiness is asked for.
+const readyPoll = 50 * time.Millisecond
+
+// Ready waits until the entry is ready.
+func (c *Caller) Ready(deadline time.Time) error {
+	for time.Now().Before(deadline) {
+		a, err := c.Do(Ask{Path: "/readyz", Deadline: time.Now().Add(time.Second)})
+		if err == nil && a.Status == fasthttp.StatusOK {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return errors.Newf("%s is not ready", c.Addr)
+}
+
 // Ask is one request.
 type Ask struct {
 	// Path is empty for a chat request.
@@ -93,7 +116,7 @@
 		path = "/v1/chat/completions"
 		body, _ = json.Marshal(a.Chat)
 	}
-	req.SetRequestURI("http://" + c.Addr.String() + path)
+	req.SetRequestURI(c.scheme + c.Addr.String() + path)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	if c.Key != "" {
--- a/internal/drive/demo.go
+++ b/internal/drive/demo.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"io"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -30,25 +29,12 @@
 // within bounds each request of the demo.
 const within = 20 * time.Second
 
-// Ready waits until an entry serves.
-func Ready(addr netip.AddrPort, deadline time.Time) error {
-	c := NewCaller(addr, "")
-	for time.Now().Before(deadline) {
-		a, err := c.Do(Ask{Path: "/readyz", Deadline: time.Now().Add(time.Second)})
-		if err == nil && a.Status == 200 {
-			return nil
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return errors.Newf("%s is not ready", addr)
-}
-
 // Run sends everything and returns the ID of a request to explain. The error
 // says that answers were wrong.
 func (d *Demo) Run() (string, error) {
 	deadline := time.Now().Add(within)
 	for _, c := range []*Caller{d.First, d.Second} {
-		if err := Ready(c.Addr, deadline); err != nil {
+		if err := c.Ready(deadline); err != nil {
 			return "", err
 		}
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -4,10 +4,9 @@
 package entry
 
 import (
-	"bufio"
 	"encoding/json"
+	"io"
 	"math"
-	"net"
 	"strconv"
 	"time"
 
@@ -34,34 +33,41 @@
 	}
 }
 
-// answer sends a request's answer, whole or in pieces.
-func (e *Entry) answer(ctx *fasthttp.RequestCtx, r *request) {
-	ctx.Response.Header.Set(headerRequest, r.id)
-	head, p, end, err := r.buf.Next(e.kill, 0)
-	if err != nil {
-		e.refuse(ctx, fault.New(fault.Stopping, fault.MayHaveRun, "The entry was ended."))
+// answer sends a request's answer, whole or in pieces. leave is called once the
+// caller has been answered.
+func (e *Entry) answer(ctx *fasthttp.RequestCtx, r *request, leave func()) {
+	if !e.answerWhole(ctx, r) {
+		e.answerStream(ctx, r, leave)
 		return
 	}
-	if end != nil && end.Err != nil {
-		e.refuse(ctx, end.Err)
-		return
-	}
-	if r.call.Stream {
+	leave()
+}
+
+// answerWhole sends an answer that is not streamed; it reports false for one
+// that is, with its head set.
+func (e *Entry) answerWhole(ctx *fasthttp.RequestCtx, r *request) bool {
+	ctx.Response.Header.Set(headerRequest, r.id)
+	head, _, end, err := r.buf.Next(e.kill, 0)
+	if err == nil && r.call.Stream && (end == nil || end.Err == nil) {
 		e.setHead(ctx, r, head)
-		e.answerStream(ctx, r, p)
-		return
+		return false
 	}
-	head, body, end, err := r.buf.Whole(e.kill)
-	if err != nil {
-		e.refuse(ctx, fault.New(fault.Stopping, fault.MayHaveRun, "The entry was ended."))
-		return
+	var body []byte
+	if err == nil && end == nil {
+		head, body, end, err = r.buf.Whole(e.kill)
+	} else {
+		body = r.buf.Bytes()
 	}
-	if end.Err != nil {
+	switch {
+	case err != nil:
+		e.refuse(ctx, fault.New(fault.Stopping, fault.MayHaveRun, "The entry was ended."))
+	case end.Err != nil:
 		e.refuse(ctx, end.Err)
-		return
+	default:
+		e.setHead(ctx, r, head)
+		ctx.SetBody(body)
 	}
-	e.setHead(ctx, r, head)
-	ctx.SetBody(body)
+	return true
 }
 
 func (e *Entry) setHead(ctx *fasthttp.RequestCtx, r *request, head stream.Head) {
@@ -77,49 +83,69 @@
 	}
 }
 
-// answerStream sends the answer as it grows. The connection is closed where
-// the answer ends before it is whole, so that no caller takes it for whole.
-func (e *Entry) answerStream(ctx *fasthttp.RequestCtx, r *request, first []byte) {
-	conn := ctx.Conn()
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		offset := 0
-		p := first
-		for {
-			if len(p) > 0 && !writeAll(w, p) {
-				e.callerGone(r)
-				return
-			}
-			offset += len(p)
-			var end *stream.End
-			var err error
-			_, p, end, err = r.buf.Next(e.kill, offset)
-			if err != nil {
-				_ = conn.Close()
-				return
-			}
-			if end != nil {
-				finishStream(w, conn, p, end)
-				return
-			}
-		}
-	})
+// answerStream sends the answer as it grows.
+func (e *Entry) answerStream(ctx *fasthttp.RequestCtx, r *request, leave func()) {
+	ctx.SetBodyStream(&answerReader{e: e, r: r, leave: leave}, -1)
 }
 
-func writeAll(w *bufio.Writer, p []byte) bool {
-	if _, err := w.Write(p); err != nil {
-		return false
+// answerReader is the body of a streamed answer. Where the answer ends before
+// it is whole, a last event says why and an error breaks the connection off, so
+// that no caller takes it for whole.
+type answerReader struct {
+	e      *Entry
+	r      *request
+	offset int
+	// last is what is left of the event that says why.
+	last []byte
+	// end is set once the whole answer was read.
+	end   *stream.End
+	leave func()
+}
+
+// Read waits for more of the answer.
+func (a *answerReader) Read(p []byte) (int, error) {
+	if a.end != nil {
+		return a.readLast(p)
+	}
+	_, data, end, err := a.r.buf.Next(a.e.kill, a.offset)
+	if err != nil {
+		return 0, err
+	}
+	n := copy(p, data)
+	a.offset += n
+	if end == nil || n < len(data) {
+		return n, nil
 	}
-	return w.Flush() == nil
+	a.end = end
+	if end.Err != nil {
+		body, _ := json.Marshal(errorBody{end.Err})
+		a.last = append(append([]byte("data: "), body...), "\n\n"...)
+	}
+	if n > 0 {
+		return n, nil
+	}
+	return a.readLast(p)
 }
 
-// finishStream sends the last piece, and what went wrong, if anything did.
-func finishStream(w *bufio.Writer, conn net.Conn, p []byte, end *stream.End) {
-	if !writeAll(w, p) || end.Err == nil {
-		return
+func (a *answerReader) readLast(p []byte) (int, error) {
+	if len(a.last) > 0 {
+		n := copy(p, a.last)
+		a.last = a.last[n:]
+		return n, nil
+	}
+	if a.end.Err != nil {
+		return 0, a.end.Err
+	}
+	return 0, io.EOF
+}
+
+// Close is called once the caller was sent everything, or has gone.
+func (a *answerReader) Close() error {
+	if a.end == nil {
+		a.e.callerGone(a.r)
 	}
-	body, _ := json.Marshal(errorBody{end.Err})
-	_ = writeAll(w, append(append([]byte("data: "), body...), "\n\n"...))
-	_ = conn.Close()
+	a.leave()
+	return nil
 }
 
 // callerGone gives up a request whose caller no longer listens, unless a
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -23,6 +23,10 @@
 
 // run takes a request from endpoint to endpoint until it is answered.
 func (e *Entry) run(r *request) {
+	if err := e.sessionOf(r); err != nil {
+		e.finish(r, 0, err)
+		return
+	}
 	var tried []string
 	for {
 		length, err := e.attempt(r, &tried)
@@ -183,18 +187,14 @@
 
 // send runs the request at p once and returns what came of it.
 func (e *Entry) send(r *request, p *peer, attempt int, d *route.Decision) wire.RunReply {
-	p.mu.Lock()
-	c := p.conn
-	p.sent++
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		p.sent--
-		p.mu.Unlock()
-	}()
+	c := p.begin()
+	if c == nil {
+		return wire.RunReply{Err: fault.New(fault.EndpointLost, fault.NotRun, "The endpoint takes no work.")}
+	}
+	defer p.done()
 	key := wire.RunKey{RunID: r.id, Attempt: attempt}
-	if c == nil || !r.buf.Begin(attempt) {
-		return wire.RunReply{Err: fault.New(fault.EndpointLost, fault.NotRun, "There is no link to the endpoint.")}
+	if !r.buf.Begin(attempt) {
+		return wire.RunReply{Err: fault.New(fault.Internal, fault.MayHaveRun, "The answer was begun by another attempt.")}
 	}
 	e.sinks.add(key, r.buf)
 	defer e.sinks.remove(key)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sync"
@@ -17,9 +18,11 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/internal/claims"
 	"github.com/traildrift/traildrift/internal/ledger"
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/bill"
@@ -49,12 +52,17 @@
 	settings Settings
 	kill     context.Context
 	killNow  context.CancelFunc
-	peers    *peers
-	limits   limits
-	sinks    sinks
-	recent   recent
-	bills    *ledger.Writer[bill.Line]
-	trail    *ledger.Writer[trail.Record]
+	// startedAt is when the process began, with the monotonic clock.
+	startedAt  time.Time
+	peers      *peers
+	keyed      keyed
+	claims     *claims.Log
+	entryLinks entryLinks
+	limits     limits
+	sinks      sinks
+	recent     recent
+	bills      *ledger.Writer[bill.Line]
+	trail      *ledger.Writer[trail.Record]
 	// runs runs the requests; it is bounded.
 	runs *ants.Pool
 	// under counts the requests under way.
@@ -80,7 +88,7 @@
 // New opens the listeners and builds an entry; Run starts it.
 func New(s Settings) (*Entry, error) {
 	s.fill()
-	e := &Entry{settings: s, owed: make(map[wire.RunKey]*peer)}
+	e := &Entry{settings: s, startedAt: time.Now(), owed: make(map[wire.RunKey]*peer)}
 	e.peers = &peers{e: e, byVM: make(map[string]*peer)}
 	p, err := proc.New(s.Common, proc.Options{
 		Role:     store.RoleEntry,
@@ -97,7 +105,7 @@
 	if e.runs, err = ants.NewPool(runsMost, ants.WithNonblocking(true)); err != nil {
 		return nil, err
 	}
-	if e.listener, err = net.Listen("tcp", s.Listen.String()); err != nil {
+	if e.listener, err = listen(s); err != nil {
 		return nil, err
 	}
 	e.bills = ledger.New(p.Log, p.Store, ledger.Options[bill.Line]{
@@ -106,6 +114,7 @@
 	e.trail = ledger.New(p.Log, p.Store, ledger.Options[trail.Record]{
 		Kind: ledger.KindTrail, Prefix: p.Identity.Incarnation, Most: recordsHeld, Every: p.Common.WriteEvery, Encode: trail.Encode,
 	})
+	e.claims = claims.New(p.Log, p.Store)
 	sc := p.Scope.SubScope("entry")
 	e.counts = counts{
 		lateChunks:  sc.Counter("late_chunks"),
@@ -115,9 +124,25 @@
 		under:       sc.Gauge("under_way"),
 	}
 	link.Inline(p.Local.Mux, wire.MethodChunk, e.handleChunk)
+	link.Inline(p.Local.Mux, wire.MethodLoad, e.handleLoad)
+	link.On(p.Local.Mux, wire.MethodJoin, e.handleJoin)
 	return e, nil
 }
 
+// listen opens the callers' listener, with TLS if the settings name files.
+func listen(s Settings) (net.Listener, error) {
+	ln, err := net.Listen("tcp", s.Listen.String())
+	if err != nil || !s.TLS.Set() {
+		return ln, err
+	}
+	source, err := secure.NewSource(s.TLS)
+	if err != nil {
+		_ = ln.Close()
+		return nil, err
+	}
+	return tls.NewListener(ln, source.Server()), nil
+}
+
 // Run serves until the stages end it. It returns nil after a planned stop that
 // cut off nothing.
 func (e *Entry) Run(stages proc.Stages) error {
@@ -132,11 +157,16 @@
 	e.Tasks.Go(ctx, "peers", e.peers.follow)
 	e.Tasks.Go(ctx, "bills", e.bills.Run)
 	e.Tasks.Go(ctx, "trail", e.trail.Run)
+	e.Tasks.Go(ctx, "answers", e.sweep)
+	for n := range claims.Buckets {
+		e.Tasks.Go(ctx, "claims", func(ctx context.Context) error { return e.claims.Run(ctx, n) })
+	}
 	e.Log.Info("entry: Serving.", zap.String("vm", e.Common.VM), zap.Stringer("listen", e.Common.Link))
 	<-stages.Stop.Done()
 	err := e.stop(stages.Kill, http)
 	end()
 	e.killNow()
+	e.entryLinks.closeAll()
 	e.Close()
 	e.runs.Release()
 	return err
@@ -157,6 +187,9 @@
 		}
 		pause(kill, stopPoll.After(time.Now()))
 	}
+	if err := e.Quiet(kill); err != nil {
+		return err
+	}
 	return errors.CombineErrors(e.bills.Flush(kill), e.trail.Flush(kill))
 }
 
@@ -175,43 +208,63 @@
 
 // serve takes one parsed call through to its answer.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, call wire.Call, key string) {
-	r := e.newRequest(call, key)
-	err := e.admit(r)
-	if err == nil {
-		err = e.start(r)
+	eff := e.Holder.Current().Effective(call.Workspace, call.Workload, call.District)
+	if err := e.admit(&call, eff); err != nil {
+		r := e.newRequest(call, key)
+		e.finish(r, 0, err)
+		e.answer(ctx, r, func() {})
+		return
 	}
+	leave := func() { e.limits.leave(call.Workspace) }
+	r, err := e.place(call, key, eff)
 	if err != nil {
-		e.finish(r, 0, err)
+		leave()
+		e.refuse(ctx, err)
+		return
 	}
-	e.answer(ctx, r)
+	e.answer(ctx, r, leave)
 }
 
-// admit checks what needs no endpoint: cutover, session and limits. A request
-// that it lets in counts as under way.
-func (e *Entry) admit(r *request) *fault.Error {
-	v := &r.effective.Values
-	if !*v.Enabled {
-		return fault.New(fault.NotCutOver, fault.NotRun, "Requests are not served here: enabled is false at %q.", r.effective.Setting("enabled").Origin.Path)
+// admit checks what needs no endpoint: cutover and limits. A call that it lets
+// in counts as under way until its caller is answered.
+func (e *Entry) admit(call *wire.Call, eff *config.Effective) *fault.Error {
+	if !*eff.Values.Enabled {
+		return fault.New(fault.NotCutOver, fault.NotRun, "Requests are not served here: enabled is false at %q.", eff.Setting("enabled").Origin.Path)
 	}
-	if err := e.sessionOf(r); err != nil {
-		return err
+	return e.limits.enter(e.Now(), call.Workspace, &eff.Values)
+}
+
+// place starts the call's request, or finds the one that a key names.
+func (e *Entry) place(call wire.Call, key string, eff *config.Effective) (*request, *fault.Error) {
+	if isTicket(key) {
+		return e.placeTicket(call, key)
 	}
-	return e.limits.enter(e.Now(), r.call.Workspace, v)
+	if key != "" && !*eff.Values.Repeatable {
+		return e.placeClaimed(call, key)
+	}
+	r := e.newRequest(call, key)
+	if err := e.start(r); err != nil {
+		e.finish(r, 0, err)
+	}
+	return r, nil
 }
 
-// start runs an admitted request in the bounded pool.
+// start runs a request in the bounded pool.
 func (e *Entry) start(r *request) *fault.Error {
+	return e.submit(func() { e.run(r) })
+}
+
+// submit runs a task in the bounded pool; it counts as under way.
+func (e *Entry) submit(task func()) *fault.Error {
 	e.under.Add(1)
 	err := e.runs.Submit(func() {
 		defer e.under.Add(-1)
-		defer e.limits.leave(r.call.Workspace)
-		e.run(r)
+		task()
 	})
 	if err == nil {
 		return nil
 	}
 	e.under.Add(-1)
-	e.limits.leave(r.call.Workspace)
 	return fault.New(fault.Overloaded, fault.NotRun, "The entry has too many requests under way.").At(comeBackAfter.After(e.Now()))
 }
 
@@ -236,6 +289,10 @@
 	BillsLost int64        `json:"billsLost"`
 	TrailHeld int          `json:"trailHeld"`
 	TrailLost int64        `json:"trailLost"`
+	Keys      int          `json:"keys"`
+	KeysBytes int          `json:"keysBytes"`
+	Claims    int64        `json:"claims"`
+	ClaimPuts int64        `json:"claimPuts"`
 }
 
 type dumpedPeer struct {
@@ -252,6 +309,8 @@
 	d := dumped{UnderWay: e.under.Load(), Stopping: e.stopping.Load(), Watching: e.peers.watching()}
 	d.BillsHeld, d.BillsLost = e.bills.Held()
 	d.TrailHeld, d.TrailLost = e.trail.Held()
+	d.Keys, d.KeysBytes = e.keyed.count()
+	d.Claims, d.ClaimPuts = e.claims.Claims.Load(), e.claims.Writes.Load()
 	_, list := e.peers.view(e.Now())
 	for _, p := range list {
 		p.mu.Lock()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
@@ -19,6 +20,7 @@
 		Handler:                      e.handle,
 		ErrorHandler:                 e.handleBroken,
 		Name:                         "traildrift",
+		Logger:                       logs.Library{Log: e.Log, Prefix: "callers"},
 		MaxRequestBodySize:           e.settings.MaxBody,
 		ReadBufferSize:               e.settings.MaxHeader,
 		ReadTimeout:                  readWithin,
@@ -57,6 +59,8 @@
 		e.serveModels(ctx)
 	case path == chatPath:
 		e.serveChat(ctx)
+	case path == "/v1/tickets":
+		e.serveTicket(ctx)
 	case strings.HasPrefix(path, servicePrefix):
 		e.serveService(ctx)
 	default:
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -256,11 +256,12 @@
 	p.mu.Lock()
 	settled := p.settled
 	p.settled = nil
+	released := p.load.Leaving && p.sent == 0
 	p.mu.Unlock()
 	call, cancel := context.WithDeadline(ctx, ps.e.settings.SuspectAfter.After(time.Now()))
 	defer cancel()
 	var reply wire.BeatReply
-	err := c.Call(call, wire.MethodBeat, wire.Beat{Stamp: ps.e.Stamp(), Settled: settled}, &reply)
+	err := c.Call(call, wire.MethodBeat, wire.Beat{Stamp: ps.e.Stamp(), Settled: settled, Released: released}, &reply)
 	if err != nil {
 		p.mu.Lock()
 		p.settled = append(settled, p.settled...)
@@ -274,21 +275,72 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tried = true
-	p.load = reply.Load
+	p.setLoad(reply.Load)
 	p.suspectAt = ps.e.settings.SuspectAfter.After(ps.e.Now())
 	return true
 }
 
+// setLoad takes over what the guard says; p.mu is held. A guard that leaves is
+// told at once when this entry has no run there.
+func (p *peer) setLoad(l wire.Load) {
+	news := l.Leaving && !p.load.Leaving
+	p.load = l
+	if news && p.sent == 0 {
+		p.pokeNow()
+	}
+}
+
+func (p *peer) pokeNow() {
+	select {
+	case p.poke <- struct{}{}:
+	default:
+	}
+}
+
+// begin counts a run that is about to be sent and returns the link for it, or
+// nil if none may be sent.
+func (p *peer) begin() *link.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil || p.load.Leaving {
+		return nil
+	}
+	p.sent++
+	return p.conn
+}
+
+// done uncounts a run.
+func (p *peer) done() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent--
+	if p.sent == 0 && p.load.Leaving {
+		p.pokeNow()
+	}
+}
+
+// handleLoad takes the load that a guard tells at once.
+func (e *Entry) handleLoad(c *link.Conn, n wire.LoadNotice) {
+	e.peers.mu.Lock()
+	p, ok := e.peers.byVM[c.Peer.VM]
+	e.peers.mu.Unlock()
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == c {
+		p.setLoad(n.Load)
+	}
+}
+
 // pokeAll asks every link for a heartbeat at once, so that a new revision
 // spreads.
 func (ps *peers) pokeAll() {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, p := range ps.byVM {
-		select {
-		case p.poke <- struct{}{}:
-		default:
-		}
+		p.pokeNow()
 	}
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -30,6 +30,10 @@
 	repeatable bool
 	// pinned is the session's version; nil without a session.
 	pinned *pin
+	// joined says that another entry runs the request and bills it; joins
+	// counts how often one was followed.
+	joined bool
+	joins  int
 	// buf takes the answer. It is finished exactly once.
 	buf *stream.Buffer
 	// record is written by the goroutine that runs the request, until done.
@@ -127,6 +131,9 @@
 		e.counts.trailLost.Inc(1)
 	}
 	e.recent.put(r.record)
+	if r.key != "" {
+		e.keepAnswer(r, err)
+	}
 	e.observe(r, err)
 	r.cancel()
 	close(r.done)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -14,6 +15,7 @@
 type Settings struct {
 	proc.Common  `yaml:",inline"`
 	Listen       netip.AddrPort `yaml:"listen" doc:"Where callers reach the entry."`
+	TLS          secure.Files   `yaml:"tls,omitempty" doc:"Files cert and key for TLS towards callers; plain HTTP without."`
 	MaxBody      int            `yaml:"maxBody,omitempty" doc:"Greatest size of a request's body, in bytes."`
 	MaxHeader    int            `yaml:"maxHeader,omitempty" doc:"Greatest size of a request's headers, in bytes."`
 	ReadWithin   config.Span    `yaml:"readWithin,omitempty" doc:"How long the reading of a request may take."`
@@ -63,6 +65,9 @@
 	if !s.Listen.IsValid() {
 		report("listen", "an IP number and port such as 10.0.0.1:8080 is required")
 	}
+	if t := s.TLS; t.Set() && (t.Cert == "" || t.Key == "" || t.CA != "") {
+		report("tls", "cert and key are required, ca is not allowed")
+	}
 	for key, n := range map[string]int{"maxBody": s.MaxBody, "maxHeader": s.MaxHeader, "linksPerPool": s.LinksPerPool} {
 		if n < 0 {
 			report(key, "0 (the default) or more is allowed")
--- /dev/null
+++ b/internal/entry/ticket.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// ticketPrefix begins a ticket.
+const ticketPrefix = "tdt1"
+
+// ticketFor is how long a ticket may be started, by the monotonic clock of the
+// entry that issued it.
+const ticketFor = 15 * time.Minute
+
+// ticket is what a ticket says. One process alone may start its request, so
+// that neither a write nor a clock of another process is needed.
+type ticket struct {
+	Workspace string `json:"workspace"`
+	// Incarnation is the entry that may start the request, Link its address.
+	Incarnation string         `json:"incarnation"`
+	Link        netip.AddrPort `json:"link"`
+	Nonce       string         `json:"nonce"`
+	// EndsAge is the age of that process at which the ticket ends, in
+	// nanoseconds; EndsAt tells the same to people.
+	EndsAge time.Duration `json:"endsAge"`
+	EndsAt  time.Time     `json:"endsAt"`
+}
+
+func isTicket(key string) bool { return strings.HasPrefix(key, ticketPrefix+".") }
+
+// ticketAnswer is the answer to POST /v1/tickets.
+type ticketAnswer struct {
+	Ticket string    `json:"ticket"`
+	EndsAt time.Time `json:"endsAt"`
+}
+
+// serveTicket hands out a ticket.
+func (e *Entry) serveTicket(ctx *fasthttp.RequestCtx) {
+	workspace, err := e.authorize(ctx)
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	if !ctx.IsPost() {
+		e.refuse(ctx, fault.New(fault.BadRequest, fault.NotRun, "Tickets are asked for by POST."))
+		return
+	}
+	if e.stopping.Load() {
+		e.refuse(ctx, fault.New(fault.Stopping, fault.NotRun, "The entry is stopping.").At(comeBackAfter.After(e.Now())))
+		return
+	}
+	t := ticket{
+		Workspace:   workspace,
+		Incarnation: e.Identity.Incarnation,
+		Link:        e.Identity.Link,
+		Nonce:       proc.NewID(),
+		EndsAge:     e.age() + ticketFor,
+		EndsAt:      e.Now().Add(ticketFor),
+	}
+	text, sealErr := e.Tokens.Seal(ticketPrefix, t)
+	if sealErr != nil {
+		e.refuse(ctx, fault.From(sealErr, fault.NotRun))
+		return
+	}
+	writeJSON(ctx, ticketAnswer{Ticket: text, EndsAt: t.EndsAt})
+}
+
+// openTicket verifies a ticket of the workspace.
+func (e *Entry) openTicket(workspace, key string) (ticket, *fault.Error) {
+	var t ticket
+	if err := e.Tokens.Open(ticketPrefix, key, &t); err != nil {
+		return t, fault.New(fault.KeyInvalid, fault.NotRun, "The ticket does not verify.")
+	}
+	if t.Workspace != workspace {
+		return t, fault.New(fault.KeyInvalid, fault.NotRun, "The ticket is another workspace's.")
+	}
+	return t, nil
+}
+
+// placeTicket starts the request of a ticket here, or brings it to the entry
+// that alone may start it.
+func (e *Entry) placeTicket(call wire.Call, key string) (*request, *fault.Error) {
+	t, err := e.openTicket(call.Workspace, key)
+	if err != nil {
+		return nil, err
+	}
+	if t.Incarnation == e.Identity.Incarnation {
+		return e.startTicket(call, key, &t)
+	}
+	r := e.newRequest(call, key)
+	join := wire.Join{Incarnation: t.Incarnation, Key: key, BodyHash: bodyHash(&call), Start: &call}
+	if err := e.joinRemote(r, join, t.Link); err != nil {
+		e.finish(r, 0, err)
+	}
+	return r, nil
+}
+
+// startTicket starts the request of an own ticket, or joins the run it started
+// before. A ticket that has ended starts nothing; whether it did before is
+// remembered somewhat longer than that.
+func (e *Entry) startTicket(call wire.Call, key string, t *ticket) (*request, *fault.Error) {
+	r := e.newRequest(call, key)
+	r.record.Key = "ticket"
+	body := bodyHash(&call)
+	if e.age() >= t.EndsAge {
+		r.cancel()
+		return e.endedTicket(call.Workspace, key, body, t)
+	}
+	holder, err := e.hold(r, body, t.EndsAge+ticketFor)
+	if holder != r {
+		r.cancel()
+		return holder, err
+	}
+	if err := e.start(r); err != nil {
+		e.finish(r, 0, err)
+	}
+	return r, nil
+}
+
+// endedTicket answers a ticket that may not be started any more.
+func (e *Entry) endedTicket(workspace, key, body string, t *ticket) (*request, *fault.Error) {
+	e.keyed.mu.Lock()
+	run, ok := e.keyed.byName[nameOf(workspace, key)]
+	e.keyed.mu.Unlock()
+	if !ok && e.age() < t.EndsAge+ticketFor {
+		return nil, fault.New(fault.KeyInvalid, fault.NotRun, "The ticket has ended; it was never started.")
+	}
+	if !ok {
+		return nil, fault.New(fault.KeyInvalid, fault.MayHaveRun, "The ticket has ended long ago.")
+	}
+	return e.joinLocal(run.run, body)
+}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -50,6 +50,8 @@
 	runs map[string]int
 	// answers holds the answer of each run ID, for resumption.
 	answers map[string]*answer
+	// models counts the runs of each model@version.
+	models  map[string]int
 	running int
 	waiting int
 }
@@ -71,6 +73,7 @@
 		opts:     o,
 		batch:    make(chan struct{}, max(o.Slots, 1)),
 		runs:     make(map[string]int),
+		models:   make(map[string]int),
 		answers:  make(map[string]*answer),
 	}
 }
@@ -86,6 +89,20 @@
 	return out
 }
 
+// ModelRuns returns how many runs of a model@version were begun.
+func (e *Engine) ModelRuns(model string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.models[model]
+}
+
+// Load returns how many runs are under way and how many wait.
+func (e *Engine) Load() (running, waiting int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running, e.waiting
+}
+
 // ChatRequest is the body of a chat completion.
 type ChatRequest struct {
 	Model     string    `json:"model"`
@@ -115,9 +132,8 @@
 	case path == "/runs":
 		writeJSON(ctx, e.Runs())
 	case path == "/load":
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		writeJSON(ctx, map[string]int{"running": e.running, "waiting": e.waiting})
+		running, waiting := e.Load()
+		writeJSON(ctx, map[string]int{"running": running, "waiting": waiting})
 	case path == "/v1/chat/completions":
 		e.chat(ctx, f)
 	case strings.HasPrefix(path, "/v1/runs/"):
@@ -138,6 +154,7 @@
 	a := &answer{buf: stream.New(answerLimit), cancel: cancel, json: !req.Stream}
 	e.mu.Lock()
 	e.runs[id]++
+	e.models[req.Model]++
 	e.answers[id] = a
 	e.mu.Unlock()
 	go e.generate(run, a, req, f)
@@ -171,11 +188,11 @@
 	}
 	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		sendAnswer(w, conn, a.buf, offset, f.CutAfter)
+		sendAnswer(w, conn, a.buf, offset, f)
 	})
 }
 
-func sendAnswer(w *bufio.Writer, conn net.Conn, b *stream.Buffer, offset, cutAfter int) {
+func sendAnswer(w *bufio.Writer, conn net.Conn, b *stream.Buffer, offset int, f Faults) {
 	for chunks := 1; ; chunks++ {
 		_, p, end, _ := b.Next(context.Background(), offset)
 		if end != nil && end.Err != nil {
@@ -192,7 +209,10 @@
 		if end != nil {
 			return
 		}
-		if cutAfter > 0 && chunks >= cutAfter {
+		if f.EndEarly > 0 && chunks >= f.EndEarly {
+			return
+		}
+		if f.CutAfter > 0 && chunks >= f.CutAfter {
 			_ = conn.Close()
 			return
 		}
--- a/internal/fakes/faults.go
+++ b/internal/fakes/faults.go
@@ -27,6 +27,8 @@
 	Fail float64 `json:"fail"`
 	// CutAfter cuts an answer after so many chunks; 0 cuts none.
 	CutAfter int `json:"cutAfter"`
+	// EndEarly ends an answer after so many chunks as if it were whole.
+	EndEarly int `json:"endEarly"`
 	// Slow multiplies the time of every step; 0 counts as 1.
 	Slow float64 `json:"slow"`
 }
--- a/internal/fakes/serve.go
+++ b/internal/fakes/serve.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/logs"
 )
 
 // Served is a stand-in that listens.
@@ -20,7 +22,7 @@
 // Serve answers on ln with handle until Close.
 func Serve(ln net.Listener, handle fasthttp.RequestHandler) *Served {
 	s := &Served{
-		http: &fasthttp.Server{Handler: handle, CloseOnShutdown: true, MaxRequestBodySize: 32 << 20},
+		http: &fasthttp.Server{Handler: handle, CloseOnShutdown: true, MaxRequestBodySize: 32 << 20, Logger: logs.Library{}},
 		done: make(chan error, 1),
 	}
 	go func() { s.done <- s.http.Serve(ln) }()
--- a/internal/gauge/path.go
+++ b/internal/gauge/path.go
@@ -114,7 +114,7 @@
 
 // workers send one request after the other until the deadline, and return how
 // many were answered right.
-func workers(c *drive.Caller, n int, until time.Time, make func(i int) drive.Ask) int {
+func workers(c *drive.Caller, n int, until time.Time, next func(i int) drive.Ask) int {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	right := 0
@@ -124,7 +124,7 @@
 			defer wg.Done()
 			mine := 0
 			for i := w; time.Now().Before(until); i += n {
-				if a, err := c.Do(make(i)); err == nil && a.Bad == "" && a.Err == nil {
+				if a, err := c.Do(next(i)); err == nil && a.Bad == "" && a.Err == nil {
 					mine++
 				}
 			}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -32,15 +32,20 @@
 	// spareHandlers is how many link messages beyond runs are handled at a
 	// time.
 	spareHandlers = 128
+	// lingerFor bounds how long a leaving guard without runs waits for entries
+	// that do not say that they know.
+	lingerFor = config.Span(3 * time.Second)
 	// tickEvery is how often deadlines are looked at.
 	tickEvery = 100 * time.Millisecond
+	// drainPoll is how often a leaving guard looks whether it is done.
+	drainPoll = 10 * time.Millisecond
 	// aliveEvery is how often the endpoint is tried.
 	aliveEvery = time.Second
 	// billsHeld bounds the bill lines that wait for the platform.
 	billsHeld = 100_000
-	// billAfter is how long the guard waits for an entry to bill a run
-	// before it writes the line itself.
-	billAfter = 30 * time.Second
+	// defaultBillAfter is how long after a run's deadline the guard waits for
+	// an entry to bill it.
+	defaultBillAfter = config.Span(30 * time.Second)
 )
 
 // Guard is one guard process. Use New.
@@ -54,7 +59,7 @@
 	queue    *admit.Queue
 	runs     map[wire.RunKey]*record
 	// links holds the newest link of each peer incarnation.
-	links map[string]*link.Conn
+	links map[string]*peerLink
 	// leaving says that no new work is taken; it never goes back.
 	leaving bool
 	down    bool
@@ -64,9 +69,19 @@
 	counts   counts
 }
 
+// peerLink is the newest link of an entry.
+type peerLink struct {
+	conn *link.Conn
+	// released says that the entry has no run here and will send none, as it
+	// knows that the guard is leaving.
+	released bool
+}
+
 // unbilled is a bill line that waits for its entry.
 type unbilled struct {
 	line bill.Line
+	// entry is the link of the entry that should bill it.
+	entry *link.Conn
 	// writeAt is when the guard writes it itself.
 	writeAt time.Time
 }
@@ -79,11 +94,14 @@
 
 // New builds a guard; Run starts it.
 func New(s Settings) (*Guard, error) {
+	if s.BillAfter == 0 {
+		s.BillAfter = defaultBillAfter
+	}
 	g := &Guard{
 		settings: s,
 		endpoint: NewEndpoint(s.Kind, s.Endpoint),
 		runs:     make(map[wire.RunKey]*record),
-		links:    make(map[string]*link.Conn),
+		links:    make(map[string]*peerLink),
 		unbilled: make(map[wire.RunKey]unbilled),
 	}
 	limits := admit.Limits{Slots: s.Slots, Reserved: s.Reserved, Waiting: s.Waiting}
@@ -157,29 +175,52 @@
 		}
 	}
 	g.Log.Info("guard: Leaving.", zap.Int("running", g.queue.Running()))
+	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.load()}
+	for _, l := range g.links {
+		if l.conn.Peer.Role == store.RoleEntry {
+			go func() { _ = l.conn.Notify(g.kill, wire.MethodLoad, notice) }()
+		}
+	}
 }
 
 // drain waits for the running runs and writes the bills.
 func (g *Guard) drain(kill context.Context) error {
-	tick := time.NewTicker(tickEvery)
+	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
+	linger := lingerFor.After(time.Now())
 	for {
-		g.mu.Lock()
-		n := g.queue.Running()
-		g.mu.Unlock()
-		if n == 0 {
+		running, linked := g.busy()
+		if running > 0 {
+			linger = lingerFor.After(time.Now())
+		} else if linked == 0 || time.Now().After(linger) {
 			break
 		}
 		select {
 		case <-tick.C:
 		case <-kill.Done():
-			return errors.Newf("guard: %d runs were cut off", n)
+			return errors.Newf("guard: %d runs were cut off", running)
 		}
 	}
+	if err := g.Quiet(kill); err != nil {
+		return err
+	}
 	g.billNow()
 	return g.bills.Flush(kill)
 }
 
+// busy returns how many runs have a slot, and how many entries may still send
+// one.
+func (g *Guard) busy() (running, linked int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.links {
+		if !l.released && !isDone(l.conn.Done()) && l.conn.Peer.Role == store.RoleEntry {
+			linked++
+		}
+	}
+	return g.queue.Running(), linked
+}
+
 // tick looks at deadlines until ctx is done.
 func (g *Guard) tick(ctx context.Context) error {
 	t := time.NewTicker(tickEvery)
@@ -205,10 +246,15 @@
 	}
 	g.admitNext(g.queue.Next(now, nil))
 	g.forget(now)
-	maps.DeleteFunc(g.links, func(_ string, c *link.Conn) bool { return isDone(c.Done()) })
+	maps.DeleteFunc(g.links, func(_ string, l *peerLink) bool { return isDone(l.conn.Done()) })
 	for key, u := range g.unbilled {
 		if now.After(u.writeAt) {
 			g.billLocked(key, u.line)
+			continue
+		}
+		if at := g.settings.BillAfter.After(now); isDone(u.entry.Done()) && at.Before(u.writeAt) {
+			u.writeAt = at
+			g.unbilled[key] = u
 		}
 	}
 	g.counts.running.Update(float64(g.queue.Running()))
@@ -281,9 +327,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if old, ok := g.links[c.Peer.Incarnation]; ok {
-		old.Supersede()
+		old.conn.Supersede()
 	}
-	g.links[c.Peer.Incarnation] = c
+	g.links[c.Peer.Incarnation] = &peerLink{conn: c}
 }
 
 // notAllowed returns why the settings forbid new work, or nil.
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -16,14 +16,16 @@
 	"github.com/traildrift/traildrift/pkg/bill"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
-	"github.com/traildrift/traildrift/pkg/stream"
 )
 
 // handleBeat answers an entry's heartbeat with the load.
-func (g *Guard) handleBeat(_ context.Context, _ *link.Conn, p wire.Beat) (wire.BeatReply, error) {
+func (g *Guard) handleBeat(_ context.Context, c *link.Conn, p wire.Beat) (wire.BeatReply, error) {
 	g.Holder.Heard()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if l, ok := g.links[c.Peer.Incarnation]; ok && l.conn == c {
+		l.released = p.Released && g.leaving
+	}
 	for _, key := range p.Settled {
 		g.settle(key)
 	}
@@ -52,7 +54,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		g.follow(ctx, c, r, 0)
+		link.Follow(ctx, c, r.key, r.buf, 0)
 	}()
 	g.work(r)
 	<-done
@@ -203,7 +205,7 @@
 	if err != nil && err.Run == fault.NotRun {
 		r.settled = true
 	} else {
-		g.unbilled[r.key] = unbilled{line: g.line(r, usage), writeAt: r.work.Deadline.Add(billAfter)}
+		g.unbilled[r.key] = unbilled{line: g.line(r, usage), entry: r.owner, writeAt: g.settings.BillAfter.After(r.work.Deadline)}
 	}
 	close(r.ended)
 	g.admitNext(g.queue.Done(g.Now(), r.queueID(), nil))
@@ -231,43 +233,13 @@
 	}
 }
 
-// follow sends the answer over a link from an offset on, until it ends.
-func (g *Guard) follow(ctx context.Context, c *link.Conn, r *record, offset int) {
-	var sent stream.Head
-	for {
-		head, p, end, err := r.buf.Next(ctx, offset)
-		if err != nil {
-			return
-		}
-		for len(p) > 0 {
-			n := min(len(p), chunkMost)
-			chunk := wire.Chunk{Key: r.key, Offset: offset, Data: p[:n]}
-			if head != sent {
-				chunk.Head = &head
-				sent = head
-			}
-			if c.Notify(ctx, wire.MethodChunk, chunk) != nil {
-				return
-			}
-			offset += n
-			p = p[n:]
-		}
-		if end != nil {
-			return
-		}
-	}
-}
-
-// chunkMost bounds the data of one chunk, in bytes.
-const chunkMost = 256 << 10
-
 // handleAsk says what became of a run after a broken link.
 func (g *Guard) handleAsk(ctx context.Context, c *link.Conn, p wire.Ask) (wire.RunReply, error) {
 	r, reply := g.lookUp(c, &p)
 	if r == nil {
 		return reply, nil
 	}
-	g.follow(ctx, c, r, p.Offset)
+	link.Follow(ctx, c, r.key, r.buf, p.Offset)
 	select {
 	case <-r.ended:
 		return g.replyOf(r), nil
--- a/internal/guard/settings.go
+++ b/internal/guard/settings.go
@@ -25,6 +25,7 @@
 	Slots       int            `yaml:"slots" doc:"How many runs the endpoint takes at a time."`
 	Reserved    int            `yaml:"reserved,omitempty" doc:"How many slots patient runs must leave free."`
 	Waiting     int            `yaml:"waiting,omitempty" doc:"How many runs may wait."`
+	BillAfter   config.Span    `yaml:"billAfter,omitempty" doc:"How long after a run's deadline the guard bills it itself if no entry has; 30s if left out."`
 	AgeAfter    config.Span    `yaml:"ageAfter,omitempty" doc:"How long a patient run waits before it counts as interactive."`
 }
 
@@ -49,7 +50,9 @@
 	if s.Waiting < 0 {
 		report("waiting", "0 or more is allowed")
 	}
-	if s.AgeAfter < 0 {
-		report("ageAfter", "0s or more is allowed")
+	for key, span := range map[string]config.Span{"ageAfter": s.AgeAfter, "billAfter": s.BillAfter} {
+		if span < 0 {
+			report(key, "0s or more is allowed")
+		}
 	}
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/seal"
@@ -58,12 +60,16 @@
 	Identity wire.Identity
 	Keys     *seal.Ring
 	Mux      *Mux
+	// TLS secures every link from both sides; nil leaves them plain.
+	TLS *tls.Config
 	// Revision returns the settings revision in force.
 	Revision func() int64
 	// Bytes counts what the links carried, both ways.
 	Bytes atomic.Int64
 	// Messages counts messages sent and taken.
 	Messages atomic.Int64
+	// Handling counts the messages whose answer is not written yet.
+	Handling atomic.Int64
 }
 
 // Conn is an open link.
@@ -124,17 +130,11 @@
 	c := &Conn{local: l, raw: raw, nonce: freshNonce(), onProven: onProven}
 	s := jsonrpc2.NewBufferedStream(&meter{Conn: raw, local: l}, frames{limit: MaxFrame})
 	ready := make(chan struct{})
-	c.rpc = jsonrpc2.NewConn(ctx, s, handler{conn: c, ready: ready}, jsonrpc2.SetLogger(quiet{}))
+	c.rpc = jsonrpc2.NewConn(ctx, s, handler{conn: c, ready: ready}, jsonrpc2.SetLogger(logs.Library{}))
 	close(ready)
 	return c
 }
 
-// quiet drops the library's own log lines; what matters is logged by owners.
-type quiet struct{}
-
-// Printf does nothing.
-func (quiet) Printf(string, ...any) {}
-
 func freshNonce() string {
 	var b [16]byte
 	_, _ = rand.Read(b[:])
@@ -148,6 +148,9 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrBroken)
 	}
+	if l.TLS != nil {
+		raw = tls.Client(raw, l.TLS)
+	}
 	c := l.open(context.WithoutCancel(ctx), raw, nil)
 	if err := c.shake(ctx); err != nil {
 		c.Close()
@@ -188,6 +191,9 @@
 		if err != nil {
 			return err
 		}
+		if l.TLS != nil {
+			raw = tls.Server(raw, l.TLS)
+		}
 		c := l.open(ctx, raw, onProven)
 		time.AfterFunc(dialWithin, func() {
 			if !c.Proven() {
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -98,7 +98,9 @@
 		})
 		return
 	}
+	c.local.Handling.Add(1)
 	work := func() {
+		defer c.local.Handling.Add(-1)
 		c.answer(ctx, req, func() (any, error) { return r.handle(ctx, c, raw) })
 	}
 	if r.inline {
@@ -106,6 +108,7 @@
 		return
 	}
 	if err := c.local.Mux.Submit(work); err != nil {
+		defer c.local.Handling.Add(-1)
 		c.answer(ctx, req, func() (any, error) {
 			return nil, fault.New(fault.Overloaded, fault.NotRun, "Too many messages are being handled.")
 		})
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -6,6 +6,8 @@
 package logs
 
 import (
+	"fmt"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -28,6 +30,20 @@
 	return l
 }
 
+// Library hands a library's own lines to the debug level of a logger, under
+// the prefix of its part. The zero value drops them.
+type Library struct {
+	Log    *zap.Logger
+	Prefix string
+}
+
+// Printf writes one line.
+func (l Library) Printf(format string, args ...any) {
+	if l.Log != nil {
+		l.Log.Debug(l.Prefix + ": " + fmt.Sprintf(format, args...))
+	}
+}
+
 // Err is the field for an error: its text alone, without a stack.
 func Err(err error) zap.Field {
 	if err == nil {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/traildrift/traildrift/internal/assert"
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/internal/spread"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/internal/tasks"
@@ -93,6 +95,13 @@
 		return nil, err
 	}
 	p.Local = &link.Local{Identity: p.Identity, Keys: linkKeys, Revision: p.Holder.Revision}
+	if c.LinkTLS.Set() {
+		source, err := secure.NewSource(c.LinkTLS)
+		if err != nil {
+			return nil, err
+		}
+		p.Local.TLS = source.Mutual()
+	}
 	p.Local.Mux = link.NewMux(p.Pool.Submit, p.Holder.Newer)
 	link.On(p.Local.Mux, wire.MethodDelta, p.Holder.Serve)
 	if err := p.listen(o); err != nil {
@@ -136,6 +145,23 @@
 	})
 }
 
+// quietPoll is how often a stopping process looks for open messages.
+const quietPoll = time.Millisecond
+
+// Quiet waits until every message that peers sent is answered, or ctx is done.
+func (p *Proc) Quiet(ctx context.Context) error {
+	t := time.NewTicker(quietPoll)
+	defer t.Stop()
+	for p.Local.Handling.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // Close ends the listeners and waiting calls and waits for every goroutine.
 // The context that Start got must be done.
 func (p *Proc) Close() {
@@ -193,6 +219,9 @@
 // dumpedChanges is how many settings changes a dump shows.
 const dumpedChanges = 5
 
+// LinkAddr returns where the process listens for its peers.
+func (p *Proc) LinkAddr() netip.AddrPort { return p.linkLn.Addr().(*net.TCPAddr).AddrPort() }
+
 // Stamp returns the stamp of an outgoing message.
 func (p *Proc) Stamp() wire.Stamp { return wire.Stamp{Revision: p.Holder.Revision()} }
 
--- a/internal/proc/settings.go
+++ b/internal/proc/settings.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 
+	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/seal"
 )
@@ -23,6 +24,7 @@
 	OperatorsToken   string         `yaml:"operatorsToken,omitempty" doc:"File with the token that operators must send."`
 	Platform         netip.AddrPort `yaml:"platform" doc:"The platform's object API and VM list."`
 	Keys             string         `yaml:"keys" doc:"File with the link and token keys."`
+	LinkTLS          secure.Files   `yaml:"linkTLS,omitempty" doc:"Files cert, key and ca for mutual TLS between processes; the same everywhere or nowhere."`
 	StopWithin       config.Span    `yaml:"stopWithin,omitempty" doc:"How long a planned stop may take, counted from the signal."`
 	WriteEvery       config.Span    `yaml:"writeEvery,omitempty" doc:"How long bills and trail are gathered before they are written; 5s if left out."`
 	LogLevel         string         `yaml:"logLevel,omitempty" doc:"debug, info, warn or error."`
@@ -30,29 +32,22 @@
 
 // Check returns what is wrong with the settings, key by key.
 func (c *Common) Check(report func(key, message string)) {
-	if c.VM == "" {
-		report("vm", "a name is required")
-	}
-	if c.AvailabilityZone == "" {
-		report("availabilityZone", "a name is required")
+	for key, name := range map[string]string{"vm": c.VM, "availabilityZone": c.AvailabilityZone, "keys": c.Keys} {
+		if name == "" {
+			report(key, "a name is required")
+		}
 	}
 	for key, addr := range map[string]netip.AddrPort{"link": c.Link, "operators": c.Operators, "platform": c.Platform} {
 		if !addr.IsValid() {
 			report(key, "an IP number and port such as 10.0.0.1:7000 is required")
 		}
 	}
-	if c.Operators.IsValid() && !c.Operators.Addr().IsLoopback() && c.OperatorsToken == "" {
-		report("operators", "off loopback only with operatorsToken")
-	}
-	if c.Keys == "" {
-		report("keys", "a file is required")
-	}
-	if c.StopWithin < 0 {
-		report("stopWithin", "0s or more is allowed")
-	}
-	if c.WriteEvery < 0 {
-		report("writeEvery", "0s (the default) or more is allowed")
+	for key, s := range map[string]config.Span{"stopWithin": c.StopWithin, "writeEvery": c.WriteEvery} {
+		if s < 0 {
+			report(key, "0s (the default) or more is allowed")
+		}
 	}
+	c.checkDoors(report)
 	switch c.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
@@ -60,6 +55,16 @@
 	}
 }
 
+// checkDoors checks who may come in.
+func (c *Common) checkDoors(report func(key, message string)) {
+	if c.Operators.IsValid() && !c.Operators.Addr().IsLoopback() && c.OperatorsToken == "" {
+		report("operators", "off loopback only with operatorsToken")
+	}
+	if t := c.LinkTLS; t.Set() && (t.Cert == "" || t.Key == "" || t.CA == "") {
+		report("linkTLS", "cert, key and ca are required")
+	}
+}
+
 // Checked is a settings struct that can check itself.
 type Checked interface {
 	// Check reports each key that is wrong, with what is allowed.
--- /dev/null
+++ b/internal/rig/answer_test.go
@@ -0,0 +1,191 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/desk"
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/fakes"
+)
+
+// TestCutAnswers cuts answers at the engine: a cut stream is resumed at its
+// offset, and one that cannot be is said not to be whole.
+func TestCutAnswers(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1)})
+	engine := f.Engines["deedwriter-1"]
+	for _, streamed := range []bool{true, false} {
+		engine.Set(fakes.Faults{CutAfter: 3})
+		expect(t, fmt.Sprint("cut, streamed ", streamed), <-send(f, 0, chat("history", "lot", streamed)), "whole")
+	}
+	engine.Set(fakes.Faults{EndEarly: 3})
+	expect(t, "ended early without its marker", <-send(f, 0, chat("history", "lot", true)), "notWhole/ran")
+	for id, n := range f.EngineRuns() {
+		if n != 1 {
+			t.Errorf("run %s ran %d times, want 1", id, n)
+		}
+	}
+}
+
+// TestCallerGone cancels the run of a caller that closes its connection.
+func TestCallerGone(t *testing.T) {
+	pools := testPools(1)
+	pools[0].Engine.PerToken = span("20ms")
+	f := startFleet(t, Options{Entries: 1, Pools: pools})
+	body, err := json.Marshal(fakes.ChatRequest{Model: "history", Messages: []fakes.Message{{Content: "x"}}, MaxTokens: 900, Stream: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", f.Entries[0].Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	running := func() int { n, _ := f.Engines["deedwriter-1"].Load(); return n }
+	if got := running(); got != 1 {
+		t.Errorf("running: got %d, want 1", got)
+	}
+	_ = c.Close()
+	start := time.Now()
+	waitFor(t, "the end of the run", func() bool { return running() == 0 })
+	if took := time.Since(start); took > 10*time.Second {
+		t.Errorf("the run of a gone caller ended after %v, want at once", took)
+	}
+}
+
+// TestSlowReader gives a slow reader its whole answer and does not hold up
+// others.
+func TestSlowReader(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1)})
+	long := chat("history", "long", true)
+	long.Chat.MaxTokens = 4000
+	body, _ := json.Marshal(long.Chat)
+	c, err := net.Dial("tcp", f.Entries[0].Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", testKey, len(body), body)
+	for range 5 {
+		expect(t, "another caller", <-send(f, 0, chat("history", "lot", true)), "whole")
+	}
+	var all strings.Builder
+	p := make([]byte, 8<<10)
+	for {
+		_ = c.SetReadDeadline(soon())
+		n, err := c.Read(p)
+		all.Write(p[:n])
+		if err != nil {
+			break
+		}
+		if all.Len() < 200<<10 {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	if got := strings.Count(all.String(), `"delta"`); got != 4000 || !strings.Contains(all.String(), "[DONE]") {
+		t.Errorf("got %d tokens, want 4000 and the end marker", got)
+	}
+}
+
+// TestBills folds to one line for each answered request and none for one that
+// did not run, although the platform is down, loses answers, and the entry is
+// killed before it has written.
+func TestBills(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(1), Guard: "billAfter: 500ms\n"})
+	f.Objects.Set(fakes.Faults{Down: true})
+	want := map[string]bool{}
+	ask := func(entry int, a drive.Ask) {
+		a.Header["Traildrift-Deadline"] = time.Now().Add(3 * time.Second).Format(time.RFC3339Nano)
+		got := <-send(f, entry, a)
+		expect(t, "chat", got, "whole")
+		want[got.answer.Request] = true
+	}
+	for i := range 6 {
+		ask(i%2, chat("history", fmt.Sprint(i), i%3 == 0))
+	}
+	refused := <-send(f, 0, note("refused", "refused"))
+	expect(t, "own key while the platform is down", refused, "platformDown/notRun")
+	f.Entries[0].Kill()
+	f.Objects.Set(fakes.Faults{LoseAnswers: 0.5})
+	ask(1, chat("history", "last", true))
+	waitFor(t, "every bill", func() bool {
+		lines, err := desk.Bills(t.Context(), f.Store, "")
+		return err == nil && len(lines) >= len(want)
+	})
+	f.Objects.Set(fakes.Faults{})
+	for _, n := range append(f.Guards, f.Entries[1]) {
+		if err := n.Stop(soon()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	lines, err := desk.Bills(t.Context(), f.Store, "")
+	if err != nil || len(lines) != len(want) {
+		t.Errorf("lines: got %d %v, want %d", len(lines), err, len(want))
+	}
+	for _, l := range lines {
+		if !want[l.ID] || len(l.Attempts) != 1 || l.Attempts[0].CompletionTokens != 8 {
+			t.Errorf("got a line %+v, want one for each answer", l)
+		}
+	}
+}
+
+// TestRetryBudget counts the attempts of each request while a pool fails: they
+// must not multiply the load.
+func TestRetryBudget(t *testing.T) {
+	pools := testPools(4)
+	f := startFleet(t, Options{Entries: 1, Pools: pools[:1]})
+	for _, e := range f.Engines {
+		e.Set(fakes.Faults{Fail: 1})
+	}
+	const requests = 200
+	for range requests {
+		expect(t, "a chat while the pool fails", <-send(f, 0, chat("history", "lot", false)), "endpointLost/mayHaveRun", "endpointFailed/mayHaveRun", "notWhole/ran")
+	}
+	if got, most := len(f.EngineRuns()), requests*13/10; got > most || got < requests {
+		t.Errorf("attempts of %d requests: got %d, want at most %d", requests, got, most)
+	}
+}
+
+// TestSessionsOutliveEntries replaces every entry: a session keeps its version.
+func TestSessionsOutliveEntries(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(1)})
+	open := chat("tags", "lot", false)
+	open.Header["Traildrift-Session"] = "new"
+	first := <-send(f, 0, open)
+	expect(t, "opened", first, "whole")
+	for _, n := range f.Entries {
+		n.Kill()
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Ready(soon()); err != nil {
+		t.Fatal(err)
+	}
+	cheaper := strings.Replace(testSettings, `"3": {pool: deedwriter, cost: 12`, `"3": {pool: deedwriter, cost: 1`, 1)
+	revision, err := f.Apply(cheaper, "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.InForce(revision, soon()); err != nil {
+		t.Fatal(err)
+	}
+	next := chat("tags", "lot", true)
+	expect(t, "without the session", <-send(f, 1, next), "whole")
+	next.Header["Traildrift-Session"] = first.answer.Session
+	got := <-send(f, 1, next)
+	if got.result != "whole" || got.answer.Model != first.answer.Model || got.answer.Version != first.answer.Version {
+		t.Errorf("got %s by %s@%s, want whole by %s@%s", got.result, got.answer.Model, got.answer.Version, first.answer.Model, first.answer.Version)
+	}
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -47,6 +47,11 @@
 	Pools   []Pool
 	// Settings is the tree in force from the beginning, as YAML.
 	Settings string
+	// Secured says that Entry names TLS files for callers, so that readiness
+	// is asked for over TLS.
+	Secured bool
+	// Unlinked says that not every entry links to every guard.
+	Unlinked bool
 	// Entry and Guard are added to the process settings, as YAML.
 	Entry, Guard string
 	Seed         uint64
@@ -260,6 +265,38 @@
 	return n.Start()
 }
 
+// Bodies counts how often each body was really lodged, over all services.
+func (f *Fleet) Bodies() map[string]int {
+	out := make(map[string]int)
+	for _, p := range f.Plains {
+		for body, n := range p.Bodies() {
+			out[body] += n
+		}
+	}
+	return out
+}
+
+// EngineRuns counts how often each run was really run, over all engines.
+func (f *Fleet) EngineRuns() map[string]int {
+	out := make(map[string]int)
+	for _, e := range f.Engines {
+		for run, n := range e.Runs() {
+			out[run] += n
+		}
+	}
+	return out
+}
+
+// Holder returns the guard whose service has lodged a body, or nil.
+func (f *Fleet) Holder(body string) *Node {
+	for _, n := range f.Guards {
+		if p := f.Plains[n.VM.Name]; p != nil && p.Bodies()[body] > 0 {
+			return n
+		}
+	}
+	return nil
+}
+
 // SetState changes the state of a VM in the VM list.
 func (f *Fleet) SetState(vm, state string) {
 	for i := range f.vms {
@@ -270,19 +307,51 @@
 	f.Objects.SetVMs(f.vms)
 }
 
-// Ready waits until every entry is ready.
+// Ready waits until every entry is ready and may use every running guard.
 func (f *Fleet) Ready(deadline time.Time) error {
+	want := 0
+	for _, n := range f.Guards {
+		if n.Running() {
+			want++
+		}
+	}
 	for _, n := range f.Entries {
-		if err := drive.Ready(n.Callers, deadline); err != nil {
+		if !n.Running() {
+			continue
+		}
+		if err := f.caller(n, "", f.opts.Secured).Ready(deadline); err != nil {
 			return errors.Wrap(err, n.Log())
 		}
+		for n.usable() < want && !f.opts.Unlinked {
+			if time.Now().After(deadline) {
+				return errors.Newf("%s may use %d of %d guards", n.VM.Name, n.usable(), want)
+			}
+			time.Sleep(readyPoll)
+		}
 	}
 	return nil
 }
 
+// readyPoll is how often an entry is asked for its links.
+const readyPoll = 20 * time.Millisecond
+
 // Caller returns a caller of the numbered entry.
 func (f *Fleet) Caller(i int, key string) *drive.Caller {
-	return drive.NewCaller(f.Entries[i].Callers, key)
+	return f.caller(f.Entries[i], key, false)
+}
+
+// SecureCaller returns a caller of the numbered entry that uses TLS and takes
+// any certificate.
+func (f *Fleet) SecureCaller(i int, key string) *drive.Caller {
+	return f.caller(f.Entries[i], key, true)
+}
+
+func (f *Fleet) caller(n *Node, key string, secured bool) *drive.Caller {
+	c := drive.NewCaller(n.Callers, key)
+	if secured {
+		c.Secure()
+	}
+	return c
 }
 
 // Endpoint returns where the engine or service beside a guard listens.
--- /dev/null
+++ b/internal/rig/once_test.go
@@ -0,0 +1,356 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/fakes"
+)
+
+// slowRegister has calls that take long enough for a fault to hit them.
+func slowRegister(work string) []Pool {
+	pools := testPools(2)
+	pools[2].Work = span(work)
+	return pools
+}
+
+// result is an answer as the tests compare it: "whole", or kind/run.
+func result(a drive.Answer, err error) string {
+	switch {
+	case a.Err != nil:
+		return drive.ErrorName(a.Err)
+	case err != nil:
+		return "noAnswer"
+	case a.Bad != "":
+		return a.Bad
+	default:
+		return "whole"
+	}
+}
+
+// sent is a request under way.
+type sent struct {
+	answer drive.Answer
+	result string
+	took   time.Duration
+}
+
+// send sends a request in the background.
+func send(f *Fleet, entry int, a drive.Ask) <-chan sent {
+	out := make(chan sent, 1)
+	go func() {
+		start := time.Now()
+		got, err := f.Caller(entry, testKey).Do(a)
+		out <- sent{got, result(got, err), time.Since(start)}
+	}()
+	return out
+}
+
+// lodged waits until a body was lodged and returns its guard.
+func lodged(t *testing.T, f *Fleet, body string) *Node {
+	t.Helper()
+	for deadline := soon(); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if n := f.Holder(body); n != nil {
+			return n
+		}
+	}
+	t.Fatalf("%q was not lodged", body)
+	return nil
+}
+
+func expect(t *testing.T, what string, got sent, want ...string) {
+	t.Helper()
+	for _, w := range want {
+		if got.result == w {
+			return
+		}
+	}
+	t.Errorf("%s: got %s (%v), want %v", what, got.result, got.answer.Err, want)
+}
+
+func expectLodged(t *testing.T, f *Fleet, body string, want int) {
+	t.Helper()
+	if got := f.Bodies()[body]; got != want {
+		t.Errorf("%q was lodged %d times, want %d", body, got, want)
+	}
+}
+
+// keyKinds are the two kinds of key that allow one run only.
+var keyKinds = []string{"own", "ticket"}
+
+// keyOf returns a fresh key of a kind, a ticket being that of the numbered
+// entry.
+func keyOf(t *testing.T, f *Fleet, kind string, entry int) string {
+	t.Helper()
+	if kind == "own" {
+		return fmt.Sprintf("%s-%d", t.Name(), time.Now().UnixNano())
+	}
+	a, err := f.Caller(entry, testKey).Do(drive.Ask{Path: "/v1/tickets", Deadline: soon()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out struct {
+		Ticket string `json:"ticket"`
+	}
+	if err := json.Unmarshal(a.Body, &out); err != nil || out.Ticket == "" {
+		t.Fatalf("no ticket in %s", a.Body)
+	}
+	return out.Ticket
+}
+
+// TestRepeats sends one key many times to both entries at once: one run, and
+// every caller gets its answer, also later. Another body is refused.
+func TestRepeats(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: slowRegister("100ms")})
+	for _, kind := range keyKinds {
+		body := "note " + kind
+		key := keyOf(t, f, kind, 0)
+		var all []<-chan sent
+		for i := range 10 {
+			all = append(all, send(f, i%2, note(key, body)))
+		}
+		all = append(all, send(f, 1, note(key, body)))
+		var first []byte
+		for _, c := range all {
+			got := <-c
+			expect(t, kind, got, "whole")
+			if first == nil {
+				first = got.answer.Body
+			}
+			if string(got.answer.Body) != string(first) {
+				t.Errorf("%s: got %s, want the answer of the one run %s", kind, got.answer.Body, first)
+			}
+		}
+		expect(t, kind+", later", <-send(f, 1, note(key, body)), "whole")
+		expect(t, kind+", another body", <-send(f, 0, note(key, "other")), "keyReused/notRun")
+		expect(t, kind+", another body elsewhere", <-send(f, 1, note(key, "other")), "keyReused/notRun")
+		expectLodged(t, f, body, 1)
+		expectLodged(t, f, "other", 0)
+	}
+}
+
+// TestEntryKilled kills the entry that runs a request: a repeat elsewhere hears
+// at once that it may have run, for good, and it never runs again.
+func TestEntryKilled(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: slowRegister("300ms")})
+	keys := map[string]string{}
+	for _, kind := range keyKinds {
+		keys[kind] = keyOf(t, f, kind, 0)
+	}
+	var lost []<-chan sent
+	for _, kind := range keyKinds {
+		lost = append(lost, send(f, 0, note(keys[kind], kind)))
+		lodged(t, f, kind)
+	}
+	f.Entries[0].Kill()
+	for _, kind := range keyKinds {
+		<-lost[0]
+		lost = lost[1:]
+		got := <-send(f, 1, note(keys[kind], kind))
+		expect(t, kind, got, "keyUnsettled/mayHaveRun")
+		if got.took > 3*time.Second || got.answer.RetryText == "" {
+			t.Errorf("%s: got an answer after %v with retry %q, want one at once with a time", kind, got.took, got.answer.RetryText)
+		}
+	}
+	if err := f.Entries[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Ready(soon()); err != nil {
+		t.Fatal(err)
+	}
+	for _, kind := range keyKinds {
+		expect(t, kind+" at the entry's next incarnation", <-send(f, 0, note(keys[kind], kind)), "keyUnsettled/mayHaveRun")
+		expectLodged(t, f, kind, 1)
+	}
+}
+
+// TestEntryFrozen freezes the entry that runs a request past every timeout.
+func TestEntryFrozen(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: slowRegister("300ms")})
+	for _, kind := range keyKinds {
+		key := keyOf(t, f, kind, 0)
+		lost := send(f, 0, note(key, kind))
+		lodged(t, f, kind)
+		f.Entries[0].Freeze()
+		got := <-send(f, 1, note(key, kind))
+		f.Entries[0].Thaw()
+		expect(t, kind+" while the entry is frozen", got, "keyUnsettled/mayHaveRun")
+		if got.took > 4*time.Second {
+			t.Errorf("%s: got an answer after %v, want one at once", kind, got.took)
+		}
+		expect(t, kind+" after the thaw", <-lost, "whole")
+		expect(t, kind+" again", <-send(f, 1, note(key, kind)), "whole")
+		expectLodged(t, f, kind, 1)
+	}
+}
+
+// TestGuardKilled kills the guard while the service works: the caller hears that
+// it may have run, and no repeat runs it again.
+func TestGuardKilled(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: slowRegister("300ms")})
+	for _, kind := range append(keyKinds, "none") {
+		key := ""
+		if kind != "none" {
+			key = keyOf(t, f, kind, 0)
+		}
+		lost := send(f, 0, note(key, kind))
+		guard := lodged(t, f, kind)
+		guard.Kill()
+		if err := guard.Start(); err != nil {
+			t.Fatal(err)
+		}
+		expect(t, kind, <-lost, "endpointLost/mayHaveRun")
+		if key != "" {
+			expect(t, kind+", repeated", <-send(f, 1, note(key, kind)), "endpointLost/mayHaveRun")
+		}
+		expectLodged(t, f, kind, 1)
+	}
+}
+
+// TestLinkCut breaks the link between entry and guard at different moments.
+func TestLinkCut(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: slowRegister("200ms")})
+	each := func(do func(*Relay)) {
+		for _, r := range f.Relays {
+			do(r)
+		}
+	}
+	tests := []struct {
+		name        string
+		before, hit func()
+	}{
+		{"broken while it runs", nil, func() { each((*Relay).Break) }},
+		{"cut for a while", nil, func() { each((*Relay).Cut); time.AfterFunc(500*time.Millisecond, func() { each((*Relay).Heal) }) }},
+		{"answers lost on the way", nil, func() {
+			each((*Relay).Swallow)
+			time.AfterFunc(400*time.Millisecond, func() { each((*Relay).Heal); each((*Relay).Break) })
+		}},
+		{"request lost on the way", func() { each((*Relay).Drop) }, func() { each((*Relay).Heal); each((*Relay).Break) }},
+	}
+	for _, tt := range tests {
+		for _, kind := range append(keyKinds, "none") {
+			body := tt.name + " " + kind
+			key := ""
+			if kind != "none" {
+				key = keyOf(t, f, kind, 0)
+			}
+			if tt.before != nil {
+				tt.before()
+			}
+			lost := send(f, 0, note(key, body))
+			if tt.before == nil {
+				lodged(t, f, body)
+			} else {
+				time.Sleep(100 * time.Millisecond)
+			}
+			tt.hit()
+			expect(t, body, <-lost, "whole")
+			expectLodged(t, f, body, 1)
+		}
+	}
+}
+
+// TestPlatformDown takes the platform away: own keys are refused as not run at
+// once, tickets and everything else go on. Lost answers and a slow platform are
+// settled.
+func TestPlatformDown(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(1)})
+	ticket := keyOf(t, f, "ticket", 0)
+	f.Objects.Set(fakes.Faults{Down: true})
+	got := <-send(f, 0, note("down", "down"))
+	expect(t, "own key", got, "platformDown/notRun")
+	if got.took > time.Second || got.answer.RetryText == "" {
+		t.Errorf("own key: got an answer after %v with retry %q, want one at once with a time", got.took, got.answer.RetryText)
+	}
+	expect(t, "ticket", <-send(f, 1, note(ticket, "ticket")), "whole")
+	expect(t, "fresh ticket", <-send(f, 1, note(keyOf(t, f, "ticket", 1), "fresh")), "whole")
+	expect(t, "no key", <-send(f, 0, note("", "no key")), "whole")
+	expect(t, "chat", <-send(f, 0, chat("history", "lot", true)), "whole")
+	expectLodged(t, f, "down", 0)
+	f.Objects.Set(fakes.Faults{LoseAnswers: 1})
+	expect(t, "own key, the write's answer lost", <-send(f, 0, note("lost", "lost")), "whole")
+	expect(t, "repeated elsewhere", <-send(f, 1, note("lost", "lost")), "whole")
+	expectLodged(t, f, "lost", 1)
+	f.Objects.Set(fakes.Faults{Delay: span("3s")})
+	got = <-send(f, 0, note("slow", "slow"))
+	expect(t, "own key, platform too slow", got, "platformDown/notRun")
+	f.Objects.Set(fakes.Faults{})
+	expect(t, "repeated after a claim in doubt", <-send(f, 1, note("slow", "slow")), "whole")
+	expectLodged(t, f, "slow", 1)
+}
+
+// TestTickets refuses tickets that are forged or another workspace's.
+func TestTickets(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1)})
+	key := keyOf(t, f, "ticket", 0)
+	expect(t, "forged", <-send(f, 0, note(strings.Replace(key, ".t1.", ".t2.", 1), "forged")), "keyInvalid/notRun")
+	foreign, err := f.Caller(0, "lima-key").Do(drive.Ask{Path: "/v1/tickets", Deadline: soon()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := strings.Split(string(foreign.Body), `"`)[3]
+	expect(t, "another workspace's", <-send(f, 0, note(other, "foreign")), "keyInvalid/notRun")
+	if got := len(f.Bodies()); got != 0 {
+		t.Errorf("lodged: got %d, want 0", got)
+	}
+}
+
+// TestPlannedStop stops an entry with a stream on it, and guards under load:
+// nothing is cut off.
+func TestPlannedStop(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(2)})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	counts := map[string]int{}
+	stop := make(chan struct{})
+	for i := range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := f.Caller(1, testKey)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := chat("history", fmt.Sprint(i, n), n%2 == 0)
+				if i%4 == 0 {
+					a = note("", fmt.Sprint(i, n))
+				}
+				got, err := c.Do(a)
+				mu.Lock()
+				counts[result(got, err)]++
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	long := chat("history", "long", true)
+	long.Chat.MaxTokens = 300
+	cut := send(f, 0, long)
+	time.Sleep(50 * time.Millisecond)
+	if err := f.Entries[0].Stop(soon()); err != nil {
+		t.Errorf("stop of an entry: got %v, want nil", err)
+	}
+	expect(t, "a stream at the stopping entry", <-cut, "whole")
+	for _, g := range []*Node{f.Guards[0], f.Guards[2], f.Guards[4]} {
+		if err := g.Stop(soon()); err != nil {
+			t.Errorf("stop of %s: got %v, want nil", g.VM.Name, err)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	if counts["whole"] < 50 || len(counts) != 1 {
+		t.Errorf("answers while guards stop: got %v, want whole ones only", counts)
+	}
+}
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -18,8 +18,8 @@
 	conns map[net.Conn]struct{}
 	// closed refuses new connections while the link is cut.
 	closed bool
-	// swallow drops what comes back, so that answers are lost on the way.
-	swallow bool
+	// drop loses what goes to the VM, swallow what comes back.
+	drop, swallow bool
 }
 
 // NewRelay relays connections of ln to an address.
@@ -53,26 +53,28 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = io.Copy(up, c)
+		_, _ = io.Copy(&sideWriter{r, up, &r.drop}, c)
 		_ = up.Close()
 	}()
-	_, _ = io.Copy(&backWriter{r, c}, up)
+	_, _ = io.Copy(&sideWriter{r, c, &r.swallow}, up)
 	_ = c.Close()
 	<-done
 }
 
-// backWriter writes towards the caller, unless answers are swallowed.
-type backWriter struct {
+// sideWriter writes towards one side, unless that way is lost.
+type sideWriter struct {
 	r *Relay
 	c net.Conn
+	// lost is one of the relay's flags.
+	lost *bool
 }
 
 // Write drops or writes p.
-func (b *backWriter) Write(p []byte) (int, error) {
+func (b *sideWriter) Write(p []byte) (int, error) {
 	b.r.mu.Lock()
-	swallow := b.r.swallow
+	lost := *b.lost
 	b.r.mu.Unlock()
-	if swallow {
+	if lost {
 		return len(p), nil
 	}
 	return b.c.Write(p)
@@ -115,6 +117,13 @@
 	r.Break()
 }
 
+// Drop loses what goes over the link to the VM until Heal.
+func (r *Relay) Drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop = true
+}
+
 // Swallow drops what comes back over the link until Heal.
 func (r *Relay) Swallow() {
 	r.mu.Lock()
@@ -127,6 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = false
+	r.drop = false
 	r.swallow = false
 }
 
--- a/internal/rig/usage.go
+++ b/internal/rig/usage.go
@@ -32,6 +32,34 @@
 	Violations              int64
 }
 
+// Dump returns the process's dump.
+func (n *Node) Dump() ([]byte, error) { return desk.Fetch(n.Operators, "", "/debug/state") }
+
+// usable returns how many endpoints an entry may use.
+func (n *Node) usable() int {
+	body, err := n.Dump()
+	if err != nil {
+		return 0
+	}
+	var d struct {
+		Role struct {
+			Endpoints []struct {
+				Usable bool `json:"usable"`
+			} `json:"endpoints"`
+		} `json:"role"`
+	}
+	if json.Unmarshal(body, &d) != nil {
+		return 0
+	}
+	count := 0
+	for _, e := range d.Role.Endpoints {
+		if e.Usable {
+			count++
+		}
+	}
+	return count
+}
+
 // ticksPerSecond is the kernel's unit of processor time (USER_HZ).
 const ticksPerSecond = 100
 
@@ -53,7 +81,7 @@
 	pages, _ := strconv.ParseInt(fields[rss], 10, 64)
 	u.CPU = time.Time{}.Add(time.Duration(user+system) * time.Second / ticksPerSecond)
 	u.Resident = pages * int64(os.Getpagesize())
-	body, err := desk.Fetch(n.Operators, "", "/debug/state")
+	body, err := n.Dump()
 	if err != nil {
 		return u, err
 	}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,149 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+// requestWithin is the deadline of each request.
+const requestWithin = 4 * time.Second
+
+// told is everything that callers heard about one piece of work.
+type told struct {
+	// key is the caller's key; empty without one.
+	key string
+	// request is the request ID of the last whole answer.
+	request string
+	// at is when the last whole answer came.
+	at                              time.Time
+	whole, notRun, unsure, noAnswer int
+}
+
+// account gathers what callers heard, by the body or prompt of the work.
+type account struct {
+	mu sync.Mutex
+	// notes may not be repeated, chats may.
+	notes, chats map[string]*told
+	// errors counts failures by kind and run state.
+	errors map[string]int
+	sent   int
+	wrong  []string
+}
+
+func (a *account) add(m map[string]*told, work, key string, got drive.Answer, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sent++
+	t := m[work]
+	if t == nil {
+		t = &told{key: key}
+		m[work] = t
+	}
+	switch {
+	case got.Err != nil:
+		a.errors[drive.ErrorName(got.Err)]++
+		if got.Err.Run == fault.NotRun {
+			t.notRun++
+		} else {
+			t.unsure++
+		}
+	case err != nil:
+		a.errors["noAnswer"]++
+		t.noAnswer++
+	case got.Bad != "":
+		a.wrong = append(a.wrong, fmt.Sprintf("%s: %s", work, got.Bad))
+	default:
+		t.whole++
+		t.request = got.Request
+		t.at = got.Done
+	}
+}
+
+// caller sends requests one after the other until the deadline.
+type caller struct {
+	f   *rig.Fleet
+	rnd *rand.Rand
+	acc *account
+	n   int
+}
+
+func (c *caller) run(until time.Time) {
+	for i := 0; time.Now().Before(until); i++ {
+		work := fmt.Sprintf("work %d %d", c.n, i)
+		switch c.rnd.IntN(4) {
+		case 0:
+			c.chat(work)
+		case 1:
+			c.note(work, "")
+		case 2:
+			c.note(work, fmt.Sprintf("key %d %d", c.n, i))
+		default:
+			c.note(work, c.ticket())
+		}
+		time.Sleep(time.Duration(c.rnd.IntN(20)) * time.Millisecond)
+	}
+}
+
+func (c *caller) any() *drive.Caller {
+	return c.f.Caller(c.rnd.IntN(len(c.f.Entries)), soakKey)
+}
+
+func (c *caller) chat(work string) {
+	ask := drive.Ask{
+		Chat:     fakes.ChatRequest{Model: "tags", Messages: []fakes.Message{{Role: "user", Content: work}}, MaxTokens: 1 + c.rnd.IntN(30), Stream: c.rnd.IntN(2) == 0},
+		Deadline: time.Now().Add(2 * requestWithin),
+	}
+	got, err := c.any().Do(ask)
+	c.acc.add(c.acc.chats, work, "", got, err)
+}
+
+// note sends work that may not be repeated; with a key, several times and to
+// several entries, at once and one after the other.
+func (c *caller) note(work, key string) {
+	times := 1
+	if key != "" {
+		times += c.rnd.IntN(3)
+	}
+	var wg sync.WaitGroup
+	for range times {
+		ask := drive.Ask{Path: "/svc/notes/lodge", Body: work, Header: map[string]string{}, Deadline: time.Now().Add(2 * requestWithin)}
+		if key != "" {
+			ask.Header["Idempotency-Key"] = key
+		}
+		to := c.any()
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			got, err := to.Do(ask)
+			c.acc.add(c.acc.notes, work, key, got, err)
+		}()
+		if c.rnd.IntN(2) == 0 {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+}
+
+// ticket asks for a ticket; without one the work goes without a key.
+func (c *caller) ticket() string {
+	got, err := c.any().Do(drive.Ask{Path: "/v1/tickets", Deadline: time.Now().Add(requestWithin)})
+	if err != nil {
+		return ""
+	}
+	var out struct {
+		Ticket string `json:"ticket"`
+	}
+	_ = json.Unmarshal(got.Body, &out)
+	return out.Ticket
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,207 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// injector draws faults and puts them in force.
+type injector struct {
+	f   *rig.Fleet
+	rnd *rand.Rand
+	// counts says how often each kind was drawn.
+	counts map[string]int
+	// broken collects what went wrong with the faults themselves.
+	report func(format string, args ...any)
+	// kills says when a process of each role was killed.
+	kills map[string][]time.Time
+	// withdrawn says that mapcore@1 is withdrawn at the moment.
+	withdrawn bool
+}
+
+// kind is one kind of fault: it begins and returns how to end it.
+type kind struct {
+	name  string
+	begin func(in *injector) (end func())
+}
+
+var kinds = []kind{
+	{"entryKilled", func(in *injector) func() { return in.kill(in.f.Entries[in.rnd.IntN(len(in.f.Entries))]) }},
+	{"guardKilled", func(in *injector) func() { return in.kill(in.f.Guards[in.rnd.IntN(len(in.f.Guards))]) }},
+	{"entryFrozen", func(in *injector) func() { return freeze(in.f.Entries[in.rnd.IntN(len(in.f.Entries))]) }},
+	{"guardFrozen", func(in *injector) func() { return freeze(in.f.Guards[in.rnd.IntN(len(in.f.Guards))]) }},
+	{"linkBroken", func(in *injector) func() { in.relay().Break(); return func() {} }},
+	{"linkCut", func(in *injector) func() { r := in.relay(); r.Cut(); return r.Heal }},
+	{"answersLost", func(in *injector) func() { r := in.relay(); r.Swallow(); return func() { r.Heal(); r.Break() } }},
+	{"requestsLost", func(in *injector) func() { r := in.relay(); r.Drop(); return func() { r.Heal(); r.Break() } }},
+	{"platformDown", func(in *injector) func() { return in.platform(fakes.Faults{Down: true}) }},
+	{"platformSlow", func(in *injector) func() {
+		return in.platform(fakes.Faults{Delay: config.Span(time.Duration(in.rnd.IntN(2500)) * time.Millisecond)})
+	}},
+	{"platformLosesAnswers", func(in *injector) func() { return in.platform(fakes.Faults{LoseAnswers: in.rnd.Float64()}) }},
+	{"engineCutsAnswers", func(in *injector) func() { return in.engine(fakes.Faults{CutAfter: 1 + in.rnd.IntN(4)}) }},
+	{"engineFails", func(in *injector) func() { return in.engine(fakes.Faults{Fail: in.rnd.Float64()}) }},
+	{"engineDown", func(in *injector) func() { return in.engine(fakes.Faults{Down: true}) }},
+	{"engineSlow", func(in *injector) func() { return in.engine(fakes.Faults{Slow: 10}) }},
+	{"withdrawal", (*injector).withdraw},
+	{"plannedStop", func(in *injector) func() { return in.stop(in.f.Guards[in.rnd.IntN(len(in.f.Guards))]) }},
+}
+
+// run draws faults until the deadline, at most two at a time.
+func (in *injector) run(until time.Time) {
+	for time.Now().Before(until) {
+		var ends []func()
+		for range 1 + in.rnd.IntN(2) {
+			k := kinds[in.rnd.IntN(len(kinds))]
+			in.counts[k.name]++
+			ends = append(ends, k.begin(in))
+		}
+		time.Sleep(time.Duration(50+in.rnd.IntN(1200)) * time.Millisecond)
+		for _, end := range ends {
+			end()
+		}
+		time.Sleep(time.Duration(in.rnd.IntN(600)) * time.Millisecond)
+	}
+}
+
+func (in *injector) kill(n *rig.Node) func() {
+	in.kills[n.VM.Role] = append(in.kills[n.VM.Role], time.Now())
+	n.Kill()
+	return func() { in.restart(n) }
+}
+
+// killedBetween reports whether a process of a role was killed between two
+// times.
+func (in *injector) killedBetween(role string, from, to time.Time) bool {
+	for _, at := range in.kills[role] {
+		if at.After(from) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// bothHoldersKilled reports whether an entry was killed before it can have
+// written the bill of an answer at t, and a guard before it stood in.
+func (in *injector) bothHoldersKilled(t time.Time) bool {
+	const entryHolds, guardHolds = 2 * time.Second, 4 * time.Second
+	return in.killedBetween(store.RoleEntry, t.Add(-time.Second), t.Add(entryHolds)) &&
+		in.killedBetween(store.RoleEndpoint, t.Add(-time.Second), t.Add(guardHolds))
+}
+
+func (in *injector) restart(n *rig.Node) {
+	if n.Running() {
+		return
+	}
+	if err := n.Start(); err != nil {
+		in.report("%s does not start: %v", n.VM.Name, err)
+	}
+}
+
+func freeze(n *rig.Node) func() {
+	if !n.Running() {
+		return func() {}
+	}
+	n.Freeze()
+	return func() {
+		if n.Running() {
+			n.Thaw()
+		}
+	}
+}
+
+// stop asks for a planned stop while requests run.
+func (in *injector) stop(n *rig.Node) func() {
+	if !n.Running() {
+		return func() {}
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.Stop(time.Now().Add(10 * time.Second))
+	}()
+	return func() {
+		<-ended
+		in.restart(n)
+	}
+}
+
+func (in *injector) relay() *rig.Relay {
+	return in.f.Relays[in.f.Guards[in.rnd.IntN(len(in.f.Guards))].VM.Name]
+}
+
+func (in *injector) platform(f fakes.Faults) func() {
+	in.f.Objects.Set(f)
+	return func() { in.f.Objects.Set(fakes.Faults{}) }
+}
+
+func (in *injector) engine(f fakes.Faults) func() {
+	n := in.f.Guards[in.rnd.IntN(len(in.f.Guards))]
+	if e := in.f.Engines[n.VM.Name]; e != nil {
+		e.Set(f)
+		return func() { e.Set(fakes.Faults{}) }
+	}
+	p := in.f.Plains[n.VM.Name]
+	p.Set(f)
+	return func() { p.Set(fakes.Faults{}) }
+}
+
+// withdraw withdraws mapcore@1, or serves it again. Once the change is in force
+// everywhere the version gets no new run.
+func (in *injector) withdraw() func() {
+	in.withdrawn = !in.withdrawn
+	text := settings
+	if in.withdrawn {
+		text = strings.Replace(settings, `"1": {pool: mapcore,`, `"1": {state: withdrawn, pool: mapcore,`, 1)
+	}
+	revision, err := in.f.Apply(text, "soak")
+	if err != nil || !in.withdrawn {
+		return func() {}
+	}
+	return func() {
+		if in.f.InForce(revision, time.Now().Add(3*time.Second)) != nil {
+			return // a process is down or frozen
+		}
+		time.Sleep(startLag)
+		before := in.modelRuns("mapcore@1")
+		time.Sleep(300 * time.Millisecond)
+		if after := in.modelRuns("mapcore@1"); after != before {
+			in.report("a withdrawn version got %d new runs", after-before)
+		}
+	}
+}
+
+// startLag is how long a run that was begun before a withdrawal may take to
+// reach the engine.
+const startLag = 100 * time.Millisecond
+
+func (in *injector) modelRuns(model string) int {
+	n := 0
+	for _, e := range in.f.Engines {
+		n += e.ModelRuns(model)
+	}
+	return n
+}
+
+// heal ends every fault that may be left.
+func (in *injector) heal(ctx context.Context) {
+	in.f.Objects.Set(fakes.Faults{})
+	for _, r := range in.f.Relays {
+		r.Heal()
+	}
+	for _, n := range in.f.Nodes() {
+		if ctx.Err() == nil {
+			in.restart(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,208 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/desk"
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/pkg/bill"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// soakKey is the API key of the callers.
+const soakKey = "soak-key"
+
+var settings = `
+models:
+  mapcore:
+    versions:
+      "1": {pool: mapcore, cost: 1, quality: 0.8}
+      "2": {pool: mapcore, cost: 2, quality: 0.8}
+services:
+  register: {pool: register}
+values: {answerWithin: 4s}
+workspaces:
+  kahurangi:
+    keyHashes: ["` + config.KeyHash(soakKey) + `"]
+    values: {allow: [mapcore], answerKept: 5m}
+    workloads:
+      tags: {}
+      notes: {serves: register, values: {repeatable: false}}
+`
+
+// Options shape a run.
+type Options struct {
+	Seed uint64
+	// For is how long faults are drawn.
+	For     config.Span
+	Callers int
+	Dir     string
+	Out     io.Writer
+}
+
+// run is one long run.
+type run struct {
+	o   Options
+	f   *rig.Fleet
+	acc *account
+	mu  sync.Mutex
+	bad []string
+	// excused counts whole answers without a bill whose entry and guard were
+	// both killed before either had written it.
+	excused int
+}
+
+func (r *run) report(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bad = append(r.bad, fmt.Sprintf(format, args...))
+}
+
+// Run does one run and returns an error that lists every violation.
+func Run(ctx context.Context, o Options) error {
+	_, _ = fmt.Fprintf(o.Out, "soak: seed %d, for %s, %d callers\n", o.Seed, o.For, o.Callers)
+	f, err := rig.Start(rig.Options{
+		Dir: o.Dir, Zones: []string{"a", "b"}, Entries: 3, Settings: settings, Seed: o.Seed,
+		Entry: "listEvery: 500ms\nbeatEvery: 200ms\nsuspectAfter: 600ms\n",
+		Guard: "billAfter: 1s\n",
+		Pools: []rig.Pool{
+			{Name: "mapcore", Kind: "engine", Endpoints: 3, Slots: 8, Waiting: 16, Engine: fakes.EngineOptions{FirstToken: config.Span(5 * time.Millisecond), PerToken: config.Span(time.Millisecond)}},
+			{Name: "register", Kind: "service", Endpoints: 3, Slots: 8, Waiting: 16, Work: config.Span(20 * time.Millisecond)},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r := &run{o: o, f: f, acc: &account{notes: make(map[string]*told), chats: make(map[string]*told), errors: make(map[string]int)}}
+	in := &injector{f: f, rnd: rand.New(rand.NewPCG(o.Seed, 0)), counts: make(map[string]int), kills: make(map[string][]time.Time), report: r.report}
+	r.drive(in)
+	in.heal(ctx)
+	if err := f.Ready(time.Now().Add(20 * time.Second)); err != nil {
+		r.report("not ready after the faults: %v", err)
+	}
+	r.checkProcesses()
+	r.checkRuns()
+	r.checkBills(ctx, in)
+	_, _ = fmt.Fprintf(o.Out, "soak: seed %d: %d answers, faults %v, failures %v, bills lost with both holders %d, violations %d\n", o.Seed, r.acc.sent, in.counts, r.acc.errors, r.excused, len(r.bad))
+	if len(r.bad) > 0 {
+		return errors.Newf("soak: seed %d: %q", o.Seed, r.bad)
+	}
+	return nil
+}
+
+// drive runs callers and faults until both have ended.
+func (r *run) drive(in *injector) {
+	until := r.o.For.After(time.Now())
+	var wg sync.WaitGroup
+	for n := range r.o.Callers {
+		c := &caller{f: r.f, rnd: rand.New(rand.NewPCG(r.o.Seed, uint64(n+1))), acc: r.acc, n: n}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.run(until)
+		}()
+	}
+	in.run(until)
+	wg.Wait()
+}
+
+// checkProcesses asks every process for broken invariants.
+func (r *run) checkProcesses() {
+	for _, n := range r.f.Nodes() {
+		u, err := n.Usage()
+		if err != nil {
+			r.report("%s does not answer after the faults: %v", n.VM.Name, err)
+			continue
+		}
+		if u.Violations > 0 {
+			r.report("%s counted %d broken invariants", n.VM.Name, u.Violations)
+		}
+	}
+}
+
+// checkRuns compares what callers heard with what endpoints did.
+func (r *run) checkRuns() {
+	for _, w := range r.acc.wrong {
+		r.report("a wrong answer: %s", w)
+	}
+	bodies := r.f.Bodies()
+	for work, t := range r.acc.notes {
+		n := bodies[work]
+		switch {
+		case n > 1:
+			r.report("%q may not be repeated and ran %d times: %+v", work, n, *t)
+		case t.whole > 0 && n != 1:
+			r.report("%q was answered whole and ran %d times: %+v", work, n, *t)
+		case t.whole+t.unsure+t.noAnswer == 0 && n != 0:
+			r.report("%q was always said not to have run and ran: %+v", work, *t)
+		}
+	}
+	for id, n := range r.f.EngineRuns() {
+		if n > 1 {
+			r.report("attempt %s ran %d times", id, n)
+		}
+	}
+}
+
+// billsWithin is how long the bills may take to be complete.
+const billsWithin = config.Span(15 * time.Second)
+
+// checkBills waits until every whole answer has exactly one line, and then
+// looks for lines of work that did not run.
+func (r *run) checkBills(ctx context.Context, in *injector) {
+	deadline := billsWithin.After(time.Now())
+	for {
+		lines, err := desk.Bills(ctx, r.f.Store, "")
+		missing, wrong := r.compareBills(lines, in)
+		if err == nil && len(missing) == 0 {
+			for _, w := range wrong {
+				r.report("%s", w)
+			}
+			return
+		}
+		if time.Now().After(deadline) {
+			r.report("bills: %v, %d whole answers have no line, such as %q", err, len(missing), missing[:min(3, len(missing))])
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (r *run) compareBills(lines []bill.Line, in *injector) (missing, wrong []string) {
+	r.excused = 0
+	byID := make(map[string]bool, len(lines))
+	for _, l := range lines {
+		byID[l.ID] = true
+	}
+	for _, m := range []map[string]*told{r.acc.notes, r.acc.chats} {
+		for work, t := range m {
+			id := t.request
+			if t.key != "" {
+				id = "kahurangi/" + t.key
+			}
+			if t.whole > 0 && !byID[id] {
+				if in.bothHoldersKilled(t.at) {
+					r.excused++
+				} else {
+					missing = append(missing, work)
+				}
+			}
+			if t.key != "" && t.whole+t.unsure+t.noAnswer == 0 && byID[id] {
+				wrong = append(wrong, fmt.Sprintf("%q was always said not to have run and is billed", work))
+			}
+		}
+	}
+	return missing, wrong
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,6 +25,7 @@
 	MethodCancel = "cancel"
 	MethodChunk  = "chunk"
 	MethodJoin   = "join"
+	MethodLoad   = "load"
 )
 
 // Stamp is the sender's settings revision.
@@ -87,6 +88,16 @@
 	Stamp
 	// Settled lists the runs whose bill line the platform has confirmed.
 	Settled []RunKey `json:"settled,omitempty"`
+	// Released says that the sender has heard that the guard is leaving, has
+	// no run there and will send none.
+	Released bool `json:"released,omitempty"`
+}
+
+// LoadNotice is sent by a guard whose load must be known at once, as when it
+// leaves.
+type LoadNotice struct {
+	Stamp
+	Load Load `json:"load"`
 }
 
 // BeatReply answers Beat with the load of the endpoint.
@@ -220,7 +231,9 @@
 	Stamp
 	// Incarnation is the entry that is meant.
 	Incarnation string `json:"incarnation"`
-	// Key is the caller's own key or ticket, with its workspace.
+	// Run is the request that holds the key; empty with Start.
+	Run string `json:"run,omitempty"`
+	// Key is the caller's own key or ticket.
 	Key string `json:"key"`
 	// BodyHash is that of the request, as the key binds it.
 	BodyHash string `json:"bodyHash"`
--- a/pkg/admit/queue_test.go
+++ b/pkg/admit/queue_test.go
@@ -5,14 +5,21 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/traildrift/traildrift/internal/draws"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
+func TestMain(m *testing.M) {
+	draws.FixSeed()
+	os.Exit(m.Run())
+}
+
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -61,7 +61,7 @@
 		{"unknown key", "answerWithin: 10s", "answerWithn: 10s", "tree:8: answerWithn:"},
 		{"wrong type", "cost: 1,", "cost: dear,", "tree:4: dear:"},
 		{"impossible value", "quality: 0.5", "quality: 7", "tree:4: models.m.versions.1.quality: 7 is not allowed; allowed: 0 to 1"},
-		{"length of time", "answerWithin: 10s", "answerWithin: 10", "length of time"},
+		{"length of time", "answerWithin: 10s", "answerWithin: soon", "tree:8: values.answerWithin: a length of time"},
 		{"out of range", "answerWithin: 10s", "answerWithin: 1ms", "tree:8: values.answerWithin: 1ms is not allowed; allowed: 10ms to 24h"},
 		{"unknown model", "allow: [m]", "allow: [n]", `"n" names no model`},
 		{"unknown service", "      l:\n", "      l:\n        serves: x\n", `"x" is not allowed; allowed: chat or one of services`},
--- a/pkg/config/file.go
+++ b/pkg/config/file.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -76,16 +77,62 @@
 	}
 	p := Problem{File: name, Line: 1, Key: "(document)", Message: err.Error()}
 	var yerr yaml.Error
-	if asYAML(err, &yerr) {
+	if asYAML(err, &yerr) && yerr.GetToken() != nil {
 		p.Message = yerr.GetMessage()
-		if t := yerr.GetToken(); t != nil {
-			p.Line = t.Position.Line
-			p.Key = t.Value
+		p.Line = yerr.GetToken().Position.Line
+		p.Key = yerr.GetToken().Value
+		return Problems{p}
+	}
+	for _, l := range NewLines(text).leaves() {
+		if msg := l.try(reflect.TypeOf(dst).Elem()); msg != "" {
+			p.Line, p.Key, p.Message = l.line, strings.Join(l.keys, "."), msg
+			break
 		}
 	}
 	return Problems{p}
 }
 
+// leaf is one value of a document that is no mapping.
+type leaf struct {
+	keys []string
+	line int
+	text string
+}
+
+// leaves lists the values of the document.
+func (l Lines) leaves() []leaf { return appendLeaves(nil, l.root, nil) }
+
+func appendLeaves(dst []leaf, n ast.Node, keys []string) []leaf {
+	for _, e := range entriesOf(n) {
+		t := e.Key.GetToken()
+		at := append(slices.Clone(keys), t.Value)
+		if len(entriesOf(e.Value)) > 0 {
+			dst = appendLeaves(dst, e.Value, at)
+			continue
+		}
+		dst = append(dst, leaf{keys: at, line: t.Position.Line, text: e.Value.String()})
+	}
+	return dst
+}
+
+// try decodes a document that holds nothing but the leaf into a fresh value,
+// and returns what is wrong. It finds the place of errors that name none.
+func (l leaf) try(t reflect.Type) string {
+	var doc strings.Builder
+	for depth, key := range l.keys {
+		fmt.Fprintf(&doc, "%s%q:", strings.Repeat(" ", depth), key)
+		if depth < len(l.keys)-1 {
+			doc.WriteString("\n")
+		}
+	}
+	doc.WriteString(" " + l.text + "\n")
+	err := yaml.NewDecoder(strings.NewReader(doc.String()), yaml.Strict()).Decode(reflect.New(t).Interface())
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func asYAML(err error, dst *yaml.Error) bool {
 	for err != nil {
 		if e, ok := err.(yaml.Error); ok {
@@ -125,15 +172,20 @@
 	return line
 }
 
-func child(n ast.Node, key string, line *int) ast.Node {
-	var entries []*ast.MappingValueNode
+// entriesOf returns the entries of a mapping, and none of anything else.
+func entriesOf(n ast.Node) []*ast.MappingValueNode {
 	switch m := n.(type) {
 	case *ast.MappingNode:
-		entries = m.Values
+		return m.Values
 	case *ast.MappingValueNode:
-		entries = []*ast.MappingValueNode{m}
+		return []*ast.MappingValueNode{m}
+	default:
+		return nil
 	}
-	for _, e := range entries {
+}
+
+func child(n ast.Node, key string, line *int) ast.Node {
+	for _, e := range entriesOf(n) {
 		if t := e.Key.GetToken(); t.Value == key {
 			*line = t.Position.Line
 			return e.Value
--- a/pkg/stream/buffer.go
+++ b/pkg/stream/buffer.go
@@ -32,6 +32,9 @@
 	end *End
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// begun is closed at the first chunk, which may be empty.
+	begun   chan struct{}
+	isBegun bool
 	// limit is the greatest length of data, in bytes.
 	limit int
 }
@@ -55,7 +58,7 @@
 
 // New returns an empty buffer that takes at most limit bytes.
 func New(limit int) *Buffer {
-	return &Buffer{changed: make(chan struct{}), limit: limit}
+	return &Buffer{changed: make(chan struct{}), begun: make(chan struct{}), limit: limit}
 }
 
 // Begin makes attempt the one whose chunks are taken. It reports false if
@@ -91,6 +94,10 @@
 	if attempt != b.attempt || b.end != nil {
 		return nil
 	}
+	if !b.isBegun {
+		b.isBegun = true
+		close(b.begun)
+	}
 	if offset > len(b.data) {
 		b.hold(offset, p)
 		return nil
@@ -114,7 +121,7 @@
 }
 
 func (b *Buffer) hold(offset int, p []byte) {
-	if len(b.pending) >= maxPending {
+	if len(p) <= len(b.pending[offset]) || (len(b.pending) >= maxPending && b.pending[offset] == nil) {
 		return
 	}
 	if b.pending == nil {
@@ -168,6 +175,9 @@
 	b.changed = make(chan struct{})
 }
 
+// Begun is closed once a chunk was taken, which may be empty.
+func (b *Buffer) Begun() <-chan struct{} { return b.begun }
+
 // Release gives up the bytes of an ended answer. A reader that still wants some
 // of them is told that the answer is not whole.
 func (b *Buffer) Release() {
--- a/pkg/stream/buffer_test.go
+++ b/pkg/stream/buffer_test.go
@@ -6,13 +6,20 @@
 import (
 	"bytes"
 	"context"
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/traildrift/traildrift/internal/draws"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
+func TestMain(m *testing.M) {
+	draws.FixSeed()
+	os.Exit(m.Run())
+}
+
 // TestAppendAnyOrder draws chunks of an answer doubled, overlapping, out of
 // order and mixed with those of another attempt: the answer comes out whole.
 func TestAppendAnyOrder(t *testing.T) {
@@ -44,6 +51,20 @@
 	})
 }
 
+// TestShortAfterLong keeps the longer of two chunks that wait at one offset.
+func TestShortAfterLong(t *testing.T) {
+	b := New(100)
+	for _, c := range []struct {
+		offset int
+		data   string
+	}{{2, "cd"}, {2, "c"}, {0, "ab"}} {
+		_ = b.Append(0, c.offset, []byte(c.data))
+	}
+	if got, want := string(b.Bytes()), "abcd"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 func TestFinish(t *testing.T) {
 	tests := []struct {
 		name   string
--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,95 @@
+#!/usr/bin/env python3
+"""Takes each mechanism away in a scratch copy and sees that its test fails.
+
+docs/PROOFS.md names the mutants. A mutant counts as caught only if the tests
+build and one of them fails. Usage: scripts/mutants.py [NAME ...]
+"""
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+# name: (file, old text, new text, package, tests)
+MUTANTS = {
+    "noClaim": ("internal/entry/entry.go", 'if key != "" && !*eff.Values.Repeatable {', "if false {", "./internal/rig", "TestRepeats"),
+    "claimOwnGeneration": ("pkg/claim/bucket.go", "return r.Generation == old.Generation+1", "return true", "./internal/claims", "TestOneWinner|TestGenerations"),
+    "claimUnconditional": ("internal/claims/log.go", "sliceName(b.n, slice), version, body)", "sliceName(b.n, slice), l.newest(call, b.n, slice), body)", "./internal/claims", "TestOneWinner|TestGenerations"),
+    "doubtIsNotWritten": ("internal/claims/log.go", "if o.tried {\n			o.done <- result{err: ErrDoubt}", "if false {\n			o.done <- result{err: ErrDoubt}", "./internal/claims", "TestOneWinner"),
+    "doubtForgotten": ("internal/entry/keyed.go", "		k.close(run)\n		return", "		k.drop(run)\n		return", "./internal/rig", "TestPlatformDown"),
+    "ticketAnywhere": ("internal/entry/ticket.go", "if t.Incarnation == e.Identity.Incarnation {", "if true {", "./internal/rig", "TestRepeats|TestEntryKilled"),
+    "keyBindsNothing": ("internal/entry/keyed.go", "case s.body != body:", "case false:", "./internal/rig", "TestRepeats"),
+    "noAsk": ("internal/entry/dispatch.go", "if errors.Is(err, link.ErrBroken) {\n		reply, err = e.ask", "if false {\n		reply, err = e.ask", "./internal/rig", "TestLinkCut"),
+    "brokenIsNotRun": ("internal/entry/dispatch.go", 'return fault.New(fault.EndpointLost, fault.MayHaveRun, "The endpoint was lost while it had the request.")\n}\n', 'return fault.New(fault.EndpointLost, fault.NotRun, "x")\n}\n', "./internal/rig", "TestGuardKilled|TestLinkCut"),
+    "anyIncarnation": ("internal/guard/handle.go", "if p.Guard != g.Identity.Incarnation {\n		return nil, wire", "if false {\n		return nil, wire", "./internal/guard", "TestTombstone"),
+    "noTombstone": ("internal/guard/handle.go", "	r := g.newRecord(p.Key, wire.Work{Deadline: p.Deadline}, c)\n	r.cancel()\n	g.tombstone(r,", "	r := &record{}\n	r.reply = (", "./internal/guard", "TestTombstone"),
+    "noRunRecord": ("internal/guard/handle.go", "if old, ok := g.runs[p.Key]; ok {", "if old, ok := g.runs[p.Key]; ok && false {", "./internal/guard", "TestRunOnce|TestTombstone"),
+    "oldLinkTaken": ("internal/guard/handle.go", "if c.Superseded() {", "if false {", "./internal/guard", "TestOldLink"),
+    "orphansRun": ("internal/guard/handle.go", "case isDone(r.owner.Done()):", "case false:", "./internal/guard", "TestOrphan"),
+    "queuedVersionKept": ("internal/guard/guard.go", "if refused := g.notAllowed(s, &r.work); refused != nil &&", "if refused := g.notAllowed(s, &r.work); refused != nil && false &&", "./internal/guard", "TestWithdrawn"),
+    "guardTrustsEntry": ("internal/guard/handle.go", "return g.notAllowed(g.Holder.Current(), &p.Work)", "return nil", "./internal/guard", "TestWithdrawn"),
+    "noCatchingUp": ("internal/link/mux.go", "if p.StampedRevision() > c.local.Revision() && m.Newer != nil {", "if false {", "./internal/guard", "TestWithdrawn"),
+    "leavingTakesWork": ("internal/guard/handle.go", "	if g.leaving {\n		return fault", "	if false {\n		return fault", "./internal/guard", "TestLeaving"),
+    "queueKeptWhenLeaving": ("internal/guard/guard.go", "if r.phase == phaseQueued && g.queue.Remove(r.queueID()) {\n			g.tombstone(r, g.refusal(fault.Stopping", "if false {\n			g.tombstone(r, g.refusal(fault.Stopping", "./internal/guard", "TestLeaving"),
+    "stopBeforeReplies": ("internal/guard/guard.go", "if err := g.Quiet(kill); err != nil {", "if false {\n		var err error", "./internal/rig", "TestPlannedStop"),
+    "stopWaitsForNobody": ("internal/guard/guard.go", "		if n == 0 {\n			break", "		if true {\n			break", "./internal/rig", "TestPlannedStop"),
+    "anyLinkKey": ("internal/link/conn.go", "if !l.Keys.Verifies(proofText(\"answer\"", "if false && !l.Keys.Verifies(proofText(\"answer\"", "./internal/guard", "TestLinkKey"),
+    "sessionMoves": ("internal/entry/dispatch.go", "if err := e.sessionOf(r); err != nil {", "if err := e.sessionOf(r); err != nil && false {", "./internal/rig", "TestSession"),
+    "anyWorkspacesToken": ("internal/entry/session.go", "if p.Workspace != r.call.Workspace {", "if false {", "./internal/rig", "TestSession"),
+    "noResume": ("internal/guard/endpoint.go", "i < resumeMost &&", "i < 0 &&", "./internal/rig", "TestCutAnswers"),
+    "noEndMarker": ("internal/guard/endpoint.go", 'err == nil && w.Model != ""', "false", "./internal/rig", "TestCutAnswers"),
+    "billedTwice": ("pkg/bill/line.go", "		byID[l.ID] = join(old, l)", "		byID[l.ID+l.RequestID+l.At.String()] = join(old, l)", "./pkg/bill", "TestFold"),
+    "lostLineWrittenAgain": ("internal/ledger/writer.go", 'name := fmt.Sprintf("%s-%08d", w.opts.Prefix, w.seq)', 'name := fmt.Sprintf("%s-%08d-%d", w.opts.Prefix, w.seq, time.Now().UnixNano())', "./internal/ledger", "TestLostAnswers"),
+    "guardNeverBills": ("internal/guard/guard.go", "if now.After(u.writeAt) {", "if false {", "./internal/rig", "TestBills"),
+    "revisionGoesBack": ("pkg/config/snapshot.go", "if head.Revision <= s.Head.Revision {", "if false {", "./internal/spread", "TestNeverBack"),
+    "noRetryBudget": ("internal/entry/dispatch.go", "return e.limits.retry(r.call.Workspace)", "return true", "./internal/rig", "TestRetryBudget"),
+    "cancelForgotten": ("internal/entry/answer.go", '	if r.key == "" {\n		r.cancel()', '	if false {\n		r.cancel()', "./internal/rig", "TestCallerGone"),
+    "headerNotBounded": ("internal/entry/http.go", "ReadBufferSize:               e.settings.MaxHeader,", "ReadBufferSize:               1 << 20,", "./internal/rig", "TestDoor"),
+    "anyAuthority": ("internal/secure/files.go", "VerifyConnection: s.verify,", "", "./internal/rig", "TestTLS"),
+}
+
+NEWEST = """
+// newest stands in for a write that names no version.
+func (l *Log) newest(ctx context.Context, bucket, slice int) int64 {
+	o, _ := l.store.Get(ctx, Kind, sliceName(bucket, slice))
+	return o.Version
+}
+"""
+
+
+def run(name):
+    """Returns whether the mutant was caught, and the test's last lines."""
+    file, old, new, package, tests = MUTANTS[name]
+    with tempfile.TemporaryDirectory() as scratch:
+        copy = pathlib.Path(scratch) / "copy"
+        shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns(".git", "bin"))
+        path = copy / file
+        text = path.read_text()
+        if old not in text:
+            return False, "the text to change is not in " + file
+        text = text.replace(old, new, 1)
+        if name == "claimUnconditional":
+            text += NEWEST
+        path.write_text(text)
+        cmd = ["go", "test", "-count=1", "-vet=off", "-run", "^(" + tests + ")$", package]
+        done = subprocess.run(cmd, cwd=copy, capture_output=True, text=True, timeout=300)
+        out = done.stdout + done.stderr
+        caught = done.returncode != 0 and ("--- FAIL" in out or "invariant broken" in out)
+        lines = [line.strip() for line in out.splitlines() if "_test.go" in line or "invariant" in line or "[build failed]" in line or ".go:" in line]
+        return caught, "; ".join(lines[:2])[:300]
+
+
+def main():
+    names = sys.argv[1:] or list(MUTANTS)
+    missed = 0
+    for name in names:
+        caught, why = run(name)
+        missed += not caught
+        print(("caught " if caught else "MISSED ") + name + ": " + why, flush=True)
+    print(f"{len(names) - missed} caught, {missed} missed")
+    sys.exit(1 if missed else 0)
+
+
+main()
