--- a/cmd/tdfake/main.go
+++ b/cmd/tdfake/main.go
@@ -155,7 +155,7 @@
 }
 
 type measureArgs struct {
-	What string `arg:"positional,required" help:"path or capacity"`
+	What string `arg:"positional,required" help:"path, claims or capacity"`
 }
 
 // measureMost bounds a whole measurement.
@@ -172,6 +172,8 @@
 	switch a.What {
 	case "path":
 		return gauge.Path(os.Stdout, dir)
+	case "claims":
+		return gauge.Claims(ctx, os.Stdout, dir)
 	case "capacity":
 		return gauge.Capacity(ctx, os.Stdout, dir)
 	default:
--- a/internal/claims/log.go
+++ b/internal/claims/log.go
@@ -74,8 +74,8 @@
 type op struct {
 	ctx    context.Context
 	record claim.Record
-	// tried says that a write with the record was sent: from then on its
-	// absence proves nothing while that write may be in flight.
+	// tried says that a write with the record was sent and not refused: from
+	// then on its absence proves nothing while that write may be in flight.
 	tried bool
 	done  chan result
 }
@@ -219,11 +219,12 @@
 func (l *Log) write(ctx context.Context, b *bucket, ops []*op) error {
 	seen := make(map[string]bool)
 	var added []claim.Record
+	var carried []*op
 	for _, o := range ops {
 		if !seen[o.record.Key] && b.read.Fits(o.record) {
 			seen[o.record.Key] = true
 			added = append(added, o.record)
-			o.tried = true
+			carried = append(carried, o)
 		}
 	}
 	if !assert.That(len(added) > 0, "claimBatchIsNotEmpty") {
@@ -235,6 +236,9 @@
 	l.Writes.Add(1)
 	l.Bytes.Add(int64(len(body)))
 	next, err := l.store.Put(call, Kind, sliceName(b.n, slice), version, body)
+	for _, o := range carried {
+		o.tried = o.tried || !errors.Is(err, store.ErrDown)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/claims/log_test.go
+++ b/internal/claims/log_test.go
@@ -218,3 +218,42 @@
 		}
 	}
 }
+
+// TestDoubt says "not written" only of claims that no write has carried.
+func TestDoubt(t *testing.T) {
+	down := errors.Mark(errors.New("x"), store.ErrDown)
+	tests := []struct {
+		name string
+		put  error
+		want error
+	}{
+		{"the platform refuses the write", down, ErrNotWritten},
+		{"the write's outcome is not known, then the platform is down", errors.Mark(errors.New("x"), store.ErrUnknown), ErrDoubt},
+	}
+	for _, tt := range tests {
+		written := false
+		c := &store.Client{
+			Put: func(context.Context, string, string, int64, []byte) (int64, error) {
+				written = true
+				return 0, tt.put
+			},
+			Get: func(context.Context, string, string) (store.Object, error) {
+				if written {
+					return store.Object{}, down
+				}
+				return store.Object{}, store.ErrNotFound
+			},
+			List: func(context.Context, string, string) ([]store.Object, error) { return nil, nil },
+		}
+		l := New(zap.NewNop(), c)
+		key := KeyOf("w", "k")
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(ctx, BucketOf(key)) }()
+		if _, got := l.Claim(t.Context(), claim.Record{Key: key, Run: "r"}); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+		cancel()
+		<-ended
+	}
+}
--- a/internal/drive/caller.go
+++ b/internal/drive/caller.go
@@ -77,7 +77,9 @@
 type Answer struct {
 	Status                                      int
 	Request, Model, Version, Session, RetryText string
-	Body                                        []byte
+	// Unkept says that the session's name could not be kept.
+	Unkept bool
+	Body   []byte
 	// Err is the failure that the answer names, if it does.
 	Err *fault.Error
 	// Sent, First and Done are when the request was sent, the first byte of
@@ -135,6 +137,7 @@
 	out.Model = string(h.Peek("Traildrift-Model"))
 	out.Version = string(h.Peek("Traildrift-Version"))
 	out.Session = string(h.Peek("Traildrift-Session"))
+	out.Unkept = string(h.Peek("Traildrift-Session-Kept")) == "false"
 	out.RetryText = string(h.Peek(fasthttp.HeaderRetryAfter))
 }
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -81,6 +81,9 @@
 	if token := e.sessionToken(r, head.Model, head.Version); token != "" {
 		h.Set(headerSession, token)
 	}
+	if r.unkept {
+		h.Set(headerKept, "false")
+	}
 }
 
 // answerStream sends the answer as it grows.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	startedAt  time.Time
 	peers      *peers
 	keyed      keyed
+	names      names
 	claims     *claims.Log
 	entryLinks entryLinks
 	limits     limits
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -34,6 +34,8 @@
 	// counts how often one was followed.
 	joined bool
 	joins  int
+	// unkept says that the name of the request's session could not be kept.
+	unkept bool
 	// buf takes the answer. It is finished exactly once.
 	buf *stream.Buffer
 	// record is written by the goroutine that runs the request, until done.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	if !strings.HasPrefix(token, sessionPrefix+".") {
-		return fault.New(fault.SessionInvalid, fault.NotRun, "The session is %q or a token of this system.", openSession)
+		return e.namedSession(r)
 	}
 	var p pin
 	if err := e.Tokens.Open(sessionPrefix, token, &p); err != nil {
@@ -74,17 +74,15 @@
 	if r.call.Session == "" || model == "" {
 		return ""
 	}
-	if r.pinned != nil {
+	if r.pinned != nil && strings.HasPrefix(r.call.Session, sessionPrefix+".") {
 		return r.call.Session
 	}
 	now := e.Now()
-	token, err := e.Tokens.Seal(sessionPrefix, pin{
-		Workspace: r.call.Workspace,
-		Model:     model,
-		Version:   version,
-		OpenedAt:  now,
-		EndsAt:    r.effective.Values.SessionFor.After(now),
-	})
+	p := pin{Workspace: r.call.Workspace, Model: model, Version: version, OpenedAt: now, EndsAt: r.effective.Values.SessionFor.After(now)}
+	if r.pinned != nil {
+		p = *r.pinned
+	}
+	token, err := e.Tokens.Seal(sessionPrefix, p)
 	if err != nil {
 		return ""
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -37,6 +37,10 @@
 	lingerFor = config.Span(3 * time.Second)
 	// tickEvery is how often deadlines are looked at.
 	tickEvery = 100 * time.Millisecond
+	// orphanAfter is how long after the end of an entry's link its runs are
+	// billed here; if the entry comes back and bills them too, folding makes
+	// one line of both.
+	orphanAfter = config.Span(200 * time.Millisecond)
 	// drainPoll is how often a leaving guard looks whether it is done.
 	drainPoll = 10 * time.Millisecond
 	// aliveEvery is how often the endpoint is tried.
@@ -201,9 +205,6 @@
 			return errors.Newf("guard: %d runs were cut off", running)
 		}
 	}
-	if err := g.Quiet(kill); err != nil {
-		return err
-	}
 	g.billNow()
 	return g.bills.Flush(kill)
 }
@@ -252,7 +253,7 @@
 			g.billLocked(key, u.line)
 			continue
 		}
-		if at := g.settings.BillAfter.After(now); isDone(u.entry.Done()) && at.Before(u.writeAt) {
+		if at := orphanAfter.After(now); isDone(u.entry.Done()) && at.Before(u.writeAt) {
 			u.writeAt = at
 			g.unbilled[key] = u
 		}
@@ -274,11 +275,14 @@
 	if !g.bills.Add(line) {
 		return
 	}
-	g.settle(key)
+	delete(g.unbilled, key)
+	if r, ok := g.runs[key]; ok {
+		r.billed = true
+	}
 }
 
-// settle notes that a run's bill line is out of the guard's hands, and gives up
-// its answer, which the entry that billed it had whole; g.mu is held.
+// settle notes that the entry has billed a run, and gives up its answer, which
+// the entry had whole; g.mu is held.
 func (g *Guard) settle(key wire.RunKey) {
 	delete(g.unbilled, key)
 	if r, ok := g.runs[key]; ok {
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -45,8 +45,10 @@
 	// forgetAt is when the record may go: the run's deadline, after which a
 	// late message of the same run is refused by its deadline.
 	forgetAt time.Time
-	// settled says that the bill line is confirmed, or that there is none.
-	settled bool
+	// settled says that the entry has billed the run, and so asks no more, or
+	// that there is nothing to bill. billed says that the guard did instead:
+	// the entry may still ask.
+	settled, billed bool
 }
 
 // queueID names the run in the admission queue.
@@ -55,13 +57,13 @@
 // keepAfterDeadline is how long a record outlives the deadline of its run.
 const keepAfterDeadline = 30 * time.Second
 
-// forget drops records whose time has come: those of repeatable runs once they
-// are billed, others after their deadline; g.mu is held.
+// forget drops records whose time has come: those of repeatable runs once their
+// entry has billed them, others after their deadline; g.mu is held.
 func (g *Guard) forget(now time.Time) {
 	for key, r := range g.runs {
 		over := r.phase == phaseEnded || r.phase == phaseTombstone
-		billed := r.phase == phaseEnded && r.work.Repeatable
-		if over && r.settled && (billed || now.After(r.forgetAt)) {
+		early := r.phase == phaseEnded && r.work.Repeatable && r.settled
+		if over && (early || (now.After(r.forgetAt) && (r.settled || r.billed))) {
 			delete(g.runs, key)
 		}
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/traildrift/traildrift/internal/drive"
 	"github.com/traildrift/traildrift/internal/fakes"
 	"github.com/traildrift/traildrift/internal/rig"
@@ -63,6 +65,10 @@
 		t.noAnswer++
 	case got.Bad != "":
 		a.wrong = append(a.wrong, fmt.Sprintf("%s: %s", work, got.Bad))
+	case got.Status != fasthttp.StatusOK:
+		// The service's own answer, passed on; what it did is its own affair.
+		a.errors[fmt.Sprint("status ", got.Status)]++
+		t.unsure++
 	default:
 		t.whole++
 		t.request = got.Request
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -97,7 +97,7 @@
 	r.checkBills(ctx, in)
 	_, _ = fmt.Fprintf(o.Out, "soak: seed %d: %d answers, faults %v, failures %v, bills lost with both holders %d, violations %d\n", o.Seed, r.acc.sent, in.counts, r.acc.errors, r.excused, len(r.bad))
 	if len(r.bad) > 0 {
-		return errors.Newf("soak: seed %d: %q", o.Seed, r.bad)
+		return errors.Newf("soak: seed %d: %d violations, such as %q", o.Seed, len(r.bad), r.bad[:min(len(r.bad), violationsShown)])
 	}
 	return nil
 }
@@ -156,6 +156,9 @@
 	}
 }
 
+// violationsShown bounds the violations of a report.
+const violationsShown = 8
+
 // billsWithin is how long the bills may take to be complete.
 const billsWithin = config.Span(15 * time.Second)
 
