Serve each bucket of the claim log by one entry; catch up after a freeze

Cause: entries collide on a bucket, read again and write again; a bucket is idle most of the time, so claims seldom share a write. Change: claims go to one entry for each bucket, by rendezvous hash, for speed only; 4 buckets; 20 ms between two updates of a bucket.

Settings: a watch that ends without a change is no longer believed, the head is read once more; a watch that goes back in time is not spun on; an entry that has heard nothing for 3 s asks its peers before it decides. Tests for these, for racing operators, lost answers and killed tools (desk).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # traildrift: the commands of README.md.
 
-.PHONY: build demo test fmt lint capacity path soak claims
+.PHONY: build demo test fmt lint capacity path soak claims recovery
 
 build:
 	go build -o bin/ ./cmd/...
@@ -38,3 +38,7 @@
 # The cost of requests that may not be repeated: about 2 minutes.
 claims: build
 	bin/tdfake measure claims
+
+# What callers notice of killed, frozen and stopped processes: a minute.
+recovery: build
+	bin/tdfake measure recovery
--- a/cmd/tdfake/main.go
+++ b/cmd/tdfake/main.go
@@ -155,7 +155,7 @@
 }
 
 type measureArgs struct {
-	What string `arg:"positional,required" help:"path, claims or capacity"`
+	What string `arg:"positional,required" help:"path, claims, recovery or capacity"`
 }
 
 // measureMost bounds a whole measurement.
@@ -174,6 +174,8 @@
 		return gauge.Path(os.Stdout, dir)
 	case "claims":
 		return gauge.Claims(ctx, os.Stdout, dir)
+	case "recovery":
+		return gauge.Recovery(ctx, os.Stdout, dir)
 	case "capacity":
 		return gauge.Capacity(ctx, os.Stdout, dir)
 	default:
--- a/internal/claims/log.go
+++ b/internal/claims/log.go
@@ -21,6 +21,7 @@
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/pkg/claim"
+	"github.com/traildrift/traildrift/pkg/config"
 )
 
 // Kind is the kind of the slices' objects.
@@ -42,7 +43,11 @@
 const (
 	// Buckets is how many buckets there are; it must be the same in every
 	// process of a fleet.
-	Buckets = 16
+	Buckets = 4
+	// writeGap is the least time between two updates of a bucket, so that all
+	// buckets together make at most 200 writes a second. The first claim after
+	// a quiet time does not wait.
+	writeGap = config.Span(20 * time.Millisecond)
 	// opsMost bounds the claims that wait for one bucket.
 	opsMost = 4096
 	// batchMost bounds the claims of one update.
@@ -92,6 +97,8 @@
 	read claim.Bucket
 	// listed says that the bucket was read once as a whole.
 	listed bool
+	// nextWrite is when the bucket may be updated again.
+	nextWrite time.Time
 	// fresh says that read was in step with the platform at the last call.
 	fresh bool
 }
@@ -130,11 +137,27 @@
 		case <-ctx.Done():
 			return nil
 		case o := <-b.ops:
+			waitUntil(ctx, b.nextWrite)
 			l.commit(ctx, b, b.gather(o))
+			b.nextWrite = writeGap.After(time.Now())
 		}
 	}
 }
 
+// waitUntil returns at t, or when ctx is done.
+func waitUntil(ctx context.Context, t time.Time) {
+	left := time.Until(t)
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // gather takes everything that waits, up to the size of a batch.
 func (b *bucket) gather(first *op) []*op {
 	ops := []*op{first}
--- /dev/null
+++ b/internal/desk/apply_test.go
@@ -0,0 +1,225 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package desk
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/spread"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+const tree = `
+models: {m: {versions: {"1": {pool: p, cost: 1, quality: 0.9}}}}
+values: {allow: [m]}
+workspaces:
+  a: {keyHashes: [], values: {answerWithin: 10s}, workloads: {x: {}}}
+  b: {keyHashes: [], workloads: {y: {}}}
+`
+
+// start serves a stand-in platform with the tree as revision 1.
+func start(t *testing.T) (*fakes.Objects, *store.Client) {
+	t.Helper()
+	o := fakes.NewObjects(1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := fakes.Serve(ln, o.Handle)
+	t.Cleanup(func() { _ = s.Close() })
+	c := store.New(ln.Addr().(*net.TCPAddr).AddrPort())
+	t.Cleanup(c.Close)
+	if _, err := Apply(t.Context(), c, edit(t, "first", -1, tree)); err != nil {
+		t.Fatal(err)
+	}
+	return o, c
+}
+
+func edit(t *testing.T, id string, base int64, text string) Edit {
+	t.Helper()
+	f, err := config.ParseFile("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Edit{ID: id, Author: "author of " + id, Reason: "reason of " + id, At: time.Unix(1, 0), Base: base, Nodes: f.Nodes()}
+}
+
+func with(old, now string) string { return strings.Replace(tree, old, now, 1) }
+
+func setting(t *testing.T, c *store.Client, workspace, key string) string {
+	t.Helper()
+	s, err := ReadTree(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Effective(workspace, "", "").Setting(key).Value
+}
+
+// TestRace lets changes of different paths from one base both stand, and tells
+// the second of two changes of one path who was first and why.
+func TestRace(t *testing.T) {
+	_, c := start(t)
+	if _, err := Apply(t.Context(), c, edit(t, "one", 1, with("answerWithin: 10s", "answerWithin: 20s"))); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Apply(t.Context(), c, edit(t, "two", 1, with("b: {keyHashes: []", "b: {keyHashes: [], values: {concurrency: 7}"))); err != nil {
+		t.Errorf("another path: got %v, want nil", err)
+	}
+	_, err := Apply(t.Context(), c, edit(t, "three", 1, with("answerWithin: 10s", "answerWithin: 30s")))
+	var o *Overlap
+	if !errors.As(err, &o) || len(o.Changes) != 1 || o.Changes[0].Author != "author of one" || !strings.Contains(err.Error(), "reason of one") {
+		t.Errorf("the same path: got %v, want an overlap with the first change", err)
+	}
+	if a, b := setting(t, c, "a", "answerWithin"), setting(t, c, "b", "concurrency"); a != "20s" || b != "7" {
+		t.Errorf("in force: got %s and %s, want 20s and 7", a, b)
+	}
+}
+
+// TestManyOperators races operators on paths of their own while answers are
+// lost: each change is accepted exactly once, in one total order.
+func TestManyOperators(t *testing.T) {
+	o, c := start(t)
+	var text strings.Builder
+	text.WriteString(strings.TrimRight(tree, "\n") + "\n")
+	const operators = 8
+	for i := range operators {
+		fmt.Fprintf(&text, "  w%d: {keyHashes: [], values: {concurrency: 1}}\n", i)
+	}
+	if _, err := Apply(t.Context(), c, edit(t, "all", -1, text.String())); err != nil {
+		t.Fatal(err)
+	}
+	o.Set(fakes.Faults{LoseAnswers: 0.3})
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Add(1)
+		mine := edit(t, fmt.Sprint("op", i), 2, strings.Replace(text.String(), fmt.Sprintf("w%d: {keyHashes: [], values: {concurrency: 1}", i), fmt.Sprintf("w%d: {keyHashes: [], values: {concurrency: %d}", i, 100+i), 1))
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			if _, err := Apply(ctx, c, mine); err != nil {
+				t.Errorf("operator %d: got %v, want nil", i, err)
+			}
+		}()
+	}
+	wg.Wait()
+	o.Set(fakes.Faults{})
+	for i := range operators {
+		if got, want := setting(t, c, fmt.Sprint("w", i), "concurrency"), fmt.Sprint(100+i); got != want {
+			t.Errorf("operator %d: got %s, want %s", i, got, want)
+		}
+	}
+	head, _, err := spread.ReadHead(t.Context(), c)
+	if err != nil || head.Revision != 2+operators || len(head.Changes) != 2+operators {
+		t.Errorf("got revision %d with %d changes, want %d of both", head.Revision, len(head.Changes), 2+operators)
+	}
+	for i, ch := range head.Changes {
+		if want := head.Revision - int64(i); ch.Revision != want {
+			t.Errorf("change %d: got revision %d, want %d", i, ch.Revision, want)
+		}
+	}
+}
+
+// TestSameChange does not apply a change twice whose answer was lost.
+func TestSameChange(t *testing.T) {
+	_, c := start(t)
+	mine := edit(t, "once", 1, with("answerWithin: 10s", "answerWithin: 20s"))
+	first, err := Apply(t.Context(), c, mine)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Apply(t.Context(), c, mine)
+	if err != nil || again.Revision != first.Revision {
+		t.Errorf("the same change again: got revision %d %v, want %d", again.Revision, err, first.Revision)
+	}
+}
+
+// TestKilledTool kills the tool before each of its writes: nothing is half in
+// force, and the next change goes through.
+func TestKilledTool(t *testing.T) {
+	_, c := start(t)
+	mine := edit(t, "killed", 1, with("answerWithin: 10s", "answerWithin: 20s"))
+	for writes := 0; ; writes++ {
+		left := writes
+		dying := *c
+		dying.Put = func(ctx context.Context, kind, name string, ifVersion int64, value []byte) (int64, error) {
+			if left == 0 {
+				return 0, errKilled
+			}
+			left--
+			return c.Put(ctx, kind, name, ifVersion, value)
+		}
+		_, err := Apply(t.Context(), &dying, mine)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, errKilled) {
+			t.Fatal(err)
+		}
+		if got := setting(t, c, "a", "answerWithin"); got != "10s" {
+			t.Errorf("killed after %d writes: got %s in force, want 10s", writes, got)
+		}
+	}
+	if got := setting(t, c, "a", "answerWithin"); got != "20s" {
+		t.Errorf("in the end: got %s, want 20s", got)
+	}
+}
+
+var errKilled = errors.New("the tool was killed")
+
+// TestUnsound refuses a change that is sound alone but not with what another
+// operator has changed meanwhile.
+func TestUnsound(t *testing.T) {
+	_, c := start(t)
+	two := with(`"1": {pool: p, cost: 1, quality: 0.9}`, `"1": {pool: p, cost: 1, quality: 0.9}, "2": {pool: p, cost: 1, quality: 0.95}`)
+	if _, err := Apply(t.Context(), c, edit(t, "two versions", 1, two)); err != nil {
+		t.Fatal(err)
+	}
+	higher := strings.Replace(two, "workloads: {y: {}}", "workloads: {y: {values: {qualityTarget: 0.94}}}", 1)
+	if _, err := Apply(t.Context(), c, edit(t, "target", 2, higher)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Apply(t.Context(), c, edit(t, "one version", 2, tree))
+	var ps config.Problems
+	if !errors.As(err, &ps) || !strings.Contains(err.Error(), "qualityTarget 0.94 cannot be met") {
+		t.Errorf("got %v, want the problem of the merged tree", err)
+	}
+}
+
+// TestDiff shows the effective difference with the level that set it.
+func TestDiff(t *testing.T) {
+	_, c := start(t)
+	before, err := ReadTree(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Apply(t.Context(), c, edit(t, "x", 1, with("values: {allow: [m]}", "values: {allow: [m], answerWithin: 5s}"))); err != nil {
+		t.Fatal(err)
+	}
+	after, err := ReadTree(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bytes.Buffer
+	if err := Diff(&got, before, after); err != nil {
+		t.Fatal(err)
+	}
+	want := "(fleet): answerWithin: 1m0s -> 5s (set at fleet (fleet), revision 2)\n" +
+		"b: answerWithin: 1m0s -> 5s (set at fleet (fleet), revision 2)\n" +
+		"b/y: answerWithin: 1m0s -> 5s (set at fleet (fleet), revision 2)\n"
+	if got.String() != want {
+		t.Errorf("got\n%s\nwant\n%s", got.String(), want)
+	}
+}
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -107,7 +107,7 @@
 	now := e.Now()
 	ctx, cancel := context.WithDeadline(r.ctx, given(now, r.call.Deadline, claimWithin))
 	defer cancel()
-	held, err := e.claims.Claim(ctx, claim.Record{
+	held, err := e.enterClaim(ctx, claim.Record{
 		Key:        claims.KeyOf(r.call.Workspace, r.key),
 		Generation: generation,
 		Run:        r.id,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,7 @@
 	link.Inline(p.Local.Mux, wire.MethodChunk, e.handleChunk)
 	link.Inline(p.Local.Mux, wire.MethodLoad, e.handleLoad)
 	link.On(p.Local.Mux, wire.MethodJoin, e.handleJoin)
+	link.On(p.Local.Mux, wire.MethodClaim, e.handleClaim)
 	return e, nil
 }
 
@@ -209,6 +210,7 @@
 
 // serve takes one parsed call through to its answer.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, call wire.Call, key string) {
+	e.catchUp()
 	eff := e.Holder.Current().Effective(call.Workspace, call.Workload, call.District)
 	if err := e.admit(&call, eff); err != nil {
 		r := e.newRequest(call, key)
@@ -226,6 +228,29 @@
 	e.answer(ctx, r, leave)
 }
 
+const (
+	// hearWithin is how long settings count as heard of; heartbeats confirm
+	// them far more often, unless this process was frozen or is cut off.
+	hearWithin = config.Span(3 * time.Second)
+	// catchUpWithin bounds the wait for a peer's word before a request is
+	// decided without it.
+	catchUpWithin = config.Span(500 * time.Millisecond)
+)
+
+// catchUp asks the peers before a request is decided, if nothing was heard of
+// the settings for long: a process that was frozen finds out here.
+func (e *Entry) catchUp() {
+	now := e.Now()
+	if now.Before(hearWithin.After(e.Holder.HeardAt())) {
+		return
+	}
+	e.peers.pokeAll()
+	deadline := catchUpWithin.After(now)
+	for e.Now().Before(deadline) && e.Holder.HeardAt().Before(now) {
+		pause(e.kill, stopPoll.After(time.Now()))
+	}
+}
+
 // admit checks what needs no endpoint: cutover and limits. A call that it lets
 // in counts as under way until its caller is answered.
 func (e *Entry) admit(call *wire.Call, eff *config.Effective) *fault.Error {
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -26,19 +26,20 @@
 	byAddr map[netip.AddrPort]*link.Conn
 }
 
-// to returns an open link to the incarnation at addr.
+// to returns an open link to the incarnation at addr; an empty incarnation
+// means any.
 func (l *entryLinks) to(ctx context.Context, local *link.Local, addr netip.AddrPort, incarnation string) (*link.Conn, error) {
 	l.mu.Lock()
 	c, ok := l.byAddr[addr]
 	l.mu.Unlock()
-	if ok && !isDone(c.Done()) && c.Peer.Incarnation == incarnation {
+	if ok && !isDone(c.Done()) && (incarnation == "" || c.Peer.Incarnation == incarnation) {
 		return c, nil
 	}
 	c, err := local.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	if c.Peer.Incarnation != incarnation {
+	if incarnation != "" && c.Peer.Incarnation != incarnation {
 		c.Close()
 		return nil, errOtherIncarnation
 	}
--- a/internal/entry/names.go
+++ b/internal/entry/names.go
@@ -120,7 +120,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.ctx, given(now, r.call.Deadline, nameWithin))
 	defer cancel()
-	held, claimErr := e.claims.Claim(ctx, claim.Record{
+	held, claimErr := e.enterClaim(ctx, claim.Record{
 		Key: key, Generation: generation, Run: r.id, Owner: e.Identity.Incarnation, Link: e.Identity.Link, Value: string(value),
 	})
 	if claimErr != nil {
--- a/internal/fakes/faults.go
+++ b/internal/fakes/faults.go
@@ -20,6 +20,10 @@
 	Down bool `json:"down"`
 	// Delay is added to every call.
 	Delay config.Span `json:"delay"`
+	// SilentWatch ends every watch without a change, whatever happened.
+	SilentWatch bool `json:"silentWatch"`
+	// OldWatch answers every watch at once with an object's first value.
+	OldWatch bool `json:"oldWatch"`
 	// LoseAnswers is the share of writes whose answer is lost after they
 	// took effect.
 	LoseAnswers float64 `json:"loseAnswers"`
--- a/internal/fakes/objects.go
+++ b/internal/fakes/objects.go
@@ -22,6 +22,8 @@
 	mu sync.Mutex
 	// objects is keyed by kind/name.
 	objects map[string]store.Object
+	// first holds the first value of each object, for watches that go back.
+	first map[string]store.Object
 	// version is that of the last write; it only grows.
 	version int64
 	changed chan struct{}
@@ -35,6 +37,7 @@
 	return &Objects{
 		faultBox: newFaultBox(seed),
 		objects:  make(map[string]store.Object),
+		first:    make(map[string]store.Object),
 		changed:  make(chan struct{}),
 		calls:    make(map[string]int64),
 	}
@@ -80,7 +83,7 @@
 	case path == "/v1/vms":
 		o.serveVMs(ctx)
 	case strings.HasPrefix(path, "/v1/watch/"):
-		o.serveWatch(ctx, key(path, "/v1/watch/"))
+		o.serveWatch(ctx, key(path, "/v1/watch/"), f)
 	case strings.HasPrefix(path, "/v1/objects/"):
 		o.serveObject(ctx, key(path, "/v1/objects/"), f)
 	default:
@@ -164,6 +167,9 @@
 	_, name, _ := strings.Cut(key, "/")
 	o.objects[key] = store.Object{Name: name, Version: o.version, Value: value}
 	version := o.version
+	if _, ok := o.first[key]; !ok {
+		o.first[key] = o.objects[key]
+	}
 	close(o.changed)
 	o.changed = make(chan struct{})
 	o.mu.Unlock()
@@ -174,7 +180,7 @@
 	ctx.Response.Header.Set(store.VersionHeader, strconv.FormatInt(version, 10))
 }
 
-func (o *Objects) serveWatch(ctx *fasthttp.RequestCtx, key string) {
+func (o *Objects) serveWatch(ctx *fasthttp.RequestCtx, key string, f Faults) {
 	since, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("since")), 10, 64)
 	until, err := time.Parse(time.RFC3339Nano, string(ctx.QueryArgs().Peek("until")))
 	if err != nil {
@@ -188,9 +194,13 @@
 	for {
 		o.mu.Lock()
 		obj, ok := o.objects[key]
+		if f.OldWatch {
+			obj, ok = o.first[key]
+			since = -1
+		}
 		changed := o.changed
 		o.mu.Unlock()
-		if ok && obj.Version != since {
+		if ok && obj.Version != since && !f.SilentWatch {
 			writeObject(ctx, obj, true)
 			return
 		}
--- /dev/null
+++ b/internal/gauge/recovery.go
@@ -0,0 +1,154 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package gauge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/rig"
+)
+
+// recoveryRate is the rate of requests while processes are killed, a second.
+const recoveryRate = 200
+
+// failures gathers answers that were not whole, and when the last one came.
+type failures struct {
+	mu    sync.Mutex
+	count map[string]int
+	last  time.Time
+	whole int
+}
+
+func (f *failures) add(_ string, a drive.Answer, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case a.Err != nil:
+		f.count[drive.ErrorName(a.Err)]++
+	case err != nil:
+		f.count["noAnswer"]++
+	case a.Bad != "":
+		f.count[a.Bad]++
+	default:
+		f.whole++
+		return
+	}
+	f.last = time.Now()
+}
+
+// take returns what was gathered since the last call.
+func (f *failures) take() (count map[string]int, whole int, last time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count, whole, last = maps.Clone(f.count), f.whole, f.last
+	clear(f.count)
+	f.whole, f.last = 0, time.Time{}
+	return count, whole, last
+}
+
+// Recovery kills, freezes and stops one process after the other under load, and
+// measures what callers notice: failed answers, and the time to the last one.
+// Callers of a killed entry move to the others, as a balancer makes them.
+func Recovery(ctx context.Context, out io.Writer, dir string) error {
+	f, err := rig.Start(rig.Options{
+		Dir: dir, Zones: []string{"a", "b", "c"}, Entries: 3, Settings: settings, Seed: 1,
+		Pools: []rig.Pool{
+			{Name: "m", Kind: "engine", Endpoints: 3, Slots: 64, Waiting: 256},
+			{Name: "s", Kind: "service", Endpoints: 3, Slots: 64, Waiting: 256},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	seen := &failures{count: make(map[string]int)}
+	n := 0
+	l := drive.Load{
+		Callers: []*drive.Caller{f.Caller(1, gaugeKey), f.Caller(2, gaugeKey)}, PerSecond: recoveryRate, Seed: 1, Most: 2000, OnAnswer: seen.add,
+		Mix: []drive.Share{
+			{Name: "chat", Weight: 1, Make: func(int) drive.Ask { n++; return ask(n, 5, true, "chat") }},
+			{Name: "note", Weight: 1, Make: func(int) drive.Ask {
+				n++
+				return drive.Ask{Path: "/svc/once/lodge", Body: fmt.Sprint("note ", n), Deadline: time.Now().Add(30 * time.Second)}
+			}},
+		},
+	}
+	steps := []struct {
+		name string
+		do   func() error
+	}{
+		{"nothing", func() error { return nil }},
+		{"engine's guard killed, back after 2 s", killed(ctx, f.Guards[0])},
+		{"service's guard killed, back after 2 s", killed(ctx, f.Guards[3])},
+		{"engine's guard frozen for 2 s", frozen(ctx, f.Guards[1])},
+		{"engine's guard stopped as planned, back after", stopped(f.Guards[2])},
+		{"another entry killed, back after 2 s", killed(ctx, f.Entries[0])},
+	}
+	l.Until = time.Now().Add(time.Duration(len(steps)) * recoveryStep)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.Run(ctx)
+	}()
+	for _, s := range steps {
+		rest(ctx, time.Second)
+		seen.take()
+		start := time.Now()
+		if err := s.do(); err != nil {
+			return err
+		}
+		rest(ctx, recoveryStep-time.Since(start)-time.Second)
+		count, whole, last := seen.take()
+		noticed := time.Duration(0)
+		if !last.IsZero() {
+			noticed = last.Sub(start)
+		}
+		_, _ = fmt.Fprintf(out, "%s: whole %d, failed %v, last failure after %.2f s\n", s.name, whole, count, noticed.Seconds())
+	}
+	<-ended
+	for body, times := range f.Bodies() {
+		if times > 1 {
+			_, _ = fmt.Fprintf(out, "%q ran %d times\n", body, times)
+		}
+	}
+	return nil
+}
+
+// recoveryStep is how long each step is watched.
+const recoveryStep = 8 * time.Second
+
+// awayFor is how long a process is killed or frozen.
+const awayFor = 2 * time.Second
+
+func killed(ctx context.Context, n *rig.Node) func() error {
+	return func() error {
+		n.Kill()
+		rest(ctx, awayFor)
+		return n.Start()
+	}
+}
+
+func frozen(ctx context.Context, n *rig.Node) func() error {
+	return func() error {
+		n.Freeze()
+		rest(ctx, awayFor)
+		n.Thaw()
+		return nil
+	}
+}
+
+func stopped(n *rig.Node) func() error {
+	return func() error {
+		if err := n.Stop(time.Now().Add(recoveryStep)); err != nil {
+			return err
+		}
+		return n.Start()
+	}
+}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -96,6 +96,9 @@
 	mu     sync.Mutex
 	// bufs takes the chunks of each run.
 	bufs map[wire.RunKey]*stream.Buffer
+	// stop asks the guard for a planned stop; ended takes how it ended.
+	stop  context.CancelFunc
+	ended chan error
 }
 
 func startBench(t *testing.T) *bench {
@@ -121,12 +124,16 @@
 	g.endpoint = &Endpoint{Run: b.engine.run, Alive: func(context.Context) error { return nil }}
 	stop, cancelStop := context.WithCancel(context.Background())
 	kill, cancelKill := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- g.Run(proc.Stages{Stop: stop, Kill: kill}) }()
+	b.stop, b.ended = cancelStop, make(chan error, 1)
+	go func() {
+		b.ended <- g.Run(proc.Stages{Stop: stop, Kill: kill})
+		close(b.ended)
+	}()
 	t.Cleanup(func() {
 		cancelKill()
 		cancelStop()
-		<-ended
+		for range b.ended {
+		}
 	})
 	b.holder = spread.New(zap.NewNop(), time.Now, nil)
 	b.move(t, serving)
@@ -385,6 +392,37 @@
 	check(t, "running", <-running, "", "")
 }
 
+// TestStopWaitsForEntries keeps a stopping guard there to refuse work until the
+// entry says that it has no run there and will send none.
+func TestStopWaitsForEntries(t *testing.T) {
+	b := startBench(t)
+	c := b.dial(t)
+	beat := func(released bool) (wire.BeatReply, error) {
+		var reply wire.BeatReply
+		return reply, c.Call(t.Context(), wire.MethodBeat, wire.Beat{Released: released}, &reply)
+	}
+	if _, err := beat(false); err != nil {
+		t.Fatal(err)
+	}
+	b.stop()
+	for range 40 {
+		if _, err := beat(false); err != nil {
+			t.Fatalf("the guard went before the entry knew: %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	check(t, "a run that was sent meanwhile", b.run(t, c, "late", 1), fault.Stopping, fault.NotRun)
+	_, _ = beat(true)
+	select {
+	case err := <-b.ended:
+		if err != nil {
+			t.Errorf("end: got %v, want nil", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the guard does not end")
+	}
+}
+
 // TestLinkKey lets nobody in without the link key.
 func TestLinkKey(t *testing.T) {
 	b := startBench(t)
--- a/internal/rig/once_test.go
+++ b/internal/rig/once_test.go
@@ -364,3 +364,20 @@
 		t.Errorf("answers while guards stop: got %v, want whole ones only", counts)
 	}
 }
+
+// TestBucketServer freezes the entry that serves some of the claim log's
+// buckets: claims are entered without it, and it adds none later.
+func TestBucketServer(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(1)})
+	key := func(i int) string { return fmt.Sprint("key ", i) }
+	const keys = 12
+	f.Entries[1].Freeze()
+	for i := range keys {
+		expect(t, "while the other entry is frozen", <-send(f, 0, note(key(i), key(i))), "whole")
+	}
+	f.Entries[1].Thaw()
+	for i := range keys {
+		expect(t, "repeated elsewhere", <-send(f, 1, note(key(i), key(i))), "whole")
+		expectLodged(t, f, key(i), 1)
+	}
+}
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -22,12 +22,17 @@
 	KindNode = "settingsNode"
 )
 
-// watchFor is how long one watch waits; a waiting watch counts as a call.
-const watchFor = 20 * time.Second
+// watchFor is how long one watch waits; a waiting watch counts as a call. A
+// watch that ends without a change is not believed: the head is read once more,
+// so that a watch that missed a change costs this long and no longer.
+const watchFor = 4 * time.Second
 
 // pauseAfterError is how long the watcher waits after the platform failed.
 const pauseAfterError = 500 * time.Millisecond
 
+// pauseAfterOld is how long the watcher waits after news that was not new.
+const pauseAfterOld = 100 * time.Millisecond
+
 // ReadHead returns the head as the platform has it, with its object version;
 // the zero head with version 0 if there is none yet.
 func ReadHead(ctx context.Context, c *store.Client) (config.Head, int64, error) {
@@ -81,6 +86,9 @@
 	defer cancel()
 	o, err := c.Watch(wait, KindHead, NameHead, version)
 	if errors.Is(err, store.ErrUnchanged) {
+		o, err = c.Get(ctx, KindHead, NameHead)
+	}
+	if errors.Is(err, store.ErrNotFound) || (err == nil && o.Version == version) {
 		h.Heard()
 		return version, nil
 	}
@@ -93,6 +101,9 @@
 	}
 	cur := h.Current()
 	if head.Revision <= cur.Head.Revision {
+		// Our own revision, heard of elsewhere before, or a watch that goes
+		// back in time: not to be taken, and not to be spun on.
+		sleep(ctx, pauseAfterOld)
 		return o.Version, nil
 	}
 	bodies, err := ReadNodes(ctx, c, cur.Missing(head))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/claim"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/stream"
@@ -26,6 +27,7 @@
 	MethodChunk  = "chunk"
 	MethodJoin   = "join"
 	MethodLoad   = "load"
+	MethodClaim  = "claim"
 )
 
 // Stamp is the sender's settings revision.
@@ -243,6 +245,22 @@
 	Start *Call `json:"start,omitempty"`
 }
 
+// Claim asks the entry that serves a bucket of the claim log to enter a record.
+// A repeat of it is harmless, as the record names its run.
+type Claim struct {
+	Stamp
+	Record claim.Record `json:"record"`
+}
+
+// ClaimReply holds the record that stands for the key, or says that the claim
+// was not written, or that it may have been.
+type ClaimReply struct {
+	Stamp
+	Held       claim.Record `json:"held"`
+	NotWritten bool         `json:"notWritten,omitempty"`
+	Doubt      bool         `json:"doubt,omitempty"`
+}
+
 // Call is a caller's request on its way between entries.
 type Call struct {
 	Workspace   string    `json:"workspace"`
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,6 +79,10 @@
 echo "== bills"
 sleep 1.5
 bin/traildrift bills || failed=1
+if [ -n "${DEMO_HOLD:-}" ]; then
+  echo "== the fleet stays up for $DEMO_HOLD s: entries at $(port 10) and $(port 20), platform $(port 0), files in $dir"
+  sleep "$DEMO_HOLD"
+fi
 echo "== planned stop"
 for pid in "${started[@]}"; do kill -TERM "$pid"; done
 for pid in "${started[@]}"; do
