Roll versions out in waves, by whichever process comes first

One board object, each step one conditional update; waves are changes of settings; loads are fenced by the board's version, which the guard checks at the platform, and bounded over all roll-outs for the weight store. traildrift rollout start, pause, resume, abort, show; traildrift status. Changes of settings moved to internal/commit.

--- a/cmd/traildrift/main.go
+++ b/cmd/traildrift/main.go
@@ -40,6 +40,8 @@
 	Entry    *processArgs  `arg:"subcommand:entry" help:"run an entry: serve callers"`
 	Guard    *processArgs  `arg:"subcommand:guard" help:"run a guard: serve the endpoint on this VM"`
 	Settings *settingsArgs `arg:"subcommand:settings" help:"check, show and change fleet settings"`
+	Rollout  *rolloutArgs  `arg:"subcommand:rollout" help:"stage, pause and abort roll-outs of versions"`
+	Status   *statusArgs   `arg:"subcommand:status" help:"show every VM's process, its revision, and the roll-outs"`
 	Explain  *explainArgs  `arg:"subcommand:explain" help:"say why a request went where it went"`
 	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of a process"`
 	Bills    *billsArgs    `arg:"subcommand:bills" help:"show folded bills"`
@@ -82,6 +84,10 @@
 		return guard.Main(ctx, a.Guard.Config)
 	case a.Settings != nil:
 		return a.Settings.run(ctx)
+	case a.Rollout != nil:
+		return a.Rollout.run(ctx)
+	case a.Status != nil:
+		return a.Status.run(ctx)
 	case a.Explain != nil:
 		return a.Explain.run(ctx)
 	case a.Dump != nil:
--- /dev/null
+++ b/cmd/traildrift/rollout.go
@@ -0,0 +1,174 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/commit"
+	"github.com/traildrift/traildrift/internal/desk"
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/rolls"
+	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/roll"
+	"github.com/traildrift/traildrift/pkg/seal"
+)
+
+type rolloutArgs struct {
+	Start  *startArgs `arg:"subcommand:start" help:"load a version on its pool and open it to requests in waves"`
+	Pause  *orderArgs `arg:"subcommand:pause" help:"begin no further load and no further wave"`
+	Resume *orderArgs `arg:"subcommand:resume" help:"go on"`
+	Abort  *orderArgs `arg:"subcommand:abort" help:"end it and withdraw the version"`
+	Show   *showArgs  `arg:"subcommand:show" help:"show the roll-outs"`
+}
+
+type startArgs struct {
+	platformArgs
+	Version     string        `arg:"positional,required" help:"model@version; in the settings with share 0"`
+	Waves       []float64     `arg:"--waves" help:"shares of requests, growing to 1; 0.05 0.25 1 by default"`
+	Hold        time.Duration `arg:"--hold" default:"10m" help:"how long each wave is held"`
+	LoadsAtOnce int           `arg:"--loads-at-once" help:"how many loads the weight store bears, over all roll-outs"`
+	Reason      string        `arg:"--reason,required" help:"goes into the settings' history"`
+	Author      string        `arg:"--author" help:"goes into the settings' history; the user's name by default"`
+}
+
+type orderArgs struct {
+	platformArgs
+	Version string `arg:"positional,required" help:"model@version"`
+}
+
+type showArgs struct {
+	platformArgs
+	JSON bool `arg:"--json" help:"write JSON"`
+}
+
+func (a *rolloutArgs) run(ctx context.Context) error {
+	switch {
+	case a.Start != nil:
+		return a.Start.run(ctx)
+	case a.Pause != nil:
+		return a.Pause.order(ctx, roll.Paused)
+	case a.Resume != nil:
+		return a.Resume.order(ctx, roll.Running)
+	case a.Abort != nil:
+		return a.Abort.order(ctx, roll.Aborting)
+	case a.Show != nil:
+		return a.Show.run(ctx)
+	default:
+		return errUsage
+	}
+}
+
+// defaultWaves and defaultLoads are used where the operator names none.
+var defaultWaves = []float64{0.05, 0.25, 1}
+
+const defaultLoads = 4
+
+func (a *startArgs) run(ctx context.Context) error {
+	c := a.store()
+	model, version, _ := strings.Cut(a.Version, "@")
+	tree, err := commit.ReadTree(ctx, c)
+	if err != nil {
+		return err
+	}
+	v, ok := tree.Version(model, version)
+	if !ok {
+		return errors.Newf("the settings have no %s", a.Version)
+	}
+	if v.Exposure() > 0 {
+		return errors.Newf("%s is open to %v of the requests already; its share must be 0", a.Version, v.Exposure())
+	}
+	if len(a.Waves) == 0 {
+		a.Waves = defaultWaves
+	}
+	author := (&applyArgs{Author: a.Author}).author()
+	return rolls.Update(ctx, c, func(b *roll.Board) error {
+		if a.LoadsAtOnce > 0 || b.LoadsAtOnce == 0 {
+			b.LoadsAtOnce = max(a.LoadsAtOnce, 0)
+		}
+		if b.LoadsAtOnce == 0 {
+			b.LoadsAtOnce = defaultLoads
+		}
+		return b.Start(roll.Rollout{
+			ID: proc.NewID(), Model: model, Version: version, Pool: v.Pool,
+			Waves: a.Waves, HoldSeconds: a.Hold.Seconds(), Author: author, Reason: a.Reason,
+		})
+	})
+}
+
+func (a *orderArgs) order(ctx context.Context, s roll.State) error {
+	return rolls.Update(ctx, a.store(), func(b *roll.Board) error { return b.Order(a.Version, s) })
+}
+
+func (a *showArgs) run(ctx context.Context) error {
+	b, _, err := rolls.Read(ctx, a.store())
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(b)
+	}
+	for _, r := range b.Rollouts {
+		printRollout(&r)
+	}
+	return nil
+}
+
+func printRollout(r *roll.Rollout) {
+	loads := make(map[roll.Load]int)
+	for _, t := range r.Targets {
+		loads[t.State]++
+	}
+	fmt.Printf("%-24s %-8s pool %s, loaded %d, loading %d, waiting %d, wave %d of %v in force %d", r.Name(), r.State, r.Pool,
+		loads[roll.Loaded], loads[roll.Loading], loads[roll.Waiting], r.Wave, r.Waves, r.Applied)
+	if r.State == roll.Running && !r.HoldUntil.IsZero() {
+		fmt.Printf(", held until %s", r.HoldUntil.Format(time.RFC3339))
+	}
+	fmt.Printf(", by %s: %s\n", r.Author, r.Reason)
+}
+
+type statusArgs struct {
+	platformArgs
+	Keys string `arg:"--keys,required" help:"key file"`
+}
+
+// statusWithin bounds the questions to all processes.
+const statusWithin = 10 * time.Second
+
+func (a *statusArgs) run(ctx context.Context) error {
+	var keys proc.Keys
+	if err := proc.Load(a.Keys, &keys); err != nil {
+		return err
+	}
+	ring, err := seal.NewRing(keys.Link)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusWithin)
+	defer cancel()
+	rows, err := desk.Status(ctx, store.NewVMs(a.Platform), ring)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		fmt.Printf("%-20s %-9s %-10s %-12s %s\n", r.VM.Name, r.VM.Role, r.VM.AvailabilityZone, r.VM.State, r.Word())
+	}
+	b, _, err := rolls.Read(ctx, a.store())
+	if err != nil {
+		return err
+	}
+	for _, r := range b.Rollouts {
+		printRollout(&r)
+	}
+	return nil
+}
--- a/cmd/traildrift/settings.go
+++ b/cmd/traildrift/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/traildrift/traildrift/internal/commit"
 	"github.com/traildrift/traildrift/internal/desk"
 	"github.com/traildrift/traildrift/internal/proc"
 	"github.com/traildrift/traildrift/internal/spread"
@@ -102,7 +103,7 @@
 }
 
 func (a *getArgs) run(ctx context.Context) error {
-	s, err := desk.ReadTree(ctx, a.store())
+	s, err := commit.ReadTree(ctx, a.store())
 	if err != nil {
 		return err
 	}
@@ -124,11 +125,11 @@
 		return err
 	}
 	c := a.store()
-	before, err := desk.ReadTree(ctx, c)
+	before, err := commit.ReadTree(ctx, c)
 	if err != nil {
 		return err
 	}
-	edit := desk.Edit{ID: proc.NewID(), Author: a.author(), Reason: a.Reason, At: time.Now().UTC(), Base: a.Base, Nodes: f.Nodes()}
+	edit := commit.Edit{ID: proc.NewID(), Author: a.author(), Reason: a.Reason, At: time.Now().UTC(), Base: a.Base, Nodes: f.Nodes()}
 	if a.DryRun {
 		after, err := config.Preview(f.Nodes())
 		if err != nil {
@@ -136,11 +137,11 @@
 		}
 		return desk.Diff(os.Stdout, before, after)
 	}
-	change, err := desk.Apply(ctx, c, edit)
+	change, err := commit.Apply(ctx, c, edit)
 	if err != nil {
 		return err
 	}
-	after, err := desk.ReadTree(ctx, c)
+	after, err := commit.ReadTree(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -201,11 +202,11 @@
 	}
 	var snaps [2]*config.Snapshot
 	for i, revision := range []int64{a.From, a.To} {
-		h, err := desk.HeadAt(ctx, c, head, revision)
+		h, err := commit.HeadAt(ctx, c, head, revision)
 		if err != nil {
 			return err
 		}
-		if snaps[i], err = desk.ReadSnapshot(ctx, c, h); err != nil {
+		if snaps[i], err = commit.ReadSnapshot(ctx, c, h); err != nil {
 			return err
 		}
 	}
--- a/internal/desk/apply.go
+++ b/internal/commit/apply.go
@@ -1,7 +1,9 @@
 // Copyright 2026 The traildrift authors.
 // SPDX-License-Identifier: BSD-3-Clause
 
-package desk
+// Package commit changes fleet settings at the platform: nodes first, then the
+// head by one conditional update, rebased by path when others were first.
+package commit
 
 import (
 	"context"
@@ -57,17 +59,13 @@
 func names(paths []string) []string {
 	out := make([]string, len(paths))
 	for i, p := range paths {
-		out[i] = cmpName(p)
+		out[i] = config.PathName(p)
 	}
 	return out
 }
 
-func cmpName(path string) string {
-	if path == "" {
-		return "(fleet)"
-	}
-	return path
-}
+// ErrNoChange says that an edit changes nothing.
+var ErrNoChange = errors.New("nothing differs from the revision you started from")
 
 // triesMost bounds how often a raced or lost write is tried again.
 const triesMost = 20
@@ -103,7 +101,7 @@
 	}
 	edits, bodies := diffNodes(base, e.Nodes)
 	if len(edits) == 0 {
-		return config.Change{}, errors.New("nothing differs from the revision you started from")
+		return config.Change{}, ErrNoChange
 	}
 	if err := overlap(base, head, edits); err != nil {
 		return config.Change{}, err
--- a/internal/desk/diff.go
+++ b/internal/desk/diff.go
@@ -31,7 +31,7 @@
 	ea, eb := a.At(path), b.At(path)
 	for i, sb := range eb.All() {
 		if sa := ea.All()[i]; sa.Value != sb.Value {
-			out = append(out, fmt.Sprintf("%s: %s: %s -> %s (set at %s)", cmpName(path), sb.Key, sa.Value, sb.Value, originName(sb.Origin)))
+			out = append(out, fmt.Sprintf("%s: %s: %s -> %s (set at %s)", config.PathName(path), sb.Key, sa.Value, sb.Value, originName(sb.Origin)))
 		}
 	}
 	return append(out, diffVersions(path, a.Candidates(ea), b.Candidates(eb))...)
@@ -46,13 +46,13 @@
 		delete(old, name)
 		switch {
 		case !ok:
-			out = append(out, fmt.Sprintf("%s: version %s is allowed", cmpName(path), name))
+			out = append(out, fmt.Sprintf("%s: version %s is allowed", config.PathName(path), name))
 		case was.Spec != c.Spec:
-			out = append(out, fmt.Sprintf("%s: version %s: %+v -> %+v", cmpName(path), name, was.Spec, c.Spec))
+			out = append(out, fmt.Sprintf("%s: version %s: %+v -> %+v", config.PathName(path), name, was.Spec, c.Spec))
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(old)) {
-		out = append(out, fmt.Sprintf("%s: version %s is no longer allowed", cmpName(path), name))
+		out = append(out, fmt.Sprintf("%s: version %s is no longer allowed", config.PathName(path), name))
 	}
 	return out
 }
@@ -69,7 +69,7 @@
 	if o.Level == config.LevelDefault {
 		return string(o.Level)
 	}
-	return fmt.Sprintf("%s %s, revision %d", o.Level, cmpName(o.Path), o.Revision)
+	return fmt.Sprintf("%s %s, revision %d", o.Level, config.PathName(o.Path), o.Revision)
 }
 
 // Effective writes every effective value at a path with the level that set it.
--- a/internal/desk/wait.go
+++ b/internal/desk/wait.go
@@ -24,12 +24,7 @@
 // Wait returns once every live VM's process reports the revision, or an error
 // that names those that do not by the deadline of ctx.
 func Wait(ctx context.Context, vms *store.VMs, keys *seal.Ring, revision int64) error {
-	local := &link.Local{
-		Identity: wire.Identity{VM: "operator", Role: "operator", Incarnation: fmt.Sprintf("operator-%d", time.Now().UnixNano())},
-		Keys:     keys,
-		Revision: func() int64 { return 0 },
-		Mux:      link.NewMux(func(task func()) error { task(); return nil }, nil),
-	}
+	local := operator(keys)
 	for {
 		lagging, err := behind(ctx, local, vms, revision)
 		if err == nil && len(lagging) == 0 {
@@ -48,6 +43,16 @@
 	}
 }
 
+// operator returns an operator's side of links.
+func operator(keys *seal.Ring) *link.Local {
+	return &link.Local{
+		Identity: wire.Identity{VM: "operator", Role: "operator", Incarnation: fmt.Sprintf("operator-%d", time.Now().UnixNano())},
+		Keys:     keys,
+		Revision: func() int64 { return 0 },
+		Mux:      link.NewMux(func(task func()) error { task(); return nil }, nil),
+	}
+}
+
 func behind(ctx context.Context, local *link.Local, vms *store.VMs, revision int64) ([]string, error) {
 	list, err := vms.List(ctx)
 	if err != nil {
@@ -55,7 +60,10 @@
 	}
 	var lagging []string
 	for _, vm := range list {
-		if vm.State == store.VMLive && !has(ctx, local, vm, revision) {
+		if vm.State != store.VMLive {
+			continue
+		}
+		if has, ok := revisionOf(ctx, local, vm); !ok || has < revision {
 			lagging = append(lagging, vm.Name)
 		}
 	}
@@ -63,13 +71,45 @@
 	return lagging, nil
 }
 
-func has(ctx context.Context, local *link.Local, vm store.VM, revision int64) bool {
+// revisionOf asks a VM's process for its revision.
+func revisionOf(ctx context.Context, local *link.Local, vm store.VM) (int64, bool) {
 	c, err := local.Dial(ctx, vm.Link)
 	if err != nil {
-		return false
+		return 0, false
 	}
 	defer c.Close()
 	var reply wire.DeltaReply
 	err = c.Call(ctx, wire.MethodDelta, wire.Delta{Hashes: []string{""}}, &reply)
-	return err == nil && reply.Revision >= revision
+	return reply.Revision, err == nil
+}
+
+// Row is what status shows of a VM.
+type Row struct {
+	VM store.VM
+	// Answers says that the VM's process has answered; Revision is its own.
+	Answers  bool
+	Revision int64
+}
+
+// Word returns the row's last column.
+func (r Row) Word() string {
+	if !r.Answers {
+		return "does not answer"
+	}
+	return fmt.Sprintf("revision %d", r.Revision)
+}
+
+// Status asks the process of every VM for its revision.
+func Status(ctx context.Context, vms *store.VMs, keys *seal.Ring) ([]Row, error) {
+	list, err := vms.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	local := operator(keys)
+	rows := make([]Row, len(list))
+	for i, vm := range list {
+		rows[i].VM = vm
+		rows[i].Revision, rows[i].Answers = revisionOf(ctx, local, vm)
+	}
+	return rows, nil
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -65,13 +65,10 @@
 // attempt decides once and sends the request there.
 func (e *Entry) attempt(r *request, tried *[]string) (int, *fault.Error) {
 	now := e.Now()
-	view, list := e.peers.view(now)
-	snap := e.Holder.Current()
-	eff := snap.Effective(r.call.Workspace, r.call.Workload, r.call.District)
-	if err := e.fresh(eff, now); err != nil {
+	snap, list, d, err := e.choose(r, *tried)
+	if err != nil {
 		return 0, err
 	}
-	d := e.decide(r, snap, eff, &view, list, *tried)
 	step := trail.Step{Attempt: len(r.record.Steps) + 1, At: now, Revision: snap.Head.Revision, Model: d.Model, Version: d.Version, Candidates: d.Candidates}
 	if d.Kind != "" {
 		step.Err = fault.New(d.Kind, fault.NotRun, "%s", d.Kind.Answer().Advice)
@@ -104,6 +101,34 @@
 	return reply.Length, reply.Err
 }
 
+// choose decides under the settings in force. A request that was sent back by
+// an endpoint as not run waits a little for another one to be linked again:
+// a fault that breaks one link often breaks all of a pool for a moment.
+func (e *Entry) choose(r *request, tried []string) (*config.Snapshot, []*peer, route.Decision, *fault.Error) {
+	until := given(e.Now(), r.call.Deadline, relinkWithin)
+	for {
+		now := e.Now()
+		view, list := e.peers.view(now)
+		snap := e.Holder.Current()
+		eff := snap.Effective(r.call.Workspace, r.call.Workload, r.call.District)
+		if err := e.fresh(eff, now); err != nil {
+			return snap, list, route.Decision{}, err
+		}
+		d := e.decide(r, snap, eff, &view, list, tried)
+		if d.Kind != fault.NoVersion || len(tried) == 0 || !now.Before(until) || r.ctx.Err() != nil {
+			return snap, list, d, nil
+		}
+		pause(r.ctx, relinkPoll.After(now))
+	}
+}
+
+const (
+	// relinkWithin is how long a request that was sent back waits for another
+	// endpoint, relinkPoll how often it looks.
+	relinkWithin = config.Span(time.Second)
+	relinkPoll   = config.Span(20 * time.Millisecond)
+)
+
 // comeBackAfter is when a caller is asked to come back where nothing better is
 // known.
 const comeBackAfter = config.Span(time.Second)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,11 +59,13 @@
 	names      names
 	claims     *claims.Log
 	entryLinks entryLinks
-	limits     limits
-	sinks      sinks
-	recent     recent
-	bills      *ledger.Writer[bill.Line]
-	trail      *ledger.Writer[trail.Record]
+	// orders holds the roll-outs' orders that are under way.
+	orders sync.Map
+	limits limits
+	sinks  sinks
+	recent recent
+	bills  *ledger.Writer[bill.Line]
+	trail  *ledger.Writer[trail.Record]
 	// runs runs the requests; it is bounded.
 	runs *ants.Pool
 	// under counts the requests under way.
@@ -160,6 +162,7 @@
 	e.Tasks.Go(ctx, "bills", e.bills.Run)
 	e.Tasks.Go(ctx, "trail", e.trail.Run)
 	e.Tasks.Go(ctx, "answers", e.sweep)
+	e.Tasks.Go(ctx, "rollouts", e.newDriver().Run)
 	for n := range claims.Buckets {
 		e.Tasks.Go(ctx, "claims", func(ctx context.Context) error { return e.claims.Run(ctx, n) })
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -55,6 +55,8 @@
 	byVM map[string]*peer
 	// entries holds the live entry VMs as last listed.
 	entries []store.VM
+	// endpoints holds the live endpoint VMs by name as last listed.
+	endpoints map[string]store.VM
 	// listed says that the VM list was read once.
 	listed bool
 }
@@ -90,6 +92,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	ps.listed = true
+	ps.endpoints = endpointVMs(vms)
 	ps.entries = ps.entries[:0]
 	for _, vm := range vms {
 		if vm.Role == store.RoleEntry && vm.State == store.VMLive {
@@ -113,10 +116,8 @@
 // (Thaler and Ravishankar, 1998), so that entries spread over the endpoints.
 func subset(self string, vms []store.VM, n int) map[string]store.VM {
 	pools := make(map[string][]store.VM)
-	for _, vm := range vms {
-		if vm.Role == store.RoleEndpoint && vm.State == store.VMLive {
-			pools[vm.Pool] = append(pools[vm.Pool], vm)
-		}
+	for _, vm := range endpointVMs(vms) {
+		pools[vm.Pool] = append(pools[vm.Pool], vm)
 	}
 	out := make(map[string]store.VM)
 	for _, pool := range pools {
@@ -359,10 +360,10 @@
 	}
 	ps.mu.Unlock()
 	slices.SortFunc(list, func(a, b *peer) int { return strings.Compare(a.vm.Name, b.vm.Name) })
-	v := route.View{Endpoints: make([]route.Endpoint, len(list))}
+	endpoints := make([]route.Endpoint, len(list))
 	for i, p := range list {
 		p.mu.Lock()
-		v.Endpoints[i] = route.Endpoint{
+		endpoints[i] = route.Endpoint{
 			VM:               p.vm.Name,
 			Pool:             p.vm.Pool,
 			AvailabilityZone: p.vm.AvailabilityZone,
@@ -370,11 +371,12 @@
 			Running:          p.load.Running,
 			Queued:           p.load.Queued,
 			Sent:             p.sent,
+			Versions:         p.load.Versions,
 			Usable:           p.usable(now),
 		}
 		p.mu.Unlock()
 	}
-	return v, list
+	return route.NewView(endpoints), list
 }
 
 // watchersPerZone is how many entries of a zone watch the platform.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -100,7 +100,7 @@
 
 // routeRequest is what a decision needs to know of the request.
 func (r *request) routeRequest(zone string, avoid []int) route.Request {
-	req := route.Request{Model: r.call.Model, AvailabilityZone: zone, Seed: r.seed + uint64(len(r.record.Steps)), Avoid: avoid}
+	req := route.Request{Model: r.call.Model, AvailabilityZone: zone, Seed: r.seed + uint64(len(r.record.Steps)), Draw: route.Uniform(r.seed), Avoid: avoid}
 	if r.pinned != nil {
 		req.Model, req.Version, req.Pinned = r.pinned.Model, r.pinned.Version, true
 	}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,13 @@
 	PerToken   config.Span
 	// Seed drives the faults.
 	Seed uint64
+	// Versions lists what is loaded at the start, as model@version; nil for an
+	// engine that does not say what it has.
+	Versions []string
+	// Weights fetches a version's weights before it is loaded; nil needs none.
+	Weights func(version string) bool
+	// Unfenced says that the engine does not check who gives it orders.
+	Unfenced bool
 }
 
 // Engine is a stand-in for a model engine: chat completions, streamed or
@@ -54,6 +62,11 @@
 	models  map[string]int
 	running int
 	waiting int
+	// loaded lists the versions; fence is the highest of the orders taken.
+	loaded []string
+	fence  int64
+	// orders counts the orders taken.
+	orders int
 }
 
 // answer is one run of the engine.
@@ -75,6 +88,7 @@
 		runs:     make(map[string]int),
 		models:   make(map[string]int),
 		answers:  make(map[string]*answer),
+		loaded:   o.Versions,
 	}
 }
 
@@ -103,6 +117,58 @@
 	return e.running, e.waiting
 }
 
+// loadReport is what an engine says of itself.
+type loadReport struct {
+	Running  int      `json:"running"`
+	Waiting  int      `json:"waiting"`
+	Versions []string `json:"versions,omitempty"`
+}
+
+// Loaded lists the versions that are loaded.
+func (e *Engine) Loaded() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.loaded...)
+}
+
+// Orders returns how many orders were taken.
+func (e *Engine) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
+// order loads a version; an order with an older fence is refused.
+func (e *Engine) order(ctx *fasthttp.RequestCtx) {
+	var o struct {
+		Fence int64  `json:"fence"`
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error("broken JSON", fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	old := o.Fence < e.fence && !e.opts.Unfenced
+	e.fence = max(e.fence, o.Fence)
+	known := slices.Contains(e.loaded, o.Model)
+	e.mu.Unlock()
+	if old {
+		ctx.Error("an older order", fasthttp.StatusConflict)
+		return
+	}
+	if !known && e.opts.Weights != nil && !e.opts.Weights(o.Model) {
+		ctx.Error("no weights", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	if !slices.Contains(e.loaded, o.Model) {
+		e.loaded = append(e.loaded, o.Model)
+	}
+}
+
 // ChatRequest is the body of a chat completion.
 type ChatRequest struct {
 	Model     string    `json:"model"`
@@ -133,7 +199,9 @@
 		writeJSON(ctx, e.Runs())
 	case path == "/load":
 		running, waiting := e.Load()
-		writeJSON(ctx, map[string]int{"running": running, "waiting": waiting})
+		writeJSON(ctx, loadReport{Running: running, Waiting: waiting, Versions: e.Loaded()})
+	case path == "/v1/orders":
+		e.order(ctx)
 	case path == "/v1/chat/completions":
 		e.chat(ctx, f)
 	case strings.HasPrefix(path, "/v1/runs/"):
--- a/internal/gauge/recovery.go
+++ b/internal/gauge/recovery.go
@@ -24,8 +24,16 @@
 	count map[string]int
 	last  time.Time
 	whole int
+	// late counts whole answers that took longer than lateAfter, slowest is
+	// the longest that one took, in seconds.
+	late    int
+	slowest float64
 }
 
+// lateAfter is when an answer counts as late; without a fault they take a few
+// milliseconds.
+const lateAfter = 250 * time.Millisecond
+
 func (f *failures) add(_ string, a drive.Answer, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -38,19 +46,24 @@
 		f.count[a.Bad]++
 	default:
 		f.whole++
+		took := a.Done.Sub(a.Sent)
+		f.slowest = max(f.slowest, took.Seconds())
+		if took > lateAfter {
+			f.late++
+		}
 		return
 	}
 	f.last = time.Now()
 }
 
 // take returns what was gathered since the last call.
-func (f *failures) take() (count map[string]int, whole int, last time.Time) {
+func (f *failures) take() *failures {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	count, whole, last = maps.Clone(f.count), f.whole, f.last
+	out := &failures{count: maps.Clone(f.count), whole: f.whole, last: f.last, late: f.late, slowest: f.slowest}
 	clear(f.count)
-	f.whole, f.last = 0, time.Time{}
-	return count, whole, last
+	f.whole, f.last, f.late, f.slowest = 0, time.Time{}, 0, 0
+	return out
 }
 
 // Recovery kills, freezes and stops one process after the other under load, and
@@ -105,12 +118,12 @@
 			return err
 		}
 		rest(ctx, recoveryStep-time.Since(start)-time.Second)
-		count, whole, last := seen.take()
+		got := seen.take()
 		noticed := time.Duration(0)
-		if !last.IsZero() {
-			noticed = last.Sub(start)
+		if !got.last.IsZero() {
+			noticed = got.last.Sub(start)
 		}
-		_, _ = fmt.Fprintf(out, "%s: whole %d, failed %v, last failure after %.2f s\n", s.name, whole, count, noticed.Seconds())
+		_, _ = fmt.Fprintf(out, "%s: whole %d, late %d, slowest %.3f s, failed %v, last failure after %.2f s\n", s.name, got.whole, got.late, got.slowest, got.count, noticed.Seconds())
 	}
 	<-ended
 	for body, times := range f.Bodies() {
--- a/internal/guard/endpoint.go
+++ b/internal/guard/endpoint.go
@@ -37,8 +37,11 @@
 	// Run does the work once and appends the answer to b under attempt 0. It
 	// returns what is billed, and nil for a whole answer.
 	Run func(ctx context.Context, key wire.RunKey, w *wire.Work, b *stream.Buffer) (wire.Usage, *fault.Error)
-	// Alive returns nil if the endpoint takes connections.
-	Alive func(ctx context.Context) error
+	// Alive returns nil if the endpoint takes connections, and the versions
+	// that an engine says it has, as model@version; nil if it does not say.
+	Alive func(ctx context.Context) ([]string, error)
+	// Load has an engine load a version, under a fence that grows.
+	Load func(ctx context.Context, o *wire.Order) error
 }
 
 // client is the HTTP form of an Endpoint.
@@ -74,7 +77,7 @@
 		// that never started look like one that may have.
 		MaxIdleConnDuration: time.Second,
 	}
-	return &Endpoint{Run: c.run, Alive: c.alive}
+	return &Endpoint{Run: c.run, Alive: c.alive, Load: c.load}
 }
 
 func dialEndpoint(addr string) (net.Conn, error) {
@@ -85,13 +88,67 @@
 	return conn, nil
 }
 
-func (c *client) alive(ctx context.Context) error {
+func (c *client) alive(ctx context.Context) ([]string, error) {
 	d := net.Dialer{Timeout: dialWithin}
 	conn, err := d.DialContext(ctx, "tcp", c.addr.String())
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.Close(); err != nil || c.kind != KindEngine {
+		return nil, err
+	}
+	var report struct {
+		Versions []string `json:"versions"`
+	}
+	if body, err := c.ask(fasthttp.MethodGet, "/load", nil, time.Now().Add(dialWithin)); err == nil {
+		_ = json.Unmarshal(body, &report)
+	}
+	return report.Versions, nil
+}
+
+// engineOrder is an order as engines take it.
+type engineOrder struct {
+	Fence  int64  `json:"fence"`
+	Action string `json:"action"`
+	Model  string `json:"model"`
+}
+
+// loadWithin bounds one load.
+const loadWithin = time.Minute
+
+func (c *client) load(_ context.Context, o *wire.Order) error {
+	body, err := json.Marshal(engineOrder{Fence: o.Fence, Action: "load", Model: o.Model + "@" + o.Version})
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	_, err = c.ask(fasthttp.MethodPost, "/v1/orders", body, time.Now().Add(loadWithin))
+	return err
+}
+
+// ask makes one small call to the engine and returns the answer's body.
+func (c *client) ask(method, path string, body []byte, deadline time.Time) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.addr.String() + path)
+	req.Header.SetMethod(method)
+	req.SetBodyRaw(body)
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	out, err := io.ReadAll(bodyOf(resp))
+	if err == nil && resp.StatusCode() != fasthttp.StatusOK {
+		err = errors.Newf("guard: the engine answered status %d", resp.StatusCode())
+	}
+	return out, err
+}
+
+func bodyOf(resp *fasthttp.Response) io.Reader {
+	if r := resp.BodyStream(); r != nil {
+		return r
+	}
+	return bytes.NewReader(resp.Body())
 }
 
 // runID is how the endpoint knows an attempt.
@@ -175,10 +232,7 @@
 }
 
 func appendBody(resp *fasthttp.Response, b *stream.Buffer) *fault.Error {
-	r := resp.BodyStream()
-	if r == nil {
-		r = bytes.NewReader(resp.Body())
-	}
+	r := bodyOf(resp)
 	p := make([]byte, readSize)
 	for {
 		n, err := r.Read(p)
@@ -232,10 +286,5 @@
 	if c.kind != KindEngine {
 		return
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + c.addr.String() + "/v1/runs/" + runID(key) + "/cancel")
-	req.Header.SetMethod(fasthttp.MethodPost)
-	_ = c.http.DoDeadline(req, resp, time.Now().Add(dialWithin))
+	_, _ = c.ask(fasthttp.MethodPost, "/v1/runs/"+runID(key)+"/cancel", nil, time.Now().Add(dialWithin))
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -67,6 +67,12 @@
 	// leaving says that no new work is taken; it never goes back.
 	leaving bool
 	down    bool
+	// versions lists what the engine has loaded; nil if it does not say.
+	versions []string
+	// loads holds the loads of versions that are under way.
+	loads map[string]*load
+	// fence is the highest one of the orders taken; it only grows.
+	fence int64
 	// unbilled holds the lines that no entry has confirmed yet.
 	unbilled map[wire.RunKey]unbilled
 	bills    *ledger.Writer[bill.Line]
@@ -106,6 +112,7 @@
 		endpoint: NewEndpoint(s.Kind, s.Endpoint),
 		runs:     make(map[wire.RunKey]*record),
 		links:    make(map[string]*peerLink),
+		loads:    make(map[string]*load),
 		unbilled: make(map[wire.RunKey]unbilled),
 	}
 	limits := admit.Limits{Slots: s.Slots, Reserved: s.Reserved, Waiting: s.Waiting}
@@ -132,6 +139,7 @@
 	link.On(p.Local.Mux, wire.MethodRun, g.handleRun)
 	link.On(p.Local.Mux, wire.MethodAsk, g.handleAsk)
 	link.Inline(p.Local.Mux, wire.MethodCancel, g.handleCancel)
+	link.On(p.Local.Mux, wire.MethodOrder, g.handleOrder)
 	return g, nil
 }
 
@@ -296,10 +304,11 @@
 	t := time.NewTicker(aliveEvery)
 	defer t.Stop()
 	for {
-		err := g.endpoint.Alive(ctx)
+		versions, err := g.endpoint.Alive(ctx)
 		g.mu.Lock()
 		changed := g.down != (err != nil)
 		g.down = err != nil
+		g.versions = versions
 		g.mu.Unlock()
 		if changed {
 			g.Log.Warn("guard: The endpoint has changed.", zap.Bool("down", err != nil), logs.Err(err))
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -35,12 +35,13 @@
 // load returns what the guard says of its endpoint; g.mu is held.
 func (g *Guard) load() wire.Load {
 	return wire.Load{
-		Pool:    g.settings.Pool,
-		Slots:   g.settings.Slots,
-		Running: g.queue.Running(),
-		Queued:  g.queue.Waiting(),
-		Leaving: g.leaving,
-		Down:    g.down,
+		Pool:     g.settings.Pool,
+		Slots:    g.settings.Slots,
+		Running:  g.queue.Running(),
+		Queued:   g.queue.Waiting(),
+		Leaving:  g.leaving,
+		Down:     g.down,
+		Versions: g.versions,
 	}
 }
 
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -16,10 +16,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/traildrift/traildrift/internal/commit"
 	"github.com/traildrift/traildrift/internal/desk"
 	"github.com/traildrift/traildrift/internal/drive"
 	"github.com/traildrift/traildrift/internal/fakes"
 	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/spread"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/seal"
@@ -189,7 +191,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
 	defer cancel()
-	c, err := desk.Apply(ctx, f.Store, desk.Edit{ID: proc.NewID(), Author: author, At: time.Now(), Base: -1, Nodes: file.Nodes()})
+	c, err := commit.Apply(ctx, f.Store, commit.Edit{ID: proc.NewID(), Author: author, At: time.Now(), Base: -1, Nodes: file.Nodes()})
 	return c.Revision, err
 }
 
@@ -287,6 +289,23 @@
 	return out
 }
 
+// ModelRuns counts the runs of a model@version that were begun.
+func (f *Fleet) ModelRuns(model string) int {
+	n := 0
+	for _, e := range f.Engines {
+		n += e.ModelRuns(model)
+	}
+	return n
+}
+
+// Revision returns the revision that was accepted last.
+func (f *Fleet) Revision() (int64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	head, _, err := spread.ReadHead(ctx, f.Store)
+	return head.Revision, err
+}
+
 // Holder returns the guard whose service has lodged a body, or nil.
 func (f *Fleet) Holder(body string) *Node {
 	for _, n := range f.Guards {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -173,9 +173,9 @@
 			return // a process is down or frozen
 		}
 		time.Sleep(startLag)
-		before := in.modelRuns("mapcore@1")
+		before := in.f.ModelRuns("mapcore@1")
 		time.Sleep(300 * time.Millisecond)
-		if after := in.modelRuns("mapcore@1"); after != before {
+		if after := in.f.ModelRuns("mapcore@1"); after != before {
 			in.report("a withdrawn version got %d new runs", after-before)
 		}
 	}
@@ -185,14 +185,6 @@
 // reach the engine.
 const startLag = 100 * time.Millisecond
 
-func (in *injector) modelRuns(model string) int {
-	n := 0
-	for _, e := range in.f.Engines {
-		n += e.ModelRuns(model)
-	}
-	return n
-}
-
 // heal ends every fault that may be left.
 func (in *injector) heal(ctx context.Context) {
 	in.f.Objects.Set(fakes.Faults{})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -28,6 +28,7 @@
 	MethodJoin   = "join"
 	MethodLoad   = "load"
 	MethodClaim  = "claim"
+	MethodOrder  = "order"
 )
 
 // Stamp is the sender's settings revision.
@@ -120,6 +121,9 @@
 	Tokens int `json:"tokens"`
 	// Leaving says that no new work is taken.
 	Leaving bool `json:"leaving,omitempty"`
+	// Versions lists what the engine has loaded, as model@version; nil if it
+	// does not say.
+	Versions []string `json:"versions,omitempty"`
 	// Down says that the endpoint itself does not answer.
 	Down bool `json:"down,omitempty"`
 }
@@ -245,6 +249,16 @@
 	Start *Call `json:"start,omitempty"`
 }
 
+// Order asks a guard to have its engine load a version.
+type Order struct {
+	Stamp
+	// Fence is the version of the roll-outs' object that the order stands in.
+	// An order with an older one is refused.
+	Fence   int64  `json:"fence"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
 // Claim asks the entry that serves a bucket of the claim log to enter a record.
 // A repeat of it is harmless, as the record names its run.
 type Claim struct {
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -67,6 +67,9 @@
 	if v.Quality < 0 || v.Quality > 1 {
 		c.add(append(keys, "quality"), "%v is not allowed; allowed: 0 to 1", v.Quality)
 	}
+	if e := v.Exposure(); e < 0 || e > 1 {
+		c.add(append(keys, "share"), "%v is not allowed; allowed: 0 to 1", e)
+	}
 	if !slices.Contains([]string{"", StateServing, StateWithdrawn}, v.State) {
 		c.add(append(keys, "state"), "%q is not allowed; allowed: %s, %s", v.State, StateServing, StateWithdrawn)
 	}
@@ -143,7 +146,7 @@
 	best := -1.0
 	serving := 0
 	for _, cand := range candidates {
-		if cand.Spec.State == StateWithdrawn || cand.Spec.Cost > *e.Values.MaxCost {
+		if cand.Spec.State == StateWithdrawn || cand.Spec.Cost > *e.Values.MaxCost || cand.Spec.Exposure() < 1 {
 			continue
 		}
 		serving++
@@ -153,7 +156,7 @@
 		return "no version is allowed here"
 	}
 	if serving == 0 {
-		return "every allowed version is withdrawn or dearer than maxCost"
+		return "every allowed version is withdrawn, dearer than maxCost or not wholly rolled out"
 	}
 	if best < *e.Values.QualityTarget {
 		return fmt.Sprintf("qualityTarget %v cannot be met; the best version has %v", *e.Values.QualityTarget, best)
--- a/pkg/config/node.go
+++ b/pkg/config/node.go
@@ -38,6 +38,17 @@
 	Quality float64 `yaml:"quality" json:"quality"`
 	// State is serving (also when empty) or withdrawn.
 	State string `yaml:"state,omitempty" json:"state,omitempty"`
+	// Share is the share of requests that may go to it while it is rolled
+	// out; nil counts as 1.
+	Share *float64 `yaml:"share,omitempty" json:"share,omitempty"`
+}
+
+// Exposure returns the share of requests that may go to the version.
+func (v Version) Exposure() float64 {
+	if v.Share == nil {
+		return 1
+	}
+	return *v.Share
 }
 
 // Model holds the versions of a model by name.
@@ -70,6 +81,14 @@
 	return strings.Join(parts, "/")
 }
 
+// PathName returns a path as operators read it.
+func PathName(path string) string {
+	if path == "" {
+		return "(fleet)"
+	}
+	return path
+}
+
 // LevelOf returns the level of a path.
 func LevelOf(path string) Level {
 	if path == "" {
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -29,7 +29,9 @@
 // Candidate is a version that an allow list names.
 type Candidate struct {
 	Model, Version string
-	Spec           Version
+	// Name is model@version.
+	Name string
+	Spec Version
 }
 
 // Empty returns the snapshot of revision 0, which allows nothing.
@@ -105,7 +107,7 @@
 	for _, name := range slices.Sorted(maps.Keys(models)) {
 		for _, version := range slices.Sorted(maps.Keys(models[name].Versions)) {
 			if slices.Contains(allow, name) || slices.Contains(allow, name+"@"+version) {
-				out = append(out, Candidate{Model: name, Version: version, Spec: models[name].Versions[version]})
+				out = append(out, Candidate{Model: name, Version: version, Name: name + "@" + version, Spec: models[name].Versions[version]})
 			}
 		}
 	}
--- /dev/null
+++ b/pkg/roll/roll_test.go
@@ -0,0 +1,179 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package roll
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/traildrift/traildrift/internal/draws"
+)
+
+func TestMain(m *testing.M) {
+	draws.FixSeed()
+	os.Exit(m.Run())
+}
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// world is what the steps of several processes act on: one object, VMs that load
+// and lose versions, and settings.
+type world struct {
+	t *rapid.T
+	// written holds every version of the board.
+	written [][]byte
+	now     time.Time
+	vms     []string
+	has     map[string]bool
+	share   float64
+}
+
+const loadsMost = 2
+
+func (w *world) facts() *Facts {
+	return &Facts{
+		Now: w.now, VMs: map[string][]string{"p": w.vms},
+		Has:        func(vm, _ string) (bool, bool) { return w.has[vm], true },
+		LoadWithin: func(now time.Time) time.Time { return now.Add(time.Minute) },
+	}
+}
+
+// write puts a board that was read at a version, unless another process has
+// written since.
+func (w *world) write(b *Board, read int) bool {
+	if read != len(w.written)-1 {
+		return false
+	}
+	body, err := json.Marshal(b)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.written = append(w.written, body)
+	return true
+}
+
+// process is one that continues roll-outs from a board that it may have read
+// long ago, and may be interrupted before each thing it does.
+func (w *world) process(read, interrupt int) {
+	var b Board
+	if err := json.Unmarshal(w.written[read], &b); err != nil {
+		w.t.Fatal(err)
+	}
+	before := b.Rollouts[0]
+	before.Targets = append([]Target(nil), before.Targets...)
+	plan := b.Step(w.facts())
+	w.check(&before, &b.Rollouts[0])
+	if interrupt == 0 {
+		return
+	}
+	if plan.Changed {
+		if !w.write(&b, read) {
+			return
+		}
+		read++
+	}
+	if interrupt == 1 {
+		return
+	}
+	for _, o := range plan.Orders {
+		if read == len(w.written)-1 { // else a guard refuses the old fence
+			w.has[o.VM] = true
+		}
+	}
+	c, ok := b.Rollouts[0].Wanted()
+	if !ok {
+		return
+	}
+	w.share = max(w.share, c.Share)
+	if interrupt > 2 && b.Accepted(c.ID, w.now) {
+		w.write(&b, read)
+	}
+}
+
+func (w *world) check(before, after *Rollout) {
+	if after.Wave < before.Wave || after.Wave > before.Wave+1 {
+		w.t.Fatalf("wave went from %d to %d", before.Wave, after.Wave)
+	}
+	if after.Wave > before.Wave {
+		for _, t := range after.Targets {
+			if t.State != Loaded {
+				w.t.Fatalf("wave %d began while %s is %s", after.Wave, t.VM, t.State)
+			}
+		}
+	}
+	if n := after.loading(); n > loadsMost {
+		w.t.Fatalf("%d loads at a time", n)
+	}
+}
+
+// TestInterrupted lets processes continue a roll-out and be interrupted at any
+// point, while VMs lose the version: it ends, step by step, and never loads
+// more at a time than allowed.
+func TestInterrupted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, now: begin, has: make(map[string]bool)}
+		for i := range rapid.IntRange(1, 6).Draw(t, "vms") {
+			w.vms = append(w.vms, fmt.Sprint("vm", i))
+		}
+		b := Board{LoadsAtOnce: loadsMost}
+		if err := b.Start(Rollout{Model: "m", Version: "2", Pool: "p", Waves: []float64{0.1, 1}, HoldSeconds: 5, ID: "c"}); err != nil {
+			t.Fatal(err)
+		}
+		w.write(&b, -1)
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pass")) * time.Second)
+			if rapid.IntRange(0, 9).Draw(t, "replaced") == 0 {
+				delete(w.has, w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")])
+			}
+			w.process(rapid.IntRange(max(0, len(w.written)-3), len(w.written)-1).Draw(t, "read"), rapid.IntRange(0, 3).Draw(t, "interrupted"))
+		}
+		for range 40 {
+			w.now = w.now.Add(10 * time.Second)
+			w.process(len(w.written)-1, 3)
+		}
+		if err := json.Unmarshal(w.written[len(w.written)-1], &b); err != nil {
+			t.Fatal(err)
+		}
+		if got := b.Rollouts[0].State; got != Done || w.share != 1 {
+			t.Errorf("got %s with share %v, want done with 1: %+v", got, w.share, b.Rollouts[0])
+		}
+	})
+}
+
+func TestOrders(t *testing.T) {
+	var b Board
+	r := Rollout{Model: "m", Version: "2", Waves: []float64{0.5, 1}}
+	steps := []struct {
+		name string
+		got  error
+		want error
+	}{
+		{"waves that do not grow", b.Start(Rollout{Waves: []float64{0.5, 0.5, 1}}), ErrWaves},
+		{"waves that do not reach 1", b.Start(Rollout{Waves: []float64{0.5}}), ErrWaves},
+		{"start", b.Start(r), nil},
+		{"start again", b.Start(r), ErrExists},
+		{"pause", b.Order("m@2", Paused), nil},
+		{"resume", b.Order("m@2", Running), nil},
+		{"unknown", b.Order("m@3", Paused), ErrUnknown},
+		{"abort", b.Order("m@2", Aborting), nil},
+		{"resume after abort", b.Order("m@2", Running), ErrEnded},
+	}
+	for _, s := range steps {
+		if s.got != s.want {
+			t.Errorf("%s: got %v, want %v", s.name, s.got, s.want)
+		}
+	}
+	c, ok := b.Rollouts[0].Wanted()
+	if !ok || !c.Withdraw {
+		t.Errorf("after abort: got %+v %v, want a withdrawal", c, ok)
+	}
+	if !b.Accepted(c.ID, begin) || b.Accepted(c.ID, begin) || b.Rollouts[0].State != Aborted {
+		t.Errorf("after the withdrawal: got state %s, want aborted, once", b.Rollouts[0].State)
+	}
+}
--- a/pkg/route/decide.go
+++ b/pkg/route/decide.go
@@ -20,6 +20,7 @@
 	Withdrawn    Reason = "withdrawn"
 	TooDear      Reason = "overMaxCost"
 	TooPoor      Reason = "belowQualityTarget"
+	OverShare    Reason = "overItsShare"
 	NoEndpoint   Reason = "noUsableEndpoint"
 )
 
@@ -33,6 +34,7 @@
 	TooDear:      "maxCost",
 	TooPoor:      "qualityTarget",
 	NoEndpoint:   "allow",
+	OverShare:    "allow",
 }
 
 // Setting names the setting that decides the reason.
@@ -48,6 +50,9 @@
 	AvailabilityZone string
 	// Seed is the source of the random choices.
 	Seed uint64
+	// Draw is uniform in [0, 1), the same for every attempt of a request: a
+	// version that is rolled out to a share is open to draws below it.
+	Draw float64
 	// Avoid holds the indices of endpoints that were tried already.
 	Avoid []int
 }
@@ -74,7 +79,7 @@
 	Version string  `json:"version,omitempty"`
 	Pool    string  `json:"pool"`
 	Cost    float64 `json:"cost"`
-	// Endpoint is an index of View.Endpoints; -1 without a choice.
+	// Endpoint is an index of the view's endpoints; -1 without a choice.
 	Endpoint int `json:"-"`
 	// Candidates holds every version of the allow list.
 	Candidates []Candidate `json:"candidates,omitempty"`
@@ -101,7 +106,7 @@
 	chosen.Reason = Chosen
 	spec := candidates[best].Spec
 	dst.Model, dst.Version, dst.Pool, dst.Cost = chosen.Model, chosen.Version, spec.Pool, spec.Cost
-	dst.Endpoint = v.pick(spec.Pool, req)
+	dst.Endpoint = v.pick(spec.Pool, candidates[best].Name, req)
 }
 
 // judge scores one version. A version that could be taken has the reason
@@ -112,7 +117,7 @@
 	if out.Reason != "" {
 		return out
 	}
-	wait, ok := v.wait(c.Spec.Pool, req.Avoid)
+	wait, ok := v.wait(c.Spec.Pool, c.Name, req.Avoid)
 	if !ok {
 		out.Reason = NoEndpoint
 		return out
@@ -123,21 +128,37 @@
 	return out
 }
 
+// asks reports whether the request leaves a version open.
+func (req *Request) asks(c *config.Candidate) bool {
+	return (req.Model == "" || req.Model == c.Model) && (req.Version == "" || req.Version == c.Version)
+}
+
+// reject returns why a version may not be taken, or "". A session keeps its
+// version whatever cost, quality and share the settings ask of new work.
 func reject(e *config.Effective, c *config.Candidate, req *Request) Reason {
-	asked := (req.Model == "" || req.Model == c.Model) && (req.Version == "" || req.Version == c.Version)
 	switch {
-	case !asked && req.Pinned:
+	case !req.asks(c) && req.Pinned:
 		return NotInSession
-	case !asked:
+	case !req.asks(c):
 		return NotAsked
 	case c.Spec.State == config.StateWithdrawn:
 		return Withdrawn
 	case req.Pinned:
 		return ""
+	default:
+		return unfit(e, c, req)
+	}
+}
+
+// unfit returns why a version is not for new work, or "".
+func unfit(e *config.Effective, c *config.Candidate, req *Request) Reason {
+	switch {
 	case c.Spec.Cost > *e.Values.MaxCost:
 		return TooDear
 	case c.Spec.Quality < *e.Values.QualityTarget:
 		return TooPoor
+	case req.Draw >= c.Spec.Exposure():
+		return OverShare
 	default:
 		return ""
 	}
@@ -164,7 +185,7 @@
 
 // DecideService chooses an endpoint of a plain service's pool.
 func DecideService(dst *Decision, pool string, req *Request, v *View) {
-	*dst = Decision{Endpoint: v.pick(pool, req), Pool: pool, Candidates: dst.Candidates[:0]}
+	*dst = Decision{Endpoint: v.pick(pool, "", req), Pool: pool, Candidates: dst.Candidates[:0]}
 	if dst.Endpoint < 0 {
 		dst.Kind = fault.NoVersion
 	}
