--- a/internal/claims/log.go
+++ b/internal/claims/log.go
@@ -20,24 +20,20 @@
 	"github.com/traildrift/traildrift/internal/assert"
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/claim"
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
 )
 
 // Kind is the kind of the slices' objects.
 const Kind = "claims"
 
-// Err is a sentinel of this package.
-type Err string
-
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
-
 const (
 	// ErrNotWritten says that the claim is not in the log and will not be.
-	ErrNotWritten Err = "claims: the platform did not take the claim"
+	ErrNotWritten fault.Const = "claims: the platform did not take the claim"
 	// ErrDoubt says that the claim may be in the log, now or later.
-	ErrDoubt Err = "claims: the claim may have been taken"
+	ErrDoubt fault.Const = "claims: the claim may have been taken"
 )
 
 const (
@@ -137,27 +133,13 @@
 		case <-ctx.Done():
 			return nil
 		case o := <-b.ops:
-			waitUntil(ctx, b.nextWrite)
+			tasks.Pause(ctx, b.nextWrite)
 			l.commit(ctx, b, b.gather(o))
 			b.nextWrite = writeGap.After(time.Now())
 		}
 	}
 }
 
-// waitUntil returns at t, or when ctx is done.
-func waitUntil(ctx context.Context, t time.Time) {
-	left := time.Until(t)
-	if left <= 0 {
-		return
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // gather takes everything that waits, up to the size of a batch.
 func (b *bucket) gather(first *op) []*op {
 	ops := []*op{first}
--- a/internal/desk/wait.go
+++ b/internal/desk/wait.go
@@ -14,12 +14,14 @@
 
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/seal"
 )
 
 // waitPoll is how often processes that lag are asked again.
-const waitPoll = 100 * time.Millisecond
+const waitPoll = config.Span(100 * time.Millisecond)
 
 // Wait returns once every live VM's process reports the revision, or an error
 // that names those that do not by the deadline of ctx.
@@ -30,11 +32,8 @@
 		if err == nil && len(lagging) == 0 {
 			return nil
 		}
-		t := time.NewTimer(waitPoll)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		tasks.Pause(ctx, waitPoll.After(time.Now()))
+		if ctx.Err() != nil {
 			if err != nil {
 				return errors.Wrap(err, "the VM list does not answer")
 			}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -24,10 +23,10 @@
 	"github.com/traildrift/traildrift/internal/proc"
 	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/bill"
 	"github.com/traildrift/traildrift/pkg/config"
-	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/trail"
 )
 
@@ -182,7 +181,7 @@
 func (e *Entry) stop(kill context.Context, http *fasthttp.Server) error {
 	e.stopping.Store(true)
 	e.Log.Info("entry: Stopping.", zap.Int64("underWay", e.under.Load()))
-	pause(kill, readyLag.After(time.Now()))
+	tasks.Pause(kill, readyLag.After(time.Now()))
 	if err := http.ShutdownWithContext(kill); err != nil {
 		return errors.Wrapf(err, "entry: %d requests were cut off", e.under.Load())
 	}
@@ -190,7 +189,7 @@
 		if kill.Err() != nil {
 			return errors.Newf("entry: %d requests were cut off", e.under.Load())
 		}
-		pause(kill, stopPoll.After(time.Now()))
+		tasks.Pause(kill, stopPoll.After(time.Now()))
 	}
 	if err := e.Quiet(kill); err != nil {
 		return err
@@ -200,161 +199,3 @@
 
 // stopPoll is how often a stopping entry looks whether all are answered.
 const stopPoll = config.Span(20 * time.Millisecond)
-
-// pause returns at t, or when ctx is done.
-func pause(ctx context.Context, t time.Time) {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// serve takes one parsed call through to its answer.
-func (e *Entry) serve(ctx *fasthttp.RequestCtx, call wire.Call, key string) {
-	e.catchUp()
-	eff := e.Holder.Current().Effective(call.Workspace, call.Workload, call.District)
-	if err := e.admit(&call, eff); err != nil {
-		r := e.newRequest(call, key)
-		e.finish(r, 0, err)
-		e.answer(ctx, r, func() {})
-		return
-	}
-	leave := func() { e.limits.leave(call.Workspace) }
-	r, err := e.place(call, key, eff)
-	if err != nil {
-		leave()
-		e.refuse(ctx, err)
-		return
-	}
-	e.answer(ctx, r, leave)
-}
-
-const (
-	// hearWithin is how long settings count as heard of; heartbeats confirm
-	// them far more often, unless this process was frozen or is cut off.
-	hearWithin = config.Span(3 * time.Second)
-	// catchUpWithin bounds the wait for a peer's word before a request is
-	// decided without it.
-	catchUpWithin = config.Span(500 * time.Millisecond)
-)
-
-// catchUp asks the peers before a request is decided, if nothing was heard of
-// the settings for long: a process that was frozen finds out here.
-func (e *Entry) catchUp() {
-	now := e.Now()
-	if now.Before(hearWithin.After(e.Holder.HeardAt())) {
-		return
-	}
-	e.peers.pokeAll()
-	deadline := catchUpWithin.After(now)
-	for e.Now().Before(deadline) && e.Holder.HeardAt().Before(now) {
-		pause(e.kill, stopPoll.After(time.Now()))
-	}
-}
-
-// admit checks what needs no endpoint: cutover and limits. A call that it lets
-// in counts as under way until its caller is answered.
-func (e *Entry) admit(call *wire.Call, eff *config.Effective) *fault.Error {
-	if !*eff.Values.Enabled {
-		return fault.New(fault.NotCutOver, fault.NotRun, "Requests are not served here: enabled is false at %q.", eff.Setting("enabled").Origin.Path)
-	}
-	return e.limits.enter(e.Now(), call.Workspace, &eff.Values)
-}
-
-// place starts the call's request, or finds the one that a key names.
-func (e *Entry) place(call wire.Call, key string, eff *config.Effective) (*request, *fault.Error) {
-	if isTicket(key) {
-		return e.placeTicket(call, key)
-	}
-	if key != "" && !*eff.Values.Repeatable {
-		return e.placeClaimed(call, key)
-	}
-	r := e.newRequest(call, key)
-	if err := e.start(r); err != nil {
-		e.finish(r, 0, err)
-	}
-	return r, nil
-}
-
-// start runs a request in the bounded pool.
-func (e *Entry) start(r *request) *fault.Error {
-	return e.submit(func() { e.run(r) })
-}
-
-// submit runs a task in the bounded pool; it counts as under way.
-func (e *Entry) submit(task func()) *fault.Error {
-	e.under.Add(1)
-	err := e.runs.Submit(func() {
-		defer e.under.Add(-1)
-		task()
-	})
-	if err == nil {
-		return nil
-	}
-	e.under.Add(-1)
-	return fault.New(fault.Overloaded, fault.NotRun, "The entry has too many requests under way.").At(comeBackAfter.After(e.Now()))
-}
-
-// explain returns the trail record of a recent request as JSON.
-func (e *Entry) explain(requestID string) ([]byte, bool) {
-	rec, ok := e.recent.get(requestID)
-	if !ok {
-		return nil, false
-	}
-	rec.Fill()
-	body, err := json.Marshal(rec)
-	return body, err == nil
-}
-
-// dumped is what the dump shows of an entry.
-type dumped struct {
-	UnderWay  int64        `json:"underWay"`
-	Stopping  bool         `json:"stopping"`
-	Watching  bool         `json:"watching"`
-	Endpoints []dumpedPeer `json:"endpoints"`
-	BillsHeld int          `json:"billsHeld"`
-	BillsLost int64        `json:"billsLost"`
-	TrailHeld int          `json:"trailHeld"`
-	TrailLost int64        `json:"trailLost"`
-	Keys      int          `json:"keys"`
-	KeysBytes int          `json:"keysBytes"`
-	Claims    int64        `json:"claims"`
-	ClaimPuts int64        `json:"claimPuts"`
-}
-
-type dumpedPeer struct {
-	VM        string    `json:"vm"`
-	Pool      string    `json:"pool"`
-	Linked    bool      `json:"linked"`
-	Usable    bool      `json:"usable"`
-	Sent      int       `json:"sent"`
-	SuspectAt time.Time `json:"suspectAt"`
-	Load      wire.Load `json:"load"`
-}
-
-func (e *Entry) state() any {
-	d := dumped{UnderWay: e.under.Load(), Stopping: e.stopping.Load(), Watching: e.peers.watching()}
-	d.BillsHeld, d.BillsLost = e.bills.Held()
-	d.TrailHeld, d.TrailLost = e.trail.Held()
-	d.Keys, d.KeysBytes = e.keyed.count()
-	d.Claims, d.ClaimPuts = e.claims.Claims.Load(), e.claims.Writes.Load()
-	_, list := e.peers.view(e.Now())
-	for _, p := range list {
-		p.mu.Lock()
-		d.Endpoints = append(d.Endpoints, dumpedPeer{p.vm.Name, p.vm.Pool, p.conn != nil, p.usable(e.Now()), p.sent, p.suspectAt, p.load})
-		p.mu.Unlock()
-	}
-	return d
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/traildrift/traildrift/internal/link"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
@@ -32,7 +33,7 @@
 	l.mu.Lock()
 	c, ok := l.byAddr[addr]
 	l.mu.Unlock()
-	if ok && !isDone(c.Done()) && (incarnation == "" || c.Peer.Incarnation == incarnation) {
+	if ok && !tasks.IsDone(c.Done()) && (incarnation == "" || c.Peer.Incarnation == incarnation) {
 		return c, nil
 	}
 	c, err := local.Dial(ctx, addr)
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
@@ -209,7 +210,7 @@
 // sweep looks through the kept answers until ctx is done.
 func (e *Entry) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, sweepEvery.After(time.Now()))
+		tasks.Pause(ctx, sweepEvery.After(time.Now()))
 		e.keyed.sweep(e.Now(), e.age())
 	}
 	return nil
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,47 +12,20 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
-	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/route"
 )
 
-// peer is one endpoint VM that the entry keeps a link to.
-type peer struct {
-	vm store.VM
-	mu sync.Mutex
-	// conn is the open link; nil without one.
-	conn *link.Conn
-	// load is what the guard last said.
-	load wire.Load
-	// suspectAt is when the endpoint counts as silent; it moves with every
-	// answered heartbeat.
-	suspectAt time.Time
-	// sent counts this entry's runs there that are not ended.
-	sent int
-	// settled lists runs whose bill is confirmed, for the next heartbeat.
-	settled []wire.RunKey
-	// opened is closed and replaced when a link opens.
-	opened chan struct{}
-	// poke asks for a heartbeat at once.
-	poke chan struct{}
-	// tried says that a link was tried once.
-	tried bool
-	// gone is done when the VM is not to be linked to any more.
-	gone context.Context
-	drop context.CancelFunc
-	// ended is closed when the peer's goroutine has ended.
-	ended chan struct{}
-}
-
 // peers keeps the links of an entry in step with the VM list.
 type peers struct {
 	e  *Entry
 	mu sync.Mutex
 	// byVM holds the peers by VM name.
 	byVM map[string]*peer
+	// retired holds the peers that get no new work but still have a run.
+	retired []*peer
 	// entries holds the live entry VMs as last listed.
 	entries []store.VM
 	// endpoints holds the live endpoint VMs by name as last listed.
@@ -67,7 +40,7 @@
 // follow reads the VM list until ctx is done.
 func (ps *peers) follow(ctx context.Context) error {
 	defer ps.dropAll()
-	for {
+	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listWithin)
 		vms, err := ps.e.VMs.List(call)
 		cancel()
@@ -76,14 +49,9 @@
 		} else {
 			ps.e.Log.Warn("peers: The VM list does not answer.", logs.Err(err))
 		}
-		t := time.NewTimer(time.Until(ps.e.settings.ListEvery.After(time.Now())))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return nil
-		}
+		tasks.Pause(ctx, ps.e.settings.ListEvery.After(time.Now()))
 	}
+	return nil
 }
 
 // update links to the chosen subset of every pool and drops the rest.
@@ -101,10 +69,11 @@
 	}
 	for name, p := range ps.byVM {
 		if vm, ok := wanted[name]; !ok || vm.Link != p.vm.Link {
-			p.drop()
+			ps.retired = append(ps.retired, p)
 			delete(ps.byVM, name)
 		}
 	}
+	ps.retired = slices.DeleteFunc(ps.retired, (*peer).dropIfIdle)
 	for name, vm := range wanted {
 		if _, ok := ps.byVM[name]; !ok {
 			ps.byVM[name] = ps.start(ctx, vm)
@@ -160,36 +129,12 @@
 		p.drop()
 		<-p.ended
 	}
-	clear(ps.byVM)
-}
-
-// redialAfter is how long a broken link waits before it is opened again.
-const redialAfter = 200 * time.Millisecond
-
-// keep holds a link to p open and beats on it until ctx is done.
-func (ps *peers) keep(ctx context.Context, p *peer) {
-	for ctx.Err() == nil {
-		c, err := ps.e.Local.Dial(ctx, p.vm.Link)
-		if err == nil {
-			p.open(c)
-			ps.beatOn(ctx, p, c)
-			p.close(c)
-			c.Close()
-		}
-		p.setTried()
-		t := time.NewTimer(redialAfter)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+	for _, p := range ps.retired {
+		p.drop()
+		<-p.ended
 	}
-}
-
-func (p *peer) setTried() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.tried = true
+	clear(ps.byVM)
+	ps.retired = nil
 }
 
 // ready reports whether the VM list was read and every link was tried.
@@ -207,134 +152,6 @@
 	return ps.listed
 }
 
-func (p *peer) open(c *link.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conn = c
-	close(p.opened)
-	p.opened = make(chan struct{})
-}
-
-func (p *peer) close(c *link.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == c {
-		p.conn = nil
-	}
-}
-
-// beatOn sends heartbeats over c until it breaks or ctx is done.
-func (ps *peers) beatOn(ctx context.Context, p *peer, c *link.Conn) {
-	for {
-		if !ps.beat(ctx, p, c) {
-			return
-		}
-		t := time.NewTimer(time.Until(ps.e.settings.BeatEvery.After(time.Now())))
-		select {
-		case <-t.C:
-		case <-p.poke:
-		case <-c.Done():
-		case <-ctx.Done():
-		}
-		t.Stop()
-		if ctx.Err() != nil || isDone(c.Done()) {
-			return
-		}
-	}
-}
-
-func isDone(ch <-chan struct{}) bool {
-	select {
-	case <-ch:
-		return true
-	default:
-		return false
-	}
-}
-
-// beat sends one heartbeat and reports false when the link is of no more use.
-func (ps *peers) beat(ctx context.Context, p *peer, c *link.Conn) bool {
-	p.mu.Lock()
-	settled := p.settled
-	p.settled = nil
-	released := p.load.Leaving && p.sent == 0
-	p.mu.Unlock()
-	call, cancel := context.WithDeadline(ctx, ps.e.settings.SuspectAfter.After(time.Now()))
-	defer cancel()
-	var reply wire.BeatReply
-	err := c.Call(call, wire.MethodBeat, wire.Beat{Stamp: ps.e.Stamp(), Settled: settled, Released: released}, &reply)
-	if err != nil {
-		p.mu.Lock()
-		p.settled = append(settled, p.settled...)
-		p.mu.Unlock()
-		return false
-	}
-	ps.e.Holder.Newer(ctx, c, reply.Revision)
-	if reply.Revision == ps.e.Holder.Revision() {
-		ps.e.Holder.Heard()
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.tried = true
-	p.setLoad(reply.Load)
-	p.suspectAt = ps.e.settings.SuspectAfter.After(ps.e.Now())
-	return true
-}
-
-// setLoad takes over what the guard says; p.mu is held. A guard that leaves is
-// told at once when this entry has no run there.
-func (p *peer) setLoad(l wire.Load) {
-	news := l.Leaving && !p.load.Leaving
-	p.load = l
-	if news && p.sent == 0 {
-		p.pokeNow()
-	}
-}
-
-func (p *peer) pokeNow() {
-	select {
-	case p.poke <- struct{}{}:
-	default:
-	}
-}
-
-// begin counts a run that is about to be sent and returns the link for it, or
-// nil if none may be sent.
-func (p *peer) begin() *link.Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == nil || p.load.Leaving {
-		return nil
-	}
-	p.sent++
-	return p.conn
-}
-
-// done uncounts a run.
-func (p *peer) done() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sent--
-	if p.sent == 0 && p.load.Leaving {
-		p.pokeNow()
-	}
-}
-
-// handleLoad takes the load that a guard tells at once.
-func (e *Entry) handleLoad(c *link.Conn, n wire.LoadNotice) {
-	e.peers.mu.Lock()
-	p, ok := e.peers.byVM[c.Peer.VM]
-	e.peers.mu.Unlock()
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == c {
-		p.setLoad(n.Load)
-	}
-}
-
 // pokeAll asks every link for a heartbeat at once, so that a new revision
 // spreads.
 func (ps *peers) pokeAll() {
@@ -345,11 +162,6 @@
 	}
 }
 
-// usable reports whether p may get new work; p.mu is held.
-func (p *peer) usable(now time.Time) bool {
-	return p.conn != nil && !p.load.Leaving && !p.load.Down && now.Before(p.suspectAt)
-}
-
 // view returns the endpoints for a decision, and their peers in the same
 // order: by VM name, so that a decision can be replayed.
 func (ps *peers) view(now time.Time) (route.View, []*peer) {
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -7,10 +7,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -117,72 +114,6 @@
 	return e.running, e.waiting
 }
 
-// loadReport is what an engine says of itself.
-type loadReport struct {
-	Running  int      `json:"running"`
-	Waiting  int      `json:"waiting"`
-	Versions []string `json:"versions,omitempty"`
-}
-
-// Loaded lists the versions that are loaded.
-func (e *Engine) Loaded() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]string(nil), e.loaded...)
-}
-
-// Orders returns how many orders were taken.
-func (e *Engine) Orders() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.orders
-}
-
-// order loads a version; an order with an older fence is refused.
-func (e *Engine) order(ctx *fasthttp.RequestCtx) {
-	var o struct {
-		Fence int64  `json:"fence"`
-		Model string `json:"model"`
-	}
-	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
-		ctx.Error("broken JSON", fasthttp.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	old := o.Fence < e.fence && !e.opts.Unfenced
-	e.fence = max(e.fence, o.Fence)
-	known := slices.Contains(e.loaded, o.Model)
-	e.mu.Unlock()
-	if old {
-		ctx.Error("an older order", fasthttp.StatusConflict)
-		return
-	}
-	if !known && e.opts.Weights != nil && !e.opts.Weights(o.Model) {
-		ctx.Error("no weights", fasthttp.StatusServiceUnavailable)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.orders++
-	if !slices.Contains(e.loaded, o.Model) {
-		e.loaded = append(e.loaded, o.Model)
-	}
-}
-
-// ChatRequest is the body of a chat completion.
-type ChatRequest struct {
-	Model     string    `json:"model"`
-	Messages  []Message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	Stream    bool      `json:"stream"`
-}
-
-// Message is one message of a chat.
-type Message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 // Handle serves one HTTP call.
 func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
 	if e.serve(ctx) {
@@ -345,69 +276,3 @@
 		return false
 	}
 }
-
-// defaultWords is how many words an answer has without max_tokens.
-const defaultWords = 16
-
-// Words returns the answer to a request, word by word: a function of its model
-// and last message, so that a caller can check that the answer is its own.
-func Words(req ChatRequest) []string {
-	n := req.MaxTokens
-	if n <= 0 {
-		n = defaultWords
-	}
-	h := fnv.New32a()
-	if len(req.Messages) > 0 {
-		_, _ = h.Write([]byte(req.Messages[len(req.Messages)-1].Content))
-	}
-	words := make([]string, n)
-	for i := range words {
-		words[i] = fmt.Sprintf("%08x-%d ", h.Sum32(), i)
-	}
-	return words
-}
-
-// promptTokens counts the words of a prompt.
-func promptTokens(req ChatRequest) int {
-	n := 0
-	for _, m := range req.Messages {
-		n += len(strings.Fields(m.Content))
-	}
-	return n
-}
-
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
-}
-
-func usageOf(req ChatRequest, words int) usage {
-	p := promptTokens(req)
-	return usage{PromptTokens: p, CompletionTokens: words, TotalTokens: p + words}
-}
-
-func sseChunk(model, word string) []byte {
-	return fmt.Appendf(nil, "data: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", model, word)
-}
-
-func sseUsage(req ChatRequest, words int) []byte {
-	u, _ := json.Marshal(usageOf(req, words))
-	return fmt.Appendf(nil, "data: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[],\"usage\":%s}\n\n", req.Model, u)
-}
-
-func wholeAnswer(req ChatRequest, words []string) []byte {
-	type choice struct {
-		Index        int     `json:"index"`
-		Message      Message `json:"message"`
-		FinishReason string  `json:"finish_reason"`
-	}
-	body, _ := json.Marshal(struct {
-		Object  string   `json:"object"`
-		Model   string   `json:"model"`
-		Choices []choice `json:"choices"`
-		Usage   usage    `json:"usage"`
-	}{"chat.completion", req.Model,
-		[]choice{{0, Message{Role: "assistant", Content: strings.Join(words, "")}, "stop"}}, usageOf(req, len(words))})
-	return body
-}
--- a/internal/gauge/capacity.go
+++ b/internal/gauge/capacity.go
@@ -14,6 +14,7 @@
 
 	"github.com/traildrift/traildrift/internal/drive"
 	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -45,14 +46,14 @@
 }
 
 func measureQuiet(ctx context.Context, f *rig.Fleet) (entry, guard quiet, calls map[string]float64, err error) {
-	rest(ctx, settleFor)
+	tasks.Pause(ctx, time.Now().Add(settleFor))
 	before, err := usages(f)
 	if err != nil {
 		return
 	}
 	callsBefore, _ := f.Objects.Calls()
 	start := time.Now()
-	rest(ctx, measureFor)
+	tasks.Pause(ctx, time.Now().Add(measureFor))
 	after, err := usages(f)
 	if err != nil {
 		return
--- a/internal/gauge/path.go
+++ b/internal/gauge/path.go
@@ -4,7 +4,6 @@
 package gauge
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -180,13 +179,3 @@
 	}
 	return out, nil
 }
-
-// rest waits for a length of time, or until ctx is done.
-func rest(ctx context.Context, s time.Duration) {
-	t := time.NewTimer(s)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gauge/recovery.go
+++ b/internal/gauge/recovery.go
@@ -13,6 +13,7 @@
 
 	"github.com/traildrift/traildrift/internal/drive"
 	"github.com/traildrift/traildrift/internal/rig"
+	"github.com/traildrift/traildrift/internal/tasks"
 )
 
 // recoveryRate is the rate of requests while processes are killed, a second.
@@ -111,13 +112,13 @@
 		l.Run(ctx)
 	}()
 	for _, s := range steps {
-		rest(ctx, time.Second)
+		tasks.Pause(ctx, time.Now().Add(time.Second))
 		seen.take()
 		start := time.Now()
 		if err := s.do(); err != nil {
 			return err
 		}
-		rest(ctx, recoveryStep-time.Since(start)-time.Second)
+		tasks.Pause(ctx, time.Now().Add(recoveryStep-time.Since(start)-time.Second))
 		got := seen.take()
 		noticed := time.Duration(0)
 		if !got.last.IsZero() {
@@ -143,7 +144,7 @@
 func killed(ctx context.Context, n *rig.Node) func() error {
 	return func() error {
 		n.Kill()
-		rest(ctx, awayFor)
+		tasks.Pause(ctx, time.Now().Add(awayFor))
 		return n.Start()
 	}
 }
@@ -151,7 +152,7 @@
 func frozen(ctx context.Context, n *rig.Node) func() error {
 	return func() error {
 		n.Freeze()
-		rest(ctx, awayFor)
+		tasks.Pause(ctx, time.Now().Add(awayFor))
 		n.Thaw()
 		return nil
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -19,6 +18,7 @@
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/proc"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/admit"
 	"github.com/traildrift/traildrift/pkg/bill"
@@ -87,15 +87,6 @@
 	released bool
 }
 
-// unbilled is a bill line that waits for its entry.
-type unbilled struct {
-	line bill.Line
-	// entry is the link of the entry that should bill it.
-	entry *link.Conn
-	// writeAt is when the guard writes it itself.
-	writeAt time.Time
-}
-
 // counts are the guard's metrics.
 type counts struct {
 	started, refused, tombstones, duplicates tally.Counter
@@ -176,60 +167,6 @@
 	return err
 }
 
-// leave refuses everything that has no slot yet.
-func (g *Guard) leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.leaving = true
-	for _, r := range g.runs {
-		if r.phase == phaseQueued && g.queue.Remove(r.queueID()) {
-			g.tombstone(r, g.refusal(fault.Stopping, "The endpoint is leaving."))
-		}
-	}
-	g.Log.Info("guard: Leaving.", zap.Int("running", g.queue.Running()))
-	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.load()}
-	for _, l := range g.links {
-		if l.conn.Peer.Role == store.RoleEntry {
-			go func() { _ = l.conn.Notify(g.kill, wire.MethodLoad, notice) }()
-		}
-	}
-}
-
-// drain waits for the running runs and writes the bills.
-func (g *Guard) drain(kill context.Context) error {
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
-	linger := lingerFor.After(time.Now())
-	for {
-		running, linked := g.busy()
-		if running > 0 {
-			linger = lingerFor.After(time.Now())
-		} else if linked == 0 || time.Now().After(linger) {
-			break
-		}
-		select {
-		case <-tick.C:
-		case <-kill.Done():
-			return errors.Newf("guard: %d runs were cut off", running)
-		}
-	}
-	g.billNow()
-	return g.bills.Flush(kill)
-}
-
-// busy returns how many runs have a slot, and how many entries may still send
-// one.
-func (g *Guard) busy() (running, linked int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, l := range g.links {
-		if !l.released && !isDone(l.conn.Done()) && l.conn.Peer.Role == store.RoleEntry {
-			linked++
-		}
-	}
-	return g.queue.Running(), linked
-}
-
 // tick looks at deadlines until ctx is done.
 func (g *Guard) tick(ctx context.Context) error {
 	t := time.NewTicker(tickEvery)
@@ -255,13 +192,13 @@
 	}
 	g.admitNext(g.queue.Next(now, nil))
 	g.forget(now)
-	maps.DeleteFunc(g.links, func(_ string, l *peerLink) bool { return isDone(l.conn.Done()) })
+	maps.DeleteFunc(g.links, func(_ string, l *peerLink) bool { return tasks.IsDone(l.conn.Done()) })
 	for key, u := range g.unbilled {
 		if now.After(u.writeAt) {
 			g.billLocked(key, u.line)
 			continue
 		}
-		if at := orphanAfter.After(now); isDone(u.entry.Done()) && at.Before(u.writeAt) {
+		if at := orphanAfter.After(now); tasks.IsDone(u.entry.Done()) && at.Before(u.writeAt) {
 			u.writeAt = at
 			g.unbilled[key] = u
 		}
@@ -270,35 +207,6 @@
 	g.counts.queued.Update(float64(g.queue.Waiting()))
 }
 
-// billNow writes every line that no entry has confirmed.
-func (g *Guard) billNow() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for key, u := range g.unbilled {
-		g.billLocked(key, u.line)
-	}
-}
-
-func (g *Guard) billLocked(key wire.RunKey, line bill.Line) {
-	if !g.bills.Add(line) {
-		return
-	}
-	delete(g.unbilled, key)
-	if r, ok := g.runs[key]; ok {
-		r.billed = true
-	}
-}
-
-// settle notes that the entry has billed a run, and gives up its answer, which
-// the entry had whole; g.mu is held.
-func (g *Guard) settle(key wire.RunKey) {
-	delete(g.unbilled, key)
-	if r, ok := g.runs[key]; ok {
-		r.settled = true
-		r.buf.Release()
-	}
-}
-
 // watchEndpoint tries the endpoint until ctx is done.
 func (g *Guard) watchEndpoint(ctx context.Context) error {
 	t := time.NewTicker(aliveEvery)
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -208,7 +208,7 @@
 		Stamp: wire.Stamp{Revision: revision},
 		Key:   wire.RunKey{RunID: id, Attempt: 1},
 		Guard: b.g.Identity.Incarnation,
-		Work:  wire.Work{Workspace: "w", Workload: "l", Model: "m", Version: "1", Repeatable: true, Deadline: time.Now().Add(20 * time.Second)},
+		Work:  wire.Work{Call: wire.Call{Workspace: "w", Workload: "l", Model: "m", Deadline: time.Now().Add(20 * time.Second)}, Version: "1", Repeatable: true},
 	}
 	var reply wire.RunReply
 	if err := c.Call(context.Background(), wire.MethodRun, p, &reply); err != nil {
@@ -345,8 +345,12 @@
 	lose = b.dial(t)
 	lost := b.later(t, lose, "orphan")
 	b.waitQueued(t, 1)
+	b.g.mu.Lock()
+	noticed := b.g.links["entry-2"].conn.Done()
+	b.g.mu.Unlock()
 	lose.Close()
 	<-lost
+	<-noticed
 	close(b.engine.release)
 	check(t, "the first", <-first, "", "")
 	check(t, "asked about the orphan", b.ask(t, b.dial(t), "orphan", b.g.Identity.Incarnation, 0), fault.EndpointLost, fault.NotRun)
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -11,6 +11,7 @@
 
 	"github.com/traildrift/traildrift/internal/assert"
 	"github.com/traildrift/traildrift/internal/link"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/admit"
 	"github.com/traildrift/traildrift/pkg/bill"
@@ -169,7 +170,7 @@
 	case refused != nil:
 	case r.ctx.Err() != nil:
 		refused = fault.New(fault.DeadlinePassed, fault.NotRun, "The run was given up before it started.")
-	case isDone(r.owner.Done()):
+	case tasks.IsDone(r.owner.Done()):
 		refused = fault.New(fault.EndpointLost, fault.NotRun, "Nobody follows the run any more.")
 	case g.leaving:
 		refused = fault.New(fault.Stopping, fault.NotRun, "The endpoint is leaving.")
@@ -185,15 +186,6 @@
 	return true
 }
 
-func isDone(ch <-chan struct{}) bool {
-	select {
-	case <-ch:
-		return true
-	default:
-		return false
-	}
-}
-
 // end records how a run ended, holds its bill line and frees its slot.
 func (g *Guard) end(r *record, usage wire.Usage, err *fault.Error) {
 	g.mu.Lock()
@@ -262,7 +254,7 @@
 		return r, wire.RunReply{}
 	}
 	g.counts.tombstones.Inc(1)
-	r := g.newRecord(p.Key, wire.Work{Deadline: p.Deadline}, c)
+	r := g.newRecord(p.Key, wire.Work{Call: wire.Call{Deadline: p.Deadline}}, c)
 	r.cancel()
 	g.tombstone(r, g.refusal(fault.EndpointLost, "The run never arrived and is closed."))
 	reply := r.reply
@@ -278,36 +270,3 @@
 		r.cancel()
 	}
 }
-
-// dumped is what the dump shows of a guard.
-type dumped struct {
-	Load     wire.Load   `json:"load"`
-	Runs     []dumpedRun `json:"runs"`
-	Unbilled int         `json:"unbilled"`
-	Held     int         `json:"billsHeld"`
-	Links    int         `json:"links"`
-}
-
-type dumpedRun struct {
-	RunID    string    `json:"runID"`
-	Phase    phase     `json:"phase"`
-	Deadline time.Time `json:"deadline"`
-	Bytes    int       `json:"bytes"`
-}
-
-// dumpedRuns bounds the runs that a dump shows.
-const dumpedRuns = 100
-
-func (g *Guard) state() any {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	held, _ := g.bills.Held()
-	d := dumped{Load: g.load(), Unbilled: len(g.unbilled), Held: held, Links: len(g.links)}
-	for _, r := range g.runs {
-		if len(d.Runs) == dumpedRuns {
-			break
-		}
-		d.Runs = append(d.Runs, dumpedRun{runID(r.key), r.phase, r.work.Deadline, r.buf.Len()})
-	}
-	return d
-}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -18,6 +18,7 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -34,7 +35,7 @@
 	// limit.
 	bytesMost = store.MaxValue * 9 / 10
 	// waitAfterError is how long a failed write waits before it is repeated.
-	waitAfterError = time.Second
+	waitAfterError = config.Span(time.Second)
 	// putWithin bounds one write.
 	putWithin = 5 * time.Second
 )
@@ -154,7 +155,7 @@
 			return errors.Wrapf(ctx.Err(), "ledger: %d records of %s are not written", held, w.opts.Kind)
 		}
 		if !w.writeOne(ctx) {
-			wait(ctx, waitAfterError)
+			tasks.Pause(ctx, waitAfterError.After(time.Now()))
 		}
 	}
 }
@@ -225,12 +226,3 @@
 		w.opts.OnWritten(batch)
 	}
 }
-
-func wait(ctx context.Context, s time.Duration) {
-	t := time.NewTimer(s)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -26,21 +26,15 @@
 	"github.com/traildrift/traildrift/pkg/seal"
 )
 
-// Err is a sentinel of this package.
-type Err string
-
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
-
 // Errors of this package.
 const (
 	// ErrBroken says that the link ended before the answer; whether the
 	// other side got the message is not known.
-	ErrBroken Err = "link: the link is broken"
+	ErrBroken fault.Const = "link: the link is broken"
 	// ErrFrame says that a frame was over the limit.
-	ErrFrame Err = "link: a frame is too large"
+	ErrFrame fault.Const = "link: a frame is too large"
 	// ErrProof says that the other side does not hold the link key.
-	ErrProof Err = "link: the other side does not prove the link key"
+	ErrProof fault.Const = "link: the other side does not prove the link key"
 )
 
 const (
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -21,7 +21,6 @@
 	"github.com/traildrift/traildrift/internal/drive"
 	"github.com/traildrift/traildrift/internal/fakes"
 	"github.com/traildrift/traildrift/internal/proc"
-	"github.com/traildrift/traildrift/internal/spread"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/seal"
@@ -267,55 +266,6 @@
 	return n.Start()
 }
 
-// Bodies counts how often each body was really lodged, over all services.
-func (f *Fleet) Bodies() map[string]int {
-	out := make(map[string]int)
-	for _, p := range f.Plains {
-		for body, n := range p.Bodies() {
-			out[body] += n
-		}
-	}
-	return out
-}
-
-// EngineRuns counts how often each run was really run, over all engines.
-func (f *Fleet) EngineRuns() map[string]int {
-	out := make(map[string]int)
-	for _, e := range f.Engines {
-		for run, n := range e.Runs() {
-			out[run] += n
-		}
-	}
-	return out
-}
-
-// ModelRuns counts the runs of a model@version that were begun.
-func (f *Fleet) ModelRuns(model string) int {
-	n := 0
-	for _, e := range f.Engines {
-		n += e.ModelRuns(model)
-	}
-	return n
-}
-
-// Revision returns the revision that was accepted last.
-func (f *Fleet) Revision() (int64, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
-	defer cancel()
-	head, _, err := spread.ReadHead(ctx, f.Store)
-	return head.Revision, err
-}
-
-// Holder returns the guard whose service has lodged a body, or nil.
-func (f *Fleet) Holder(body string) *Node {
-	for _, n := range f.Guards {
-		if p := f.Plains[n.VM.Name]; p != nil && p.Bodies()[body] > 0 {
-			return n
-		}
-	}
-	return nil
-}
-
 // SetState changes the state of a VM in the VM list.
 func (f *Fleet) SetState(vm, state string) {
 	for i := range f.vms {
--- a/internal/rig/once_test.go
+++ b/internal/rig/once_test.go
@@ -381,3 +381,14 @@
 		expectLodged(t, f, key(i), 1)
 	}
 }
+
+// TestGuardSilent cuts the link to the guard for good while the service works:
+// the caller hears in a few seconds that the request may have run.
+func TestGuardSilent(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: slowRegister("100ms")})
+	lost := send(f, 0, note("", "silent"))
+	guard := lodged(t, f, "silent")
+	f.Relays[guard.VM.Name].Cut()
+	expect(t, "after the cut", <-lost, "endpointLost/mayHaveRun")
+	expectLodged(t, f, "silent", 1)
+}
--- a/internal/rolls/driver.go
+++ b/internal/rolls/driver.go
@@ -17,6 +17,7 @@
 	"github.com/traildrift/traildrift/internal/commit"
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/roll"
@@ -115,12 +116,7 @@
 				d.Log.Warn("rollouts: A step was not taken.", logs.Err(err))
 			}
 		}
-		t := time.NewTimer(time.Until(stepEvery.After(time.Now())))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		tasks.Pause(ctx, stepEvery.After(time.Now()))
 	}
 	return nil
 }
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -12,6 +12,7 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -28,10 +29,10 @@
 const watchFor = 4 * time.Second
 
 // pauseAfterError is how long the watcher waits after the platform failed.
-const pauseAfterError = 500 * time.Millisecond
+const pauseAfterError = config.Span(500 * time.Millisecond)
 
 // pauseAfterOld is how long the watcher waits after news that was not new.
-const pauseAfterOld = 100 * time.Millisecond
+const pauseAfterOld = config.Span(100 * time.Millisecond)
 
 // ReadHead returns the head as the platform has it, with its object version;
 // the zero head with version 0 if there is none yet.
@@ -67,13 +68,13 @@
 	version := int64(0)
 	for ctx.Err() == nil {
 		if !watching() {
-			sleep(ctx, pauseAfterError)
+			tasks.Pause(ctx, pauseAfterError.After(time.Now()))
 			continue
 		}
 		next, err := h.step(ctx, c, version)
 		if err != nil && ctx.Err() == nil {
 			h.log.Warn("settings: The platform does not answer.", logs.Err(err))
-			sleep(ctx, pauseAfterError)
+			tasks.Pause(ctx, pauseAfterError.After(time.Now()))
 			continue
 		}
 		version = next
@@ -103,7 +104,7 @@
 	if head.Revision <= cur.Head.Revision {
 		// Our own revision, heard of elsewhere before, or a watch that goes
 		// back in time: not to be taken, and not to be spun on.
-		sleep(ctx, pauseAfterOld)
+		tasks.Pause(ctx, pauseAfterOld.After(time.Now()))
 		return o.Version, nil
 	}
 	bodies, err := ReadNodes(ctx, c, cur.Missing(head))
@@ -115,12 +116,3 @@
 	}
 	return o.Version, nil
 }
-
-func sleep(ctx context.Context, s time.Duration) {
-	t := time.NewTimer(s)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -15,30 +15,26 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-)
-
-// Err is a sentinel of this package.
-type Err string
 
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
+	"github.com/traildrift/traildrift/pkg/fault"
+)
 
 // Errors of this package.
 const (
 	// ErrNotFound says that there is no such object.
-	ErrNotFound Err = "store: no such object"
+	ErrNotFound fault.Const = "store: no such object"
 	// ErrConflict says that the object has another version than was named;
 	// nothing was written.
-	ErrConflict Err = "store: the object has another version"
+	ErrConflict fault.Const = "store: the object has another version"
 	// ErrUnchanged says that a watch ended without a change.
-	ErrUnchanged Err = "store: no change"
+	ErrUnchanged fault.Const = "store: no change"
 	// ErrTooLarge says that the value is over the platform's limit.
-	ErrTooLarge Err = "store: the value is too large"
+	ErrTooLarge fault.Const = "store: the value is too large"
 	// ErrUnknown says that a write may or may not have taken effect.
-	ErrUnknown Err = "store: the outcome of the write is not known"
+	ErrUnknown fault.Const = "store: the outcome of the write is not known"
 	// ErrDown says that the platform did not answer, or answered an error,
 	// and nothing was written.
-	ErrDown Err = "store: the platform does not answer"
+	ErrDown fault.Const = "store: the platform does not answer"
 )
 
 // MaxValue is the greatest size of a value, in bytes.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -152,25 +152,11 @@
 
 // Work is what an endpoint is asked to do.
 type Work struct {
-	Workspace string `json:"workspace"`
-	Workload  string `json:"workload"`
-	District  string `json:"district,omitempty"`
-	// Model and Version are empty for a plain service.
-	Model   string `json:"model,omitempty"`
-	Version string `json:"version,omitempty"`
-	// Service is empty for a model.
-	Service string `json:"service,omitempty"`
-	// Method, Path and ContentType are those of the call.
-	Method      string `json:"method"`
-	Path        string `json:"path"`
-	ContentType string `json:"contentType,omitempty"`
-	Body        []byte `json:"body,omitempty"`
-	// Stream asks for the answer in pieces.
-	Stream     bool      `json:"stream,omitempty"`
-	MaxTokens  int       `json:"maxTokens,omitempty"`
-	Priority   string    `json:"priority"`
-	Deadline   time.Time `json:"deadline"`
-	Repeatable bool      `json:"repeatable,omitempty"`
+	// Call is what the caller asked for, with the chosen model.
+	Call
+	// Version is the chosen one; empty for a plain service.
+	Version    string `json:"version,omitempty"`
+	Repeatable bool   `json:"repeatable,omitempty"`
 	// BillID names the line that the run is billed on.
 	BillID string `json:"billID"`
 	// Cost is per million tokens.
@@ -275,20 +261,25 @@
 	Doubt      bool         `json:"doubt,omitempty"`
 }
 
-// Call is a caller's request on its way between entries.
+// Call is a caller's request.
 type Call struct {
-	Workspace   string    `json:"workspace"`
-	Workload    string    `json:"workload"`
-	District    string    `json:"district,omitempty"`
-	Model       string    `json:"model,omitempty"`
-	Session     string    `json:"session,omitempty"`
-	Service     string    `json:"service,omitempty"`
-	Method      string    `json:"method"`
-	Path        string    `json:"path"`
-	ContentType string    `json:"contentType,omitempty"`
-	Body        []byte    `json:"body,omitempty"`
-	Stream      bool      `json:"stream,omitempty"`
-	MaxTokens   int       `json:"maxTokens,omitempty"`
-	Priority    string    `json:"priority,omitempty"`
-	Deadline    time.Time `json:"deadline"`
+	Workspace string `json:"workspace"`
+	Workload  string `json:"workload"`
+	District  string `json:"district,omitempty"`
+	// Model is empty for a plain service, and where the workload leaves it
+	// open; Service is empty for a model.
+	Model   string `json:"model,omitempty"`
+	Service string `json:"service,omitempty"`
+	// Session is the caller's session header.
+	Session string `json:"session,omitempty"`
+	// Method, Path and ContentType are those of the call.
+	Method      string `json:"method"`
+	Path        string `json:"path"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	// Stream asks for the answer in pieces.
+	Stream    bool      `json:"stream,omitempty"`
+	MaxTokens int       `json:"maxTokens,omitempty"`
+	Priority  string    `json:"priority,omitempty"`
+	Deadline  time.Time `json:"deadline"`
 }
--- a/pkg/claim/bucket.go
+++ b/pkg/claim/bucket.go
@@ -6,16 +6,12 @@
 import (
 	"encoding/json"
 	"net/netip"
-)
-
-// Err is a sentinel of this package.
-type Err string
 
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
+	"github.com/traildrift/traildrift/pkg/fault"
+)
 
 // ErrCorrupt says that a slice does not decode.
-const ErrCorrupt Err = "claim: a slice does not decode"
+const ErrCorrupt fault.Const = "claim: a slice does not decode"
 
 // SliceFull is how many records make a slice full. A full slice never grows, so
 // an update carries at most this many records beside its own.
--- a/pkg/config/err.go
+++ b/pkg/config/err.go
@@ -3,16 +3,12 @@
 
 package config
 
-// Err is a sentinel of this package.
-type Err string
-
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
+import "github.com/traildrift/traildrift/pkg/fault"
 
 // Errors of this package.
 const (
-	ErrSpan     Err = "a length of time such as 30s, 1.5h or 200ms is allowed"
-	ErrRevision Err = "config: the revision would go back"
-	ErrMissing  Err = "config: the head names a node that is not at hand"
-	ErrCorrupt  Err = "config: a node does not match its hash"
+	ErrSpan     fault.Const = "a length of time such as 30s, 1.5h or 200ms is allowed"
+	ErrRevision fault.Const = "config: the revision would go back"
+	ErrMissing  fault.Const = "config: the head names a node that is not at hand"
+	ErrCorrupt  fault.Const = "config: a node does not match its hash"
 )
--- a/pkg/roll/board.go
+++ b/pkg/roll/board.go
@@ -6,20 +6,16 @@
 import (
 	"slices"
 	"time"
-)
-
-// Err is a sentinel of this package.
-type Err string
 
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
+	"github.com/traildrift/traildrift/pkg/fault"
+)
 
 // Errors of this package.
 const (
-	ErrExists  Err = "roll: there is a roll-out of this version that has not ended"
-	ErrUnknown Err = "roll: there is no such roll-out"
-	ErrEnded   Err = "roll: the roll-out has ended"
-	ErrWaves   Err = "roll: waves are shares that grow from more than 0 to 1"
+	ErrExists  fault.Const = "roll: there is a roll-out of this version that has not ended"
+	ErrUnknown fault.Const = "roll: there is no such roll-out"
+	ErrEnded   fault.Const = "roll: the roll-out has ended"
+	ErrWaves   fault.Const = "roll: waves are shares that grow from more than 0 to 1"
 )
 
 // State is the state of a roll-out.
--- a/pkg/seal/seal.go
+++ b/pkg/seal/seal.go
@@ -16,20 +16,16 @@
 	"encoding/hex"
 	"encoding/json"
 	"strings"
-)
-
-// Err is a sentinel of this package.
-type Err string
 
-// Error returns the text of the sentinel.
-func (e Err) Error() string { return string(e) }
+	"github.com/traildrift/traildrift/pkg/fault"
+)
 
 // Errors of this package.
 const (
-	ErrMalformed Err = "seal: malformed token"
-	ErrForged    Err = "seal: no key verifies the token"
-	ErrNoKey     Err = "seal: no sealing key"
-	ErrWeakKey   Err = "seal: a key needs at least 16 bytes in hex"
+	ErrMalformed fault.Const = "seal: malformed token"
+	ErrForged    fault.Const = "seal: no key verifies the token"
+	ErrNoKey     fault.Const = "seal: no sealing key"
+	ErrWeakKey   fault.Const = "seal: a key needs at least 16 bytes in hex"
 )
 
 // minKeyBytes is the shortest key that is taken.
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -2,7 +2,7 @@
 """Takes each mechanism away in a scratch copy and sees that its test fails.
 
 docs/PROOFS.md names the mutants. A mutant counts as caught only if the tests
-build and one of them fails, breaks an invariant or hangs. Usage: scripts/mutants.py [NAME ...]
+build and one of them fails, breaks an invariant or hangs. Usage: scripts/mutants.py [--check | NAME ...]
 """
 import concurrent.futures
 import pathlib
@@ -18,27 +18,32 @@
 
 # name: (file, old text, new text, package, tests)
 MUTANTS = {
-    "noClaim": ("internal/entry/entry.go", 'if key != "" && !*eff.Values.Repeatable {', "if false {", "./internal/rig", "TestRepeats"),
+    "noClaim": ("internal/entry/serve.go", 'if key != "" && !*eff.Values.Repeatable {', "if false {", "./internal/rig", "TestRepeats"),
     "claimOwnGeneration": ("pkg/claim/bucket.go", "return r.Generation == old.Generation+1", "return r.Generation <= old.Generation+1", "./internal/claims", "TestOneWinner|TestGenerations"),
     "claimUnconditional": ("internal/claims/log.go", "sliceName(b.n, slice), version, body)", "sliceName(b.n, slice), l.newest(call, b.n, slice), body)", "./internal/claims", "TestOneWinner|TestGenerations"),
     "doubtIsNotWritten": ("internal/claims/log.go", "if o.tried {\n			o.done <- result{err: ErrDoubt}", "if false {\n			o.done <- result{err: ErrDoubt}", "./internal/claims", "TestDoubt"),
     "doubtForgotten": ("internal/entry/keyed.go", "		k.close(run)\n		return", "		k.drop(run)\n		return", "./internal/rig", "TestPlatformDown"),
     "ticketAnywhere": ("internal/entry/ticket.go", "if t.Incarnation == e.Identity.Incarnation {", "if true {", "./internal/rig", "TestRepeats|TestEntryKilled"),
     "keyBindsNothing": ("internal/entry/keyed.go", "case s.body != body:", "case false:", "./internal/rig", "TestRepeats"),
-    "noAsk": ("internal/entry/dispatch.go", "if errors.Is(err, link.ErrBroken) {\n		reply, err = e.ask", "if false {\n		reply, err = e.ask", "./internal/rig", "TestLinkCut"),
-    "brokenIsNotRun": ("internal/entry/dispatch.go", 'return fault.New(fault.EndpointLost, fault.MayHaveRun, "The endpoint was lost while it had the request.")\n}\n', 'return fault.New(fault.EndpointLost, fault.NotRun, "x")\n}\n', "./internal/rig", "TestGuardKilled|TestLinkCut"),
+    "noAsk": ("internal/entry/send.go", "if errors.Is(err, link.ErrBroken) {\n		reply, err = e.ask", "if false {\n		reply, err = e.ask", "./internal/rig", "TestLinkCut"),
+    "restartedIsNotRun": ("internal/entry/send.go", 'fault.MayHaveRun, "The endpoint was restarted while it had the request.")', 'fault.NotRun, "x")', "./internal/rig", "TestGuardKilled"),
+    "silentIsNotRun": ("internal/entry/send.go", """p.link(ctx)
+		if err != nil {
+			return wire.RunReply{}, fault.New(fault.EndpointLost, fault.MayHaveRun,""", """p.link(ctx)
+		if err != nil {
+			return wire.RunReply{}, fault.New(fault.EndpointLost, fault.NotRun,""", "./internal/rig", "TestGuardSilent"),
     "anyIncarnation": ("internal/guard/handle.go", "if p.Guard != g.Identity.Incarnation {\n		return nil, wire", "if false {\n		return nil, wire", "./internal/guard", "TestTombstone"),
-    "noTombstone": ("internal/guard/handle.go", "	r := g.newRecord(p.Key, wire.Work{Deadline: p.Deadline}, c)\n	r.cancel()\n	g.tombstone(r,", "	r := &record{}\n	r.reply = (", "./internal/guard", "TestTombstone"),
+    "noTombstone": ("internal/guard/handle.go", "	r := g.newRecord(p.Key, wire.Work{Call: wire.Call{Deadline: p.Deadline}}, c)\n	r.cancel()\n	g.tombstone(r,", "	r := &record{}\n	r.reply = (", "./internal/guard", "TestTombstone"),
     "noRunRecord": ("internal/guard/handle.go", "if old, ok := g.runs[p.Key]; ok {", "if old, ok := g.runs[p.Key]; ok && false {", "./internal/guard", "TestRunOnce|TestTombstone"),
     "oldLinkTaken": ("internal/guard/handle.go", "if c.Superseded() {", "if false {", "./internal/guard", "TestOldLink"),
-    "orphansRun": ("internal/guard/handle.go", "case isDone(r.owner.Done()):", "case false:", "./internal/guard", "TestOrphan"),
+    "orphansRun": ("internal/guard/handle.go", "case tasks.IsDone(r.owner.Done()):", "case false:", "./internal/guard", "TestOrphan"),
     "queuedVersionKept": ("internal/guard/guard.go", "if refused := g.notAllowed(s, &r.work); refused != nil &&", "if refused := g.notAllowed(s, &r.work); refused != nil && false &&", "./internal/guard", "TestWithdrawn"),
     "guardTrustsEntry": ("internal/guard/handle.go", "return g.notAllowed(g.Holder.Current(), &p.Work)", "return nil", "./internal/guard", "TestWithdrawn"),
     "noCatchingUp": ("internal/link/mux.go", "if p.StampedRevision() > c.local.Revision() && m.Newer != nil {", "if false {", "./internal/guard", "TestWithdrawn"),
     "leavingTakesWork": ("internal/guard/handle.go", "	if g.leaving {\n		return fault", "	if false {\n		return fault", "./internal/guard", "TestLeaving"),
-    "queueKeptWhenLeaving": ("internal/guard/guard.go", "if r.phase == phaseQueued && g.queue.Remove(r.queueID()) {\n			g.tombstone(r, g.refusal(fault.Stopping", "if false {\n			g.tombstone(r, g.refusal(fault.Stopping", "./internal/guard", "TestLeaving"),
-    "stopWaitsForNobody": ("internal/guard/guard.go", "running, linked := g.busy()", "running, linked := 0, 0", "./internal/rig", "TestPlannedStop"),
-    "stopBeforeEntriesKnow": ("internal/guard/guard.go", "} else if linked == 0 ||", "} else if linked >= 0 ||", "./internal/guard", "TestStopWaitsForEntries"),
+    "queueKeptWhenLeaving": ("internal/guard/drain.go", "if r.phase == phaseQueued && g.queue.Remove(r.queueID()) {\n			g.tombstone(r, g.refusal(fault.Stopping", "if false {\n			g.tombstone(r, g.refusal(fault.Stopping", "./internal/guard", "TestLeaving"),
+    "stopWaitsForNobody": ("internal/guard/drain.go", "running, linked := g.busy()", "running, linked := 0, 0", "./internal/rig", "TestPlannedStop"),
+    "stopBeforeEntriesKnow": ("internal/guard/drain.go", "} else if linked == 0 ||", "} else if linked >= 0 ||", "./internal/guard", "TestStopWaitsForEntries"),
     "anyLinkKey": ("internal/link/conn.go", "if !l.Keys.Verifies(proofText(\"answer\"", "if false && !l.Keys.Verifies(proofText(\"answer\"", "./internal/guard", "TestLinkKey"),
     "sessionMoves": ("internal/entry/dispatch.go", "if err := e.sessionOf(r); err != nil {", "if err := e.sessionOf(r); err != nil && false {", "./internal/rig", "TestSession"),
     "anyWorkspacesToken": ("internal/entry/session.go", "if p.Workspace != r.call.Workspace {", "if false {", "./internal/rig", "TestSession"),
@@ -47,17 +52,18 @@
     "billedTwice": ("pkg/bill/line.go", "		byID[l.ID] = join(old, l)", "		byID[l.ID+l.RequestID+l.At.String()] = join(old, l)", "./pkg/bill", "TestFold"),
     "lostLineWrittenAgain": ("internal/ledger/writer.go", 'name := fmt.Sprintf("%s-%08d", w.opts.Prefix, w.seq)', 'name := fmt.Sprintf("%s-%08d-%d", w.opts.Prefix, w.seq, time.Now().UnixNano())', "./internal/ledger", "TestLostAnswers"),
     "guardNeverBills": ("internal/guard/guard.go", "if now.After(u.writeAt) {", "if false {", "./internal/rig", "TestBills"),
-    "ownBillForgets": ("internal/guard/guard.go", "		r.billed = true", "		r.settled = true", "./internal/guard", "TestAskAfterOwnBill"),
+    "ownBillForgets": ("internal/guard/bills.go", "		r.billed = true", "		r.settled = true", "./internal/guard", "TestAskAfterOwnBill"),
     "revisionGoesBack": ("pkg/config/snapshot.go", "if head.Revision <= s.Head.Revision {", "if false {", "./internal/spread", "TestNeverBack"),
     "guardTrustsOrders": ("internal/guard/order.go", "if fence < version || fence < g.fence {", "if false {", "./internal/rig", "TestOldOrder"),
     "rolloutForgetsLimit": ("pkg/roll/step.go", "|| loads >= most {", "{", "./internal/rig", "TestRollout"),
     "shareIgnored": ("pkg/route/decide.go", "case req.Draw >= c.Spec.Exposure():", "case false:", "./internal/rig", "TestRollout|TestRolloutAborted"),
     "wavesBeforeLoads": ("pkg/roll/step.go", "if !r.loaded() || len(r.Targets) == 0 ||", "if len(r.Targets) == 0 ||", "./pkg/roll", "TestInterrupted"),
-    "frozenDecides": ("internal/entry/entry.go", "	e.catchUp()\n", "", "./internal/rig", "TestFrozenEntry"),
+    "frozenDecides": ("internal/entry/serve.go", "	e.catchUp()\n", "", "./internal/rig", "TestFrozenEntry"),
     "silentWatchBelieved": ("internal/spread/watch.go", "		o, err = c.Get(ctx, KindHead, NameHead)\n", "		return version, nil\n", "./internal/rig", "TestChangesUnderFaults"),
     "overlapTaken": ("internal/commit/apply.go", "	if len(o.Paths) == 0 {", "	if true {", "./internal/commit", "TestRace"),
     "changeAppliedTwice": ("internal/commit/apply.go", "if done, ok := head.Has(e.ID); ok {", "if done, ok := head.Has(e.ID); ok && false {", "./internal/commit", "TestSameChange|TestManyOperators"),
     "mergedNotChecked": ("internal/commit/apply.go", 'if err := config.CheckNodes("(merged)", snap.Nodes()); err != nil {', 'if err := config.CheckNodes("(merged)", snap.Nodes()); err != nil && false {', "./internal/commit", "TestUnsound"),
+    "retiredDroppedAtOnce": ("internal/entry/peer.go", "	if p.sent > 0 {\n		return false", "	if false {\n		return false", "./internal/rig", "TestLeavingInList"),
     "noRetryBudget": ("internal/entry/dispatch.go", "return e.limits.retry(r.call.Workspace)", "return true", "./internal/rig", "TestRetryBudget"),
     "cancelForgotten": ("internal/entry/answer.go", '	if r.key == "" {\n		r.cancel()', '	if false {\n		r.cancel()', "./internal/rig", "TestCallerGone"),
     "headerNotBounded": ("internal/entry/http.go", "ReadBufferSize:               e.settings.MaxHeader,", "ReadBufferSize:               1 << 20,", "./internal/rig", "TestDoor"),
@@ -95,7 +101,16 @@
         return caught, "; ".join(lines[:2])[:300]
 
 
+def check():
+    """Exits with 1 unless every mutant's text is in its file."""
+    lost = [n for n, (file, old, *_) in MUTANTS.items() if old not in (ROOT / file).read_text()]
+    print(f"{len(MUTANTS)} mutants, texts not found: {lost}")
+    sys.exit(1 if lost else 0)
+
+
 def main():
+    if sys.argv[1:] == ["--check"]:
+        check()
     names = sys.argv[1:] or list(MUTANTS)
     missed = 0
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
