Test limits, deadlines and overload

Rate and concurrency of each workspace, the retry budget, a deadline that passes in the queue and while running, a pool without room.

--- /dev/null
+++ b/internal/entry/limits_test.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+
+func values(rate float64, concurrency int, retryShare float64) *config.Values {
+	return &config.Values{RequestRate: &rate, Concurrency: &concurrency, RetryShare: &retryShare}
+}
+
+func kindOf(err *fault.Error) fault.Kind {
+	if err == nil {
+		return ""
+	}
+	return err.Kind
+}
+
+// TestLimits bounds rate and concurrency of each workspace on its own, and
+// tells when to come back.
+func TestLimits(t *testing.T) {
+	var l limits
+	two := values(2, 3, 0)
+	steps := []struct {
+		name      string
+		at        int
+		workspace string
+		leave     bool
+		want      fault.Kind
+	}{
+		{"a new workspace has its whole burst", 0, "a", false, ""},
+		{"the second of the burst", 0, "a", false, ""},
+		{"beyond the rate", 0, "a", false, fault.RateLimited},
+		{"another workspace is not held back", 0, "b", false, ""},
+		{"after half a second", 500, "a", false, ""},
+		{"beyond the concurrency", 2000, "a", false, fault.RateLimited},
+		{"once one has left", 2000, "a", true, ""},
+	}
+	for _, s := range steps {
+		if s.leave {
+			l.leave(s.workspace)
+		}
+		err := l.enter(at(s.at), s.workspace, two)
+		if got := kindOf(err); got != s.want {
+			t.Errorf("%s: got %q, want %q", s.name, got, s.want)
+		}
+		if err != nil && (err.Run != fault.NotRun || !err.RetryAt.After(at(s.at))) {
+			t.Errorf("%s: got %v at %v, want not run and a later time", s.name, err, err.RetryAt)
+		}
+	}
+	if err := l.enter(at(2000), "a", values(100, 100, 0)); err == nil {
+		l.leave("a")
+	} else if err := l.enter(at(2100), "a", values(100, 100, 0)); err != nil {
+		t.Errorf("after the settings were raised: got %v, want nil", err)
+	}
+}
+
+// TestRetryBudget earns retries by requests and holds a bounded number.
+func TestRetryBudget(t *testing.T) {
+	var l limits
+	v := values(1e6, 1e6, 0.5)
+	for range 100 {
+		if err := l.enter(at(0), "a", v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := 0
+	for l.retry("a") {
+		got++
+	}
+	if got != retryBurst {
+		t.Errorf("retries after 100 requests: got %d, want %d", got, retryBurst)
+	}
+	for range 2 {
+		_ = l.enter(at(0), "a", v)
+	}
+	if !l.retry("a") || l.retry("a") {
+		t.Error("retries after two more requests: want one")
+	}
+}
--- a/internal/rig/answer_test.go
+++ b/internal/rig/answer_test.go
@@ -189,3 +189,62 @@
 		t.Errorf("got %s by %s@%s, want whole by %s@%s", got.result, got.answer.Model, got.answer.Version, first.answer.Model, first.answer.Version)
 	}
 }
+
+// TestDeadline answers a request whose deadline passes soon after it, whether it
+// waits in the queue or runs, and cancels the run. One that waited did not run.
+func TestDeadline(t *testing.T) {
+	pools := testPools(1)[:1]
+	pools[0].Slots, pools[0].Engine.Slots = 1, 1
+	pools[0].Engine.PerToken = span("100ms")
+	f := startFleet(t, Options{Entries: 1, Pools: pools})
+	ask := func(within time.Duration) <-chan sent {
+		a := chat("history", "lot", false)
+		a.Chat.MaxTokens = 200
+		a.Header["Traildrift-Deadline"] = time.Now().Add(within).Format(time.RFC3339Nano)
+		return send(f, 0, a)
+	}
+	running := ask(1500 * time.Millisecond)
+	waitFor(t, "the run", func() bool { return len(f.EngineRuns()) == 1 })
+	waiting := ask(500 * time.Millisecond)
+	got := <-waiting
+	expect(t, "one that waits", got, "deadlinePassed/notRun")
+	if got.took > 5*time.Second {
+		t.Errorf("the answer took %v, want it soon after the deadline", got.took)
+	}
+	got = <-running
+	expect(t, "one that runs", got, "deadlinePassed/mayHaveRun", "notWhole/ran", "endpointLost/mayHaveRun", "deadlinePassed/ran")
+	if got.took > 6*time.Second {
+		t.Errorf("the answer took %v, want it soon after the deadline", got.took)
+	}
+	waitFor(t, "the end of the run", func() bool { n, _ := f.Engines["deedwriter-1"].Load(); return n == 0 })
+	if got := len(f.EngineRuns()); got != 1 {
+		t.Errorf("runs: got %d, want 1", got)
+	}
+}
+
+// TestOverload refuses what has no room as not run, with a time to come back,
+// and answers the rest.
+func TestOverload(t *testing.T) {
+	pools := testPools(1)[:1]
+	pools[0].Slots, pools[0].Waiting = 1, 2
+	pools[0].Engine.PerToken = span("20ms")
+	f := startFleet(t, Options{Entries: 1, Pools: pools})
+	var all []<-chan sent
+	for range 12 {
+		all = append(all, send(f, 0, chat("history", "lot", true)))
+	}
+	counts := map[string]int{}
+	for _, c := range all {
+		got := <-c
+		counts[got.result]++
+		if got.result != "whole" && got.answer.RetryText == "" {
+			t.Errorf("got %s without a time to come back", got.result)
+		}
+	}
+	if counts["whole"] < 3 || counts["whole"]+counts["overloaded/notRun"]+counts["noVersion/notRun"] != 12 {
+		t.Errorf("got %v, want at least 3 whole and the rest refused as not run", counts)
+	}
+	if got := len(f.EngineRuns()); got != counts["whole"] {
+		t.Errorf("runs: got %d, want %d", got, counts["whole"])
+	}
+}
