--- a/cmd/tdfake/main.go
+++ b/cmd/tdfake/main.go
@@ -62,6 +62,7 @@
 	Engine  *engineArgs  `arg:"subcommand:engine" help:"model engine"`
 	Plain   *plainArgs   `arg:"subcommand:plain" help:"plain service"`
 	Measure *measureArgs `arg:"subcommand:measure" help:"start fleets on loopback and measure them"`
+	Load    *loadArgs    `arg:"subcommand:load" help:"send chat requests at a rate and measure them"`
 	Soak    *soakArgs    `arg:"subcommand:soak" help:"run a fleet under randomised faults and check what must hold"`
 	Demo    *demoArgs    `arg:"subcommand:demo" help:"send the demo's requests and check the answers"`
 }
@@ -92,6 +93,8 @@
 		return serve(a.Engine.Listen, fakes.NewEngine(o).Handle)
 	case a.Plain != nil:
 		return serve(a.Plain.Listen, fakes.NewPlain(a.Plain.Seed, a.Plain.Work).Handle)
+	case a.Load != nil:
+		return a.Load.run()
 	case a.Soak != nil:
 		return a.Soak.run()
 	case a.Measure != nil:
@@ -183,6 +186,42 @@
 	}
 }
 
+type loadArgs struct {
+	Entries   []netip.AddrPort `arg:"--entries,required" help:"entries on loopback"`
+	Key       string           `arg:"--key,required" help:"API key"`
+	Model     string           `arg:"--model,required" help:"workload or model"`
+	PerSecond float64          `arg:"--per-second" default:"50" help:"arrivals a second, a Poisson process"`
+	For       config.Span      `arg:"--for" default:"10s" help:"how long requests are sent"`
+	Words     int              `arg:"--words" default:"16" help:"length of each answer"`
+	Seed      uint64           `arg:"--seed" default:"1" help:"seed of the arrivals"`
+}
+
+// loadUnder bounds the requests under way.
+const loadUnder = 2000
+
+func (a *loadArgs) run() error {
+	l := drive.Load{PerSecond: a.PerSecond, Until: a.For.After(time.Now()), Seed: a.Seed, Most: loadUnder}
+	for _, addr := range a.Entries {
+		if !addr.Addr().IsLoopback() {
+			return errors.Newf("%s is not on loopback", addr)
+		}
+		l.Callers = append(l.Callers, drive.NewCaller(addr, a.Key))
+	}
+	for _, streamed := range []bool{false, true} {
+		l.Mix = append(l.Mix, drive.Share{Name: fmt.Sprintf("%s, streamed %v", a.Model, streamed), Weight: 1, Make: func(n int) drive.Ask {
+			return drive.Ask{
+				Chat:     fakes.ChatRequest{Model: a.Model, Messages: []fakes.Message{{Role: "user", Content: fmt.Sprint("load ", n)}}, MaxTokens: a.Words, Stream: streamed},
+				Deadline: time.Now().Add(time.Minute),
+			}
+		}})
+	}
+	fmt.Printf("load: seed %d, %g a second for %s\n", a.Seed, a.PerSecond, a.For)
+	for _, r := range l.Run(context.Background()) {
+		r.Write(os.Stdout)
+	}
+	return nil
+}
+
 type soakArgs struct {
 	Seed    uint64      `arg:"--seed" default:"1" help:"first seed of the faults and requests"`
 	Runs    int         `arg:"--runs" default:"1" help:"how many seeds to run, one after the other"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,9 +37,6 @@
 	handlersMost = 4096
 	// runsMost bounds the requests under way.
 	runsMost = 20_000
-	// recordsHeld bounds the bill lines and trail records that wait for the
-	// platform.
-	recordsHeld = 100_000
 	// readyLag is how long a stopping entry still takes requests, so that
 	// the balancer can see that it is not ready.
 	readyLag = config.Span(500 * time.Millisecond)
@@ -111,10 +108,10 @@
 		return nil, err
 	}
 	e.bills = ledger.New(p.Log, p.Store, ledger.Options[bill.Line]{
-		Kind: ledger.KindBills, Prefix: p.Identity.Incarnation, Most: recordsHeld, Every: p.Common.WriteEvery, OnWritten: e.settle,
+		Kind: ledger.KindBills, Prefix: p.Identity.Incarnation, Most: s.RecordsHeld, Every: p.Common.WriteEvery, OnWritten: e.settle,
 	})
 	e.trail = ledger.New(p.Log, p.Store, ledger.Options[trail.Record]{
-		Kind: ledger.KindTrail, Prefix: p.Identity.Incarnation, Most: recordsHeld, Every: p.Common.WriteEvery, Encode: trail.Encode,
+		Kind: ledger.KindTrail, Prefix: p.Identity.Incarnation, Most: s.RecordsHeld, Every: p.Common.WriteEvery, Encode: trail.Encode,
 	})
 	e.claims = claims.New(p.Log, p.Store)
 	sc := p.Scope.SubScope("entry")
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -21,7 +21,8 @@
 // joinWithin is how long another entry may take to say that it has a run.
 const joinWithin = config.Span(2 * time.Second)
 
-// entryLinks keeps a link to each entry that was joined.
+// entryLinks keeps one link to each process that was spoken to on demand:
+// entries, and guards that are not among the peers.
 type entryLinks struct {
 	mu     sync.Mutex
 	byAddr map[netip.AddrPort]*link.Conn
@@ -49,6 +50,10 @@
 	if l.byAddr == nil {
 		l.byAddr = make(map[netip.AddrPort]*link.Conn)
 	}
+	if first, ok := l.byAddr[addr]; ok && !tasks.IsDone(first.Done()) && first.Peer.Incarnation == c.Peer.Incarnation {
+		c.Close()
+		return first, nil
+	}
 	l.byAddr[addr] = c
 	return c, nil
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/traildrift/traildrift/internal/wire"
@@ -47,6 +48,8 @@
 	// ctx is done when nobody waits for the answer any more.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// finished says that finish was called; it never goes back.
+	finished atomic.Bool
 	// done is closed when the request has ended, with its bill and trail
 	// handed over.
 	done chan struct{}
@@ -109,9 +112,10 @@
 
 // finish ends the request once: answer, bill and trail.
 func (e *Entry) finish(r *request, length int, err *fault.Error) {
-	if !r.buf.Finish(length, err) {
+	if !r.finished.CompareAndSwap(false, true) {
 		return
 	}
+	r.buf.Finish(length, err)
 	err = r.buf.Ended().Err
 	r.record.Ended = e.Now()
 	r.record.Err = err
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -63,6 +63,9 @@
 	if !*eff.Values.Enabled {
 		return fault.New(fault.NotCutOver, fault.NotRun, "Requests are not served here: enabled is false at %q.", eff.Setting("enabled").Origin.Path)
 	}
+	if held, _ := e.bills.Held(); held >= e.settings.RecordsHeld && *eff.Values.OnBillsFull == config.Refuse {
+		return fault.New(fault.PlatformDown, fault.NotRun, "%d bill lines wait for the platform.", held).At(comeBackAfter.After(e.Now()))
+	}
 	return e.limits.enter(e.Now(), call.Workspace, &eff.Values)
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -22,6 +22,7 @@
 	LinksPerPool int            `yaml:"linksPerPool,omitempty" doc:"How many endpoints of each pool the entry keeps links to."`
 	BeatEvery    config.Span    `yaml:"beatEvery,omitempty" doc:"How often each link carries a heartbeat."`
 	SuspectAfter config.Span    `yaml:"suspectAfter,omitempty" doc:"How long an endpoint may be silent before it gets no new work."`
+	RecordsHeld  int            `yaml:"recordsHeld,omitempty" doc:"How many bill lines, and trail records, may wait for the platform; 100000 if left out."`
 	ListEvery    config.Span    `yaml:"listEvery,omitempty" doc:"How often the VM list is read."`
 }
 
@@ -31,6 +32,7 @@
 	defaultMaxHeader    = 16 << 10
 	defaultReadWithin   = "10s"
 	defaultLinksPerPool = 24
+	defaultRecordsHeld  = 100_000
 	defaultBeatEvery    = "1s"
 	defaultSuspectAfter = "3s"
 	defaultListEvery    = "5s"
@@ -41,6 +43,7 @@
 	fillInt(&s.MaxBody, defaultMaxBody)
 	fillInt(&s.MaxHeader, defaultMaxHeader)
 	fillInt(&s.LinksPerPool, defaultLinksPerPool)
+	fillInt(&s.RecordsHeld, defaultRecordsHeld)
 	fillSpan(&s.ReadWithin, defaultReadWithin)
 	fillSpan(&s.BeatEvery, defaultBeatEvery)
 	fillSpan(&s.SuspectAfter, defaultSuspectAfter)
@@ -68,7 +71,7 @@
 	if t := s.TLS; t.Set() && (t.Cert == "" || t.Key == "" || t.CA != "") {
 		report("tls", "cert and key are required, ca is not allowed")
 	}
-	for key, n := range map[string]int{"maxBody": s.MaxBody, "maxHeader": s.MaxHeader, "linksPerPool": s.LinksPerPool} {
+	for key, n := range map[string]int{"maxBody": s.MaxBody, "maxHeader": s.MaxHeader, "linksPerPool": s.LinksPerPool, "recordsHeld": s.RecordsHeld} {
 		if n < 0 {
 			report(key, "0 (the default) or more is allowed")
 		}
--- a/internal/guard/drain.go
+++ b/internal/guard/drain.go
@@ -30,7 +30,9 @@
 	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.load()}
 	for _, l := range g.links {
 		if l.conn.Peer.Role == store.RoleEntry {
-			go func() { _ = l.conn.Notify(g.kill, wire.MethodLoad, notice) }()
+			g.Tasks.Go(g.kill, "leaving notice", func(ctx context.Context) error {
+				return l.conn.Notify(ctx, wire.MethodLoad, notice)
+			})
 		}
 	}
 }
--- a/internal/rig/answer_test.go
+++ b/internal/rig/answer_test.go
@@ -248,3 +248,47 @@
 		t.Errorf("runs: got %d, want %d", got, counts["whole"])
 	}
 }
+
+// TestOutageBeyondBuffers lets an outage outlast the entry's buffers: a workload
+// that says so is refused as not run, the other is served, and every answer is
+// billed once in the end, by the guard where the entry could not hold its line.
+func TestOutageBeyondBuffers(t *testing.T) {
+	refusing := strings.Replace(testSettings, "history: {values: {qualityTarget: 0.9}}", "history: {values: {qualityTarget: 0.9, onBillsFull: refuse}}", 1)
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1), Settings: refusing, Entry: "recordsHeld: 4\n", Guard: "billAfter: 300ms\n"})
+	f.Objects.Set(fakes.Faults{Down: true})
+	want := map[string]bool{}
+	for i := range 10 {
+		a := chat("tags", fmt.Sprint(i), false)
+		a.Header["Traildrift-Deadline"] = time.Now().Add(2 * time.Second).Format(time.RFC3339Nano)
+		got := <-send(f, 0, a)
+		expect(t, "a workload that serves on", got, "whole")
+		want[got.answer.Request] = true
+	}
+	got := <-send(f, 0, chat("history", "lot", false))
+	expect(t, "a workload that refuses", got, "platformDown/notRun")
+	f.Objects.Set(fakes.Faults{})
+	waitFor(t, "every bill", func() bool {
+		lines, err := desk.Bills(t.Context(), f.Store, "")
+		return err == nil && len(lines) >= len(want)
+	})
+	lines, err := desk.Bills(t.Context(), f.Store, "")
+	if err != nil || len(lines) != len(want) {
+		t.Errorf("lines: got %d %v, want %d", len(lines), err, len(want))
+	}
+	for _, l := range lines {
+		if !want[l.ID] {
+			t.Errorf("got a line for %s, which was not answered", l.ID)
+		}
+	}
+}
+
+// TestSessionEnds refuses a session token past its end.
+func TestSessionEnds(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1), Settings: strings.Replace(testSettings, "tags: {values: {qualityTarget: 0.5}}", "tags: {values: {qualityTarget: 0.5, sessionFor: 1s}}", 1)})
+	a := chat("tags", "lot", false)
+	a.Header["Traildrift-Session"] = "new"
+	first := <-send(f, 0, a)
+	expect(t, "opened", first, "whole")
+	a.Header["Traildrift-Session"] = first.answer.Session
+	waitFor(t, "the session's end", func() bool { return (<-send(f, 0, a)).result == "sessionEnded/notRun" })
+}
--- a/internal/rig/once_test.go
+++ b/internal/rig/once_test.go
@@ -392,3 +392,26 @@
 	expect(t, "after the cut", <-lost, "endpointLost/mayHaveRun")
 	expectLodged(t, f, "silent", 1)
 }
+
+// TestKilledBeforeDispatch kills an entry while its claim is on its way. Whether
+// the claim takes effect after its owner's death, and then the key is spent, or
+// never, and then a repeat runs: at most one run.
+func TestKilledBeforeDispatch(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: testPools(1)})
+	for i := range 20 { // every bucket of the claim log was read by then
+		expect(t, "own key", <-send(f, 0, note(fmt.Sprint("warm", i), "warm")), "whole")
+	}
+	f.Objects.Set(fakes.Faults{Delay: span("700ms")})
+	before, _ := f.Objects.Calls()
+	lost := send(f, 0, note("spent", "spent"))
+	time.Sleep(200 * time.Millisecond)
+	f.Entries[0].Kill()
+	<-lost
+	waitFor(t, "the late write", func() bool { now, _ := f.Objects.Calls(); return now["put"] > before["put"] })
+	f.Objects.Set(fakes.Faults{})
+	time.Sleep(100 * time.Millisecond)
+	expect(t, "repeated", <-send(f, 1, note("spent", "spent")), "keyUnsettled/mayHaveRun", "whole")
+	if got := f.Bodies()["spent"]; got > 1 {
+		t.Errorf("lodged %d times, want at most once", got)
+	}
+}
--- a/pkg/config/values.go
+++ b/pkg/config/values.go
@@ -22,6 +22,7 @@
 	SessionFor    *Span    `yaml:"sessionFor,omitempty" json:"sessionFor,omitempty" default:"1h" min:"1s" max:"720h" doc:"How long a session keeps its version, counted from its opening."`
 	OnStale       *string  `yaml:"onStale,omitempty" json:"onStale,omitempty" default:"serve" words:"serve refuse" doc:"What a process does that has heard of no settings for staleAfter."`
 	StaleAfter    *Span    `yaml:"staleAfter,omitempty" json:"staleAfter,omitempty" default:"1m" min:"1s" max:"24h" doc:"When settings count as stale, counted from the last word of them."`
+	OnBillsFull   *string  `yaml:"onBillsFull,omitempty" json:"onBillsFull,omitempty" default:"serve" words:"serve refuse" doc:"What an entry does whose bill lines wait for the platform and fill their buffer; with serve the guards bill what it cannot hold."`
 	AnswerKept    *Span    `yaml:"answerKept,omitempty" json:"answerKept,omitempty" default:"10m" min:"1s" max:"24h" doc:"How long the answer of a request with a key is kept for repeats, counted from its end."`
 	WeightCost    *float64 `yaml:"weightCost,omitempty" json:"weightCost,omitempty" default:"1" min:"0" max:"1000" doc:"How much a version's cost weighs in its score."`
 	WeightLatency *float64 `yaml:"weightLatency,omitempty" json:"weightLatency,omitempty" default:"0" min:"0" max:"1000" doc:"How much a version's expected wait weighs in its score."`
@@ -33,7 +34,7 @@
 	Patient     = "patient"
 )
 
-// Words of onWithdrawn and onStale.
+// Words of onWithdrawn, onStale and onBillsFull.
 const (
 	Refuse     = "refuse"
 	NewSession = "newSession"
