--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -13,14 +13,5 @@
 // ends it. It returns nil after a planned stop that cut off nothing.
 func Main(ctx context.Context, file string) error {
 	var s Settings
-	if err := proc.Load(file, &s); err != nil {
-		return err
-	}
-	stages, release := s.Signals(ctx)
-	defer release()
-	e, err := New(s)
-	if err != nil {
-		return err
-	}
-	return e.Run(stages)
+	return proc.Main(ctx, file, &s, &s.Common, func() (proc.Runner, error) { return New(s) })
 }
--- a/internal/proc/life.go
+++ b/internal/proc/life.go
@@ -59,3 +59,24 @@
 		<-ended
 	}
 }
+
+// Runner is a process that serves until its stages end it.
+type Runner interface {
+	// Run returns nil after a planned stop that cut off nothing.
+	Run(s Stages) error
+}
+
+// Main reads the process settings of a file into s, whose shared part is
+// common, builds the process and runs it until a signal ends it.
+func Main(ctx context.Context, file string, s Checked, common *Common, build func() (Runner, error)) error {
+	if err := Load(file, s); err != nil {
+		return err
+	}
+	stages, release := common.Signals(ctx)
+	defer release()
+	r, err := build()
+	if err != nil {
+		return err
+	}
+	return r.Run(stages)
+}
