--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -36,7 +36,7 @@
     "noTombstone": ("internal/guard/handle.go", "	r := g.newRecord(p.Key, wire.Work{Call: wire.Call{Deadline: p.Deadline}}, c)\n	r.cancel()\n	g.tombstone(r,", "	r := &record{}\n	r.reply = (", "./internal/guard", "TestTombstone"),
     "noRunRecord": ("internal/guard/handle.go", "if old, ok := g.runs[p.Key]; ok {", "if old, ok := g.runs[p.Key]; ok && false {", "./internal/guard", "TestRunOnce|TestTombstone"),
     "oldLinkTaken": ("internal/guard/handle.go", "if c.Superseded() {", "if false {", "./internal/guard", "TestOldLink"),
-    "orphansRun": ("internal/guard/handle.go", "case tasks.IsDone(r.owner.Done()):", "case false:", "./internal/guard", "TestOrphan"),
+    "orphansRun": ("internal/guard/handle.go", "case tasks.IsDone(r.owner.Done()):", "case tasks.IsDone(r.owner.Done()) && false:", "./internal/guard", "TestOrphan"),
     "queuedVersionKept": ("internal/guard/guard.go", "if refused := g.notAllowed(s, &r.work); refused != nil &&", "if refused := g.notAllowed(s, &r.work); refused != nil && false &&", "./internal/guard", "TestWithdrawn"),
     "guardTrustsEntry": ("internal/guard/handle.go", "return g.notAllowed(g.Holder.Current(), &p.Work)", "return nil", "./internal/guard", "TestWithdrawn"),
     "noCatchingUp": ("internal/link/mux.go", "if p.StampedRevision() > c.local.Revision() && m.Newer != nil {", "if false {", "./internal/guard", "TestWithdrawn"),
