--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -91,6 +91,17 @@
 	return keyState{request: r.request, closed: r.closed, known: true, body: r.bodyHash}
 }
 
+// runOf returns the run that a name stands for.
+func (k *keyed) runOf(name string) (run string, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r, ok := k.byName[name]
+	if !ok {
+		return "", false
+	}
+	return r.run, true
+}
+
 // close marks a run that did not and will not run.
 func (k *keyed) close(run string) {
 	k.mu.Lock()
@@ -118,8 +129,8 @@
 	k.bytes += size
 }
 
-// sweep gives up answers whose time has come, or the oldest while there are too
-// many bytes, and forgets runs whose time has come.
+// sweep gives up answers whose time has come, or any while there are too many
+// bytes, and forgets runs whose time has come.
 func (k *keyed) sweep(now time.Time, age time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -129,14 +129,12 @@
 
 // endedTicket answers a ticket that may not be started any more.
 func (e *Entry) endedTicket(workspace, key, body string, t *ticket) (*request, *fault.Error) {
-	e.keyed.mu.Lock()
-	run, ok := e.keyed.byName[nameOf(workspace, key)]
-	e.keyed.mu.Unlock()
+	run, ok := e.keyed.runOf(nameOf(workspace, key))
 	if !ok && e.age() < t.EndsAge+ticketFor {
 		return nil, fault.New(fault.KeyInvalid, fault.NotRun, "The ticket has ended; it was never started.")
 	}
 	if !ok {
 		return nil, fault.New(fault.KeyInvalid, fault.MayHaveRun, "The ticket has ended long ago.")
 	}
-	return e.joinLocal(run.run, body)
+	return e.joinLocal(run, body)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -117,8 +117,6 @@
 	// Running and Queued count runs.
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
-	// Tokens counts the tokens that the running runs may still generate.
-	Tokens int `json:"tokens"`
 	// Leaving says that no new work is taken.
 	Leaving bool `json:"leaving,omitempty"`
 	// Versions lists what the engine has loaded, as model@version; nil if it
--- a/pkg/claim/bucket.go
+++ b/pkg/claim/bucket.go
@@ -53,9 +53,6 @@
 	return r, ok
 }
 
-// Len returns how many keys the copy holds.
-func (b *Bucket) Len() int { return len(b.index) }
-
 // Next returns the slice that must be read or written next: the last one, or
 // a new one with version 0 if the last one is full.
 func (b *Bucket) Next() (slice int, version int64) {
