--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -77,13 +77,12 @@
 
 const (
 	// silentHeads is how many times the mean time to the head is waited for
-	// one, but at least headAimShare of the route's aim.
-	silentHeads  = 4
-	headAimShare = 0.6
-	// eventAimShare is the part of the longest allowed pause that an endpoint
-	// may be silent in the middle of a stream: the rest is for another one to
-	// take over.
-	eventAimShare = 0.6
+	// one, but at least the route's aim. A long prompt that is read beside
+	// holds every run of an endpoint up, so less would end sound runs.
+	silentHeads = 6
+	// silentPauses is how many of the longest allowed pauses an endpoint may be
+	// silent in the middle of a stream. Callers wait for eight.
+	silentPauses = 1.5
 )
 
 // listen begins to wait for the head.
@@ -101,10 +100,10 @@
 	if !paid {
 		return &silence{}
 	}
-	wait := max(silentHeads*head, headAimShare*float64(x.route.Aim))
+	wait := max(silentHeads*head, float64(x.route.Aim))
 	s := &silence{timer: time.AfterFunc(time.Duration(wait), func() { cancel(errSilent) })}
 	if x.route.resumable() {
-		s.pause = time.Duration(eventAimShare * float64(x.route.EventAim))
+		s.pause = time.Duration(silentPauses * float64(x.route.EventAim))
 	}
 	return s
 }
