--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -68,9 +68,13 @@
 	limits   atomic.Pointer[Limits]
 	table    atomic.Pointer[Table]
 	stopping atomic.Bool
-	under    atomic.Int64
-	lines    lines
-	counts   counts
+	// stopsAt is when a stopping router breaks off what is left; it is set
+	// before stopping is.
+	stopsAt   time.Time
+	stoppedAt time.Time
+	under     atomic.Int64
+	lines     lines
+	counts    counts
 
 	// mu guards what follows.
 	mu       sync.Mutex
@@ -187,7 +191,25 @@
 }
 
 // Stop makes the router not ready and every answer the last on its connection.
-func (e *Engine) Stop() { e.stopping.Store(true) }
+// What is left at the given time will be broken off. It is called once.
+func (e *Engine) Stop(breaksOff time.Time) {
+	e.stoppedAt, e.stopsAt = e.Now(), breaksOff
+	e.stopping.Store(true)
+}
+
+// TakesAll is how long a stopping router still takes every request: the balancer
+// sends new connections for two seconds, and callers that were told to leave
+// theirs are gone by then. Later it takes those that end in time for sure.
+const TakesAll = config.Span(2500 * time.Millisecond)
+
+// late reports whether a stopping router should leave a request of the route to
+// another one, as it might not be finished in time.
+func (e *Engine) late(route *Route, now time.Time) bool {
+	if !e.stopping.Load() || !now.After(TakesAll.After(e.stoppedAt)) {
+		return false
+	}
+	return route.Kind == Stream || route.Within.After(now).After(e.stopsAt)
+}
 
 // Under returns how many requests are under way.
 func (e *Engine) Under() int64 { return e.under.Load() }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -283,11 +283,14 @@
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	want := x.want()
+	want.Avoid = nil
 	if !x.e.book.Any(now, &want) || !x.e.budget(x.service).Take(now, l.RetrySlack*slackShare/2) {
 		return false
 	}
 	x.prepaid, x.size = true, size
 	x.mayHaveRun = true
+	// The endpoint that answered is as good as any for the larger model.
+	x.tried = x.tried[:0]
 	return true
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -63,6 +63,9 @@
 	if route == nil {
 		return nil, nil, denied(known, fault.NotFound, now, "No route of this host begins the path.")
 	}
+	if e.late(route, now) {
+		return route, nil, fault.New(fault.Stopping, fault.NotRun, "The router is stopping.").At(now)
+	}
 	if !t.Keyed() || route.Anonymous {
 		return route, nil, nil
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -162,7 +162,7 @@
 // stop ends a router as planned: not ready, every answer the last on its
 // connection, all answered; what is left at the end is broken off.
 func (r *Router) stop(kill context.Context) {
-	r.Engine.Stop()
+	r.Engine.Stop((r.settings.StopWithin - stopMargin).After(time.Now()))
 	r.Log.Info("router: Stopping.", zap.Int64("underWay", r.Engine.Under()))
 	tasks.Pause(kill, listed.After(time.Now()))
 	for kill.Err() == nil && r.Engine.Under() > 0 {
