Give each sort of request endpoints of its own, and choose by the prompts that are being read

Cause: a long prompt read by a large model holds up every run beside it for up to 3 s; requests that need 16 ms waited 1.5 s. Load by number of runs does not show it (most endpoints had under 10 of 64).

--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -28,28 +28,41 @@
 	e.counts.time("head", route.Name, head)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.evidence(&a.Endpoint, route.Name+" "+a.Model, failed, head)
+	e.evidence(&a.Endpoint, sortOf(route, a.Model), failed, head)
 	if failed {
 		return
 	}
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		p.Trust.OK()
 	}
-	m, ok := e.heads[route.Name]
+	key := sortOf(route, a.Model)
+	m, ok := e.heads[key]
 	if !ok {
 		m = &mean{}
-		e.heads[route.Name] = m
+		e.heads[key] = m
 	}
-	m.add(head)
+	m.add(head, a.Request.TokensIn)
+	if !route.Affinity {
+		return
+	}
+	h, ok := e.homes[a.Endpoint.Service]
+	if !ok {
+		h = &homes{}
+		e.homes[a.Endpoint.Service] = h
+	}
+	h.add(key, head, e.Now())
 }
 
+// sortOf names what requests have in common that take about as long.
+func sortOf(route *Route, model string) string { return route.Name + " " + model }
+
 // failed notes an attempt that failed.
 func (e *Engine) failed(a *Attempt, route *Route, err *fault.Error, t *try, now time.Time) {
 	e.counts.count("failed_attempts", route.Name, string(err.Kind))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err.Run == fault.Ran {
-		e.evidence(&a.Endpoint, route.Name+" "+a.Model, true, now.Sub(t.At))
+		e.evidence(&a.Endpoint, sortOf(route, a.Model), true, now.Sub(t.At))
 	}
 	p := e.book.Get(a.Endpoint.ID)
 	if p == nil || err.Kind == fault.CallerGone || err.Kind == fault.Overloaded || err.Kind == fault.DeadlinePassed {
@@ -58,6 +71,15 @@
 	p.Trust.Fail(now, notSent(err))
 }
 
+// read notes that an attempt no longer waits for its head.
+func (e *Engine) read(a *Attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.book.Get(a.Endpoint.ID); p != nil {
+		p.Load.Reading = max(p.Load.Reading-a.expected, 0)
+	}
+}
+
 // left notes that an attempt has ended.
 func (e *Engine) left(a *Attempt) {
 	e.mu.Lock()
@@ -91,16 +113,13 @@
 		return &silence{}
 	}
 	x.e.mu.Lock()
-	head := 0.0
-	if m, ok := x.e.heads[x.route.Name]; ok {
-		head = m.value
-	}
+	head := x.expected()
 	paid := x.e.budget(x.service).Left(x.e.Now()) >= 1
 	x.e.mu.Unlock()
 	if !paid {
 		return &silence{}
 	}
-	wait := max(silentHeads*head, float64(x.route.Aim))
+	wait := max(silentHeads*head*float64(time.Second), float64(x.route.Aim))
 	s := &silence{timer: time.AfterFunc(time.Duration(wait), func() { cancel(errSilent) })}
 	if x.route.resumable() {
 		s.pause = time.Duration(silentPauses * float64(x.route.EventAim))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -57,6 +57,8 @@
 	// Rank is the urgency, 0 to 9; 0 comes first.
 	Rank     int
 	Deadline time.Time
+	// expected is how long the head is expected to take, in seconds.
+	expected float64
 }
 
 // Reply is an endpoint's answer once its head is there.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -98,9 +98,10 @@
 	}
 	x.tries = append(x.tries, try{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
 	x.tried = append(x.tried, p.ID)
+	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, expected: x.expected()}
 	p.Load.Sent++
+	p.Load.Reading += a.expected
 	x.made++
-	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank}
 	if x.workspace != nil {
 		a.Workspace = x.workspace.Name
 		a.Rank += x.workspace.Rank * ranksOfRoutes
@@ -123,11 +124,23 @@
 	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
 		// The last part is the request's own, so what others may have left is
 		// named by the one before it.
+		w.Bonus = prefixSaves * x.expected()
 		w.Affinity = pool.Hash(x.model() + "/" + x.r.Prefix[max(n-2, 0)])
+		if h, ok := x.e.homes[x.service]; ok {
+			w.Home = h.of(sortOf(x.route, x.model()))
+		}
 	}
 	return w
 }
 
+// prefixSaves is the part of the time to the head that a prefix in memory saves;
+// two thirds of the users' shared parts are found kept.
+const prefixSaves = 0.4
+
+// expected returns how long the head is expected to take, in seconds; the
+// engine's mu is held.
+func (x *run) expected() float64 { return x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn) }
+
 // model returns the model to name to the endpoint; empty where the caller does.
 func (x *run) model() string {
 	if !x.r.OpenModel || len(x.route.Sizes) == 0 {
@@ -145,6 +158,7 @@
 	s := x.listen(cancel)
 	defer s.stop()
 	reply, sent := x.e.Send(ctx, a)
+	x.e.read(a)
 	now := x.e.Now()
 	t.Head = now.Sub(t.At).Milliseconds()
 	if sent != nil {
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -4,7 +4,9 @@
 package pool
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -30,6 +32,7 @@
 	Entry
 	Load  Load
 	Trust Trust
+	hash  uint64
 	// leaving is set once the endpoint was listed as leaving or was removed in
 	// calm times; it never goes back while the entry lives.
 	leaving bool
@@ -40,7 +43,9 @@
 
 // Book holds the endpoints of all services. Use NewBook.
 type Book struct {
-	byID      map[string]*Endpoint
+	byID map[string]*Endpoint
+	// byService holds the endpoints of each service in the order of their
+	// hashes, which is the same in every process.
 	byService map[string][]*Endpoint
 	// gone remembers the revisions at which endpoints were removed, so that a
 	// late word of one does not bring it back.
@@ -65,7 +70,7 @@
 	if !ok {
 		p = &Endpoint{Entry: e, leaving: e.Leaving}
 		b.byID[e.ID] = p
-		b.byService[e.Service] = append(b.byService[e.Service], p)
+		b.insert(p)
 		return true
 	}
 	if e.Revision < p.Revision {
@@ -78,6 +83,13 @@
 	return changed
 }
 
+func (b *Book) insert(p *Endpoint) {
+	p.hash = mix(Hash(p.ID))
+	list := b.byService[p.Service]
+	i, _ := slices.BinarySearchFunc(list, p.hash, func(q *Endpoint, h uint64) int { return cmp.Compare(q.hash, h) })
+	b.byService[p.Service] = slices.Insert(list, i, p)
+}
+
 // Remove takes an endpoint out. With a later lapsesAt, as after a time in which
 // the list could not be read, an endpoint that was not leaving is kept until
 // then, as it may be listed again.
@@ -101,14 +113,7 @@
 	}
 	b.gone[p.ID] = revision
 	delete(b.byID, p.ID)
-	list := b.byService[p.Service]
-	kept := list[:0:0]
-	for _, q := range list {
-		if q != p {
-			kept = append(kept, q)
-		}
-	}
-	b.byService[p.Service] = kept
+	b.byService[p.Service] = slices.DeleteFunc(b.byService[p.Service], func(q *Endpoint) bool { return q == p })
 }
 
 // Expire drops the endpoints that lapsed and were not listed again in time. It
--- a/pkg/pool/load.go
+++ b/pkg/pool/load.go
@@ -9,6 +9,9 @@
 type Load struct {
 	// Sent counts our own attempts that have not ended; 0 or more.
 	Sent int
+	// Reading is the time, in seconds, that our own attempts which wait for a
+	// head are expected to take; 0 or more.
+	Reading float64
 	// reported is what the endpoint told last, and reportedAt when; sentThen is
 	// Sent at that moment.
 	reported   int
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -4,6 +4,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,10 +23,30 @@
 	Avoid []string
 	// Affinity names what an endpoint may still hold in memory; 0 for nothing.
 	Affinity uint64
+	// Bonus is what a held prefix saves, in seconds.
+	Bonus float64
+	// Home is the part of the endpoints, in the order of their hashes, that
+	// requests of this sort go to first; the zero value is all of them.
+	Home Range
 	// Draw is a random number.
 	Draw uint64
 }
 
+// Range is a part of a list, from 0 to 1.
+type Range struct{ From, To float64 }
+
+// of returns the entries of a list that a range touches, at least one.
+func (r Range) of(list []*Endpoint) []*Endpoint {
+	if r.To <= r.From || len(list) == 0 {
+		return list
+	}
+	n := float64(len(list))
+	// A thousandth of an entry at either end is rounding, not a share.
+	from := min(int(r.From*n+0.001), len(list)-1)
+	to := max(int(math.Ceil(r.To*n-0.001)), from+1)
+	return list[from:min(to, len(list))]
+}
+
 // Reason says why an endpoint was picked.
 type Reason string
 
@@ -33,6 +54,7 @@
 const (
 	ByAffinity Reason = "holdsPrefix"
 	ByLoad     Reason = "leastOfTwo"
+	ByHome     Reason = "leastOfHome"
 	ByDespair  Reason = "noneTrusted"
 )
 
@@ -55,14 +77,43 @@
 		}
 		return two(open, now, w), ByDespair
 	}
+	home := w.Home.of(open)
+	// The mean of all says how much more than elsewhere an endpoint has.
+	limit := meanCost(open, now, w.Zone) + overload
+	best := least(home, now, w)
 	if w.Affinity != 0 {
-		if p := holder(open, now, w); p != nil {
+		if p := holder(home, now, w, min(limit, best.cost(now, w.Zone))+w.Bonus); p != nil {
 			return p, ByAffinity
 		}
 	}
+	if len(home) < len(open) && best.cost(now, w.Zone) <= limit {
+		return best, ByHome
+	}
 	return two(open, now, w), ByLoad
 }
 
+func meanCost(list []*Endpoint, now time.Time, zone string) float64 {
+	sum := 0.0
+	for _, p := range list {
+		sum += p.cost(now, zone)
+	}
+	return sum / float64(len(list))
+}
+
+// least returns the endpoint of the least cost; the search begins at random, so
+// that equal ones share the load.
+func least(list []*Endpoint, now time.Time, w *Want) *Endpoint {
+	begin := int(mix(w.Draw) % uint64(len(list)))
+	best, cost := list[begin], list[begin].cost(now, w.Zone)
+	for i := 1; i < len(list); i++ {
+		p := list[(begin+i)%len(list)]
+		if c := p.cost(now, w.Zone); c < cost {
+			best, cost = p, c
+		}
+	}
+	return best
+}
+
 // Any reports whether a service has an endpoint that may get new work.
 func (b *Book) Any(now time.Time, w *Want) bool {
 	var buf [64]*Endpoint
@@ -88,14 +139,12 @@
 }
 
 // holder returns the endpoint that most likely holds the prefix, by rendezvous
-// hash, unless it is far more loaded than the mean; then the second one.
-func holder(open []*Endpoint, now time.Time, w *Want) *Endpoint {
-	mean := 0.0
+// hash, if its cost is within the limit; else the second one, or nil.
+func holder(list []*Endpoint, now time.Time, w *Want, limit float64) *Endpoint {
 	var first, second *Endpoint
 	var most, next uint64
-	for _, p := range open {
-		mean += p.share(now)
-		h := mix(w.Affinity ^ Hash(p.ID))
+	for _, p := range list {
+		h := mix(w.Affinity ^ p.hash)
 		switch {
 		case first == nil || h > most:
 			second, next = first, most
@@ -104,11 +153,10 @@
 			second, next = p, h
 		}
 	}
-	limit := mean/float64(len(open)) + overload
-	if first.share(now) <= limit {
+	if first.cost(now, w.Zone) <= limit {
 		return first
 	}
-	if second != nil && second.share(now) <= limit {
+	if second != nil && second.cost(now, w.Zone) <= limit {
 		return second
 	}
 	return nil
@@ -126,8 +174,10 @@
 	return a
 }
 
+// cost says how bad an endpoint is for a request: its load in shares of its
+// slots, a second of expected wait counting as much as all of them.
 func (p *Endpoint) cost(now time.Time, zone string) float64 {
-	c := p.share(now)
+	c := p.share(now) + p.Load.Reading
 	if p.Zone != zone {
 		c += farZone
 	}
