--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -35,8 +35,10 @@
 	// asked for most often.
 	Watched string
 	HTTP    *http.Client
-	// direct says that no peer answered well, so that the store is asked; it
-	// is true until the first does.
+	// RouterKind is the kind of registrations; nobody is asked before they
+	// were read.
+	RouterKind string
+	// direct says that no peer answered well, so that the store is asked.
 	direct atomic.Bool
 }
 
@@ -46,31 +48,36 @@
 	// askWithin bounds a question beyond that.
 	askWithin = 400 * time.Millisecond
 	// agedAfter is how old a peer's copy may be for it to count as well
-	// informed: a peer that asks the store has one of at most a second.
-	agedAfter = 1500 * time.Millisecond
+	// informed: a peer that asks the store has one of at most 1.4 s.
+	agedAfter = 1800 * time.Millisecond
 	// idle is how often a router that asks the store looks whether it should
 	// ask peers instead, and directAgain how often one that found no peer tries
 	// again.
 	idle        = config.Span(100 * time.Millisecond)
 	directAgain = config.Span(time.Second)
+	// startPoll is how often a starting router looks whether the registrations
+	// were read.
+	startPoll = config.Span(10 * time.Millisecond)
 	// answerMost bounds an answer, in bytes.
 	answerMost = 16 << 20
 )
 
 // NewAsker returns an asker that has found no peer yet.
 func NewAsker(log *zap.Logger, f *Fleet, m *mirror.Mirror, watched string, kinds ...string) *Asker {
-	a := &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, HTTP: &http.Client{Transport: &http.Transport{
+	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, HTTP: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 	}}}
-	a.direct.Store(true)
-	return a
 }
 
-// Turn waits until the store should be asked; it returns false if ctx was done
-// first.
-func (a *Asker) Turn(ctx context.Context) bool {
+// Turn waits until the store should be asked for a kind; it returns false if ctx
+// was done first. Registrations come first: they say whom to ask for the rest.
+func (a *Asker) Turn(ctx context.Context, kind string) bool {
 	for ctx.Err() == nil {
-		if a.direct.Load() || a.Fleet.Asker(time.Now()) {
+		known := a.Mirror.Revision(a.RouterKind) >= 0
+		if !known && kind == a.RouterKind {
+			return true
+		}
+		if known && (a.direct.Load() || a.Fleet.Asker(time.Now())) {
 			return true
 		}
 		tasks.Pause(ctx, idle.After(time.Now()))
@@ -84,6 +91,10 @@
 	primary := xxhash.Sum64String(a.Fleet.self)
 	for ctx.Err() == nil {
 		now := time.Now()
+		if a.Mirror.Revision(a.RouterKind) < 0 {
+			tasks.Pause(ctx, startPoll.After(now))
+			continue
+		}
 		informed := now.Sub(a.Mirror.Proven(a.Watched)) <= agedAfter
 		if a.Fleet.Asker(now) && informed {
 			tasks.Pause(ctx, idle.After(now))
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -17,13 +17,13 @@
 
 const (
 	// configWait is how long a watch of the configuration waits. Its answers
-	// prove that the table is current: at this wait the proof is at most 1 s
+	// prove that the table is current: at this wait the proof is at most 1.4 s
 	// old at a router that asks the store.
-	configWait = config.Span(500 * time.Millisecond)
+	configWait = config.Span(700 * time.Millisecond)
 	// endpointWait and trialWait are as long as a lost connection to the store
 	// may go unnoticed: bounds hold again 3 s after a cut has healed.
-	endpointWait = config.Span(2 * time.Second)
-	trialWait    = config.Span(2 * time.Second)
+	endpointWait = config.Span(2500 * time.Millisecond)
+	trialWait    = config.Span(2500 * time.Millisecond)
 	// routerWait may be long, as nothing breaks for want of a peer.
 	routerWait = config.Span(8 * time.Second)
 	// changeRest gathers changes that come together, as when a fleet starts;
@@ -46,7 +46,7 @@
 		{w.EndpointKind, endpointWait, changeRest, w.TrialKind},
 		{w.RouterKind, routerWait, changeRest, ""},
 	} {
-		follower := &mirror.Follower{Log: r.Log, Source: w.Source, Mirror: r.mirror, Kind: f.kind, Wait: f.wait, Rest: f.rest, Turn: r.turn(f.after)}
+		follower := &mirror.Follower{Log: r.Log, Source: w.Source, Mirror: r.mirror, Kind: f.kind, Wait: f.wait, Rest: f.rest, Turn: r.turn(f.kind, f.after)}
 		r.tasks.Go(ctx, "store "+f.kind, follower.Run)
 	}
 	r.tasks.Go(ctx, "peers", r.asker.Run)
@@ -55,12 +55,12 @@
 
 // turn returns a function that waits until the store should be asked for a kind:
 // not before another kind is known, if one is named.
-func (r *Router) turn(after string) func(ctx context.Context) bool {
+func (r *Router) turn(kind, after string) func(ctx context.Context) bool {
 	return func(ctx context.Context) bool {
 		for after != "" && r.mirror.Revision(after) < 0 && ctx.Err() == nil {
 			tasks.Pause(ctx, registerPoll.After(time.Now()))
 		}
-		return r.asker.Turn(ctx)
+		return r.asker.Turn(ctx, kind)
 	}
 }
 
