--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -73,6 +73,10 @@
 	limits   atomic.Pointer[Limits]
 	table    atomic.Pointer[Table]
 	stopping atomic.Bool
+	// startedAt is when the router began, and known says that it knew all it
+	// needs to serve since; it never goes back.
+	startedAt time.Time
+	known     atomic.Bool
 	// stopsAt is when a stopping router breaks off what is left; it is set
 	// before stopping is.
 	stopsAt   time.Time
@@ -106,6 +110,7 @@
 		counts:  newCounts(scope),
 	}
 	e.lines.init()
+	e.startedAt = time.Now()
 	e.limits.Store(&l)
 	return e
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
@@ -21,6 +22,7 @@
 func (e *Engine) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	e.under.Add(1)
 	defer e.under.Add(-1)
+	e.awaitStart(ctx)
 	route, ws, err := e.admit(r)
 	x := &run{e: e, r: r, w: w, route: route, workspace: ws}
 	if err != nil {
@@ -39,6 +41,30 @@
 	x.serve(ctx)
 }
 
+const (
+	// startHold is how long after its start a router holds requests until it
+	// knows configuration and endpoints, which takes it a few hundred
+	// milliseconds: a caller that is refused may have no other attempt left.
+	startHold = config.Span(1500 * time.Millisecond)
+	// startPoll is how often a held request looks.
+	startPoll = config.Span(10 * time.Millisecond)
+)
+
+// awaitStart returns once the router knows what it needs to serve, or has had the
+// time to learn it.
+func (e *Engine) awaitStart(ctx context.Context) {
+	if e.known.Load() {
+		return
+	}
+	for until := startHold.After(e.startedAt); ctx.Err() == nil && e.Now().Before(until); {
+		if e.table.Load() != nil && e.Listed() {
+			e.known.Store(true)
+			return
+		}
+		tasks.Pause(ctx, startPoll.After(time.Now()))
+	}
+}
+
 // heldMost bounds a request without any deadline: the longest that the users'
 // callers wait is 25 s.
 const heldMost = config.Span(60 * time.Second)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,8 @@
 	registered atomic.Bool
 	// stopping says that a planned stop was asked for; it never goes back.
 	stopping atomic.Bool
+	// wasReady is what the balancer was told last.
+	wasReady atomic.Bool
 	// caller, ready, peer and metrics are the listeners; metrics is nil
 	// without a setting.
 	caller, ready, peer, metrics net.Listener
@@ -173,7 +175,11 @@
 		http.NotFound(w, q)
 		return
 	}
-	if ready, why := r.Engine.Ready(); !ready {
+	ready, why := r.Engine.Ready()
+	if was := r.wasReady.Swap(ready); was != ready {
+		r.Log.Info("router: The readiness has changed.", zap.Bool("ready", ready), zap.String("why", why))
+	}
+	if !ready {
 		http.Error(w, why, http.StatusServiceUnavailable)
 		return
 	}
