Tell the other routers of long prompts by datagram

Cause: each router knew only its own unread prompts, one in 6 to 23, so two long prompts met at one endpoint. Ruled out: endpoints of a router's own for long prompts, as a queue of one server each.

--- /dev/null
+++ b/internal/peers/notes.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/internal/logs"
+)
+
+// Note tells that a router sent an endpoint something that will keep it busy.
+type Note struct {
+	// Endpoint is the hash of its ID.
+	Endpoint uint64
+	// Busy is for how long, from when the note is heard.
+	Busy time.Duration
+}
+
+// Notes sends notes to all routers and hears theirs. Notes go by datagram: one
+// that is lost makes a choice a little worse, no more.
+type Notes struct {
+	Log   *zap.Logger
+	fleet *Fleet
+	conn  *net.UDPConn
+	token [tokenBytes]byte
+	// OnNote is called for each note that is heard, by one goroutine.
+	OnNote func(n Note)
+}
+
+const (
+	// tokenBytes is how much of the hearer's token a note begins with.
+	tokenBytes = 16
+	noteBytes  = tokenBytes + 8 + 4
+	// busyMost bounds what a note may claim.
+	busyMost = 30 * time.Second
+)
+
+// NewNotes listens for notes where the router answers its peers.
+func NewNotes(log *zap.Logger, f *Fleet, self Peer, onNote func(Note)) (*Notes, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Addr))
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	n := &Notes{Log: log, fleet: f, conn: conn, OnNote: onNote}
+	copy(n.token[:], self.Token)
+	return n, nil
+}
+
+// Run hears notes until ctx is done.
+func (n *Notes) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
+	defer stop()
+	buf := make([]byte, 2*noteBytes)
+	for {
+		size, _, err := n.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "peers")
+		}
+		if size != noteBytes || [tokenBytes]byte(buf) != n.token {
+			continue
+		}
+		ms := binary.BigEndian.Uint32(buf[tokenBytes+8:])
+		busy := min(time.Duration(ms)*time.Millisecond, busyMost)
+		n.OnNote(Note{Endpoint: binary.BigEndian.Uint64(buf[tokenBytes:]), Busy: busy})
+	}
+}
+
+// Send tells all other routers.
+func (n *Notes) Send(note Note) {
+	var buf [noteBytes]byte
+	binary.BigEndian.PutUint64(buf[tokenBytes:], note.Endpoint)
+	binary.BigEndian.PutUint32(buf[tokenBytes+8:], uint32(note.Busy.Milliseconds()))
+	n.fleet.each(func(p Peer) {
+		copy(buf[:tokenBytes], p.Token)
+		if _, err := n.conn.WriteToUDPAddrPort(buf[:], p.Addr); err != nil {
+			n.Log.Debug("peers: A note was not sent.", zap.String("peer", p.Name), logs.Err(err))
+		}
+	})
+}
+
+// each calls f for every other router that is not shunned.
+func (f *Fleet) each(do func(Peer)) {
+	now := time.Now()
+	f.mu.Lock()
+	list := make([]Peer, 0, len(f.ranked))
+	for _, p := range f.ranked {
+		if p.Name != f.self && now.After(f.shunned[p.Name]) {
+			list = append(list, p)
+		}
+	}
+	f.mu.Unlock()
+	for _, p := range list {
+		do(p)
+	}
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -63,6 +63,9 @@
 	// WriteTrial stores the next step of a roll-out, unless the stored one has
 	// another revision.
 	WriteTrial func(ctx context.Context, t roll.Trial) error
+	// Tell tells the other routers that an endpoint, by its hash, is kept busy
+	// for a while.
+	Tell func(endpoint uint64, busy time.Duration)
 	// Proven returns when the table in force was the newest, for sure.
 	Proven func() time.Time
 	// Listed reports whether the endpoints are known.
@@ -99,6 +102,7 @@
 	e := &Engine{
 		Log:     log,
 		Now:     time.Now,
+		Tell:    func(uint64, time.Duration) {},
 		Proven:  func() time.Time { return time.Time{} },
 		Listed:  func() bool { return false },
 		Routers: func() int { return 1 },
@@ -152,6 +156,15 @@
 	e.Log.Info("relay: An endpoint was removed.", zap.String("endpoint", id), zap.Int64("revision", revision), zap.Time("lapsesAt", lapsesAt))
 }
 
+// Heard takes over what another router told of an endpoint.
+func (e *Engine) Heard(endpoint uint64, busy time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.book.ByHash(endpoint); p != nil {
+		p.Load.Busy(e.Now(), busy)
+	}
+}
+
 // Ready reports whether the router should get new connections, and why not.
 func (e *Engine) Ready() (ready bool, why string) {
 	switch {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -57,6 +57,8 @@
 	// Rank is the urgency, 0 to 9; 0 comes first.
 	Rank     int
 	Deadline time.Time
+	// hash is what other routers know the endpoint by.
+	hash uint64
 	// expected is how long the head is expected to take, in seconds.
 	expected float64
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -98,7 +98,7 @@
 	}
 	x.tries = append(x.tries, try{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
 	x.tried = append(x.tried, p.ID)
-	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, expected: x.expected()}
+	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.expected()}
 	p.Load.Sent++
 	p.Load.Reading += a.expected
 	x.made++
@@ -133,6 +133,10 @@
 	return w
 }
 
+// toldLeast is the expected time to the head, in seconds, from which on the other
+// routers are told: shorter ones hold up nobody for long, and are many.
+const toldLeast = 0.08
+
 // prefixSaves is the part of the time to the head that a prefix in memory saves;
 // two thirds of the users' shared parts are found kept.
 const prefixSaves = 0.4
@@ -155,6 +159,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer x.e.left(a)
+	if a.expected >= toldLeast {
+		x.e.Tell(a.hash, time.Duration(a.expected*float64(time.Second)))
+	}
 	s := x.listen(cancel)
 	defer s.stop()
 	reply, sent := x.e.Send(ctx, a)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,6 +42,7 @@
 	mirror   *mirror.Mirror
 	fleet    *peers.Fleet
 	asker    *peers.Asker
+	notes    *peers.Notes
 	// self is this router's registration; registered says that the store has
 	// it.
 	self       peers.Peer
@@ -79,7 +80,16 @@
 	r.Engine.Proven = func() time.Time { return r.mirror.Proven(w.ConfigKind) }
 	r.Engine.Listed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
 	r.Engine.Routers = r.fleet.Len
-	return r, r.listen()
+	if err := r.listen(); err != nil {
+		return nil, err
+	}
+	notes, err := peers.NewNotes(log, r.fleet, r.self, func(n peers.Note) { r.Engine.Heard(n.Endpoint, n.Busy) })
+	if err != nil {
+		return nil, err
+	}
+	r.notes = notes
+	r.Engine.Tell = func(endpoint uint64, busy time.Duration) { notes.Send(peers.Note{Endpoint: endpoint, Busy: busy}) }
+	return r, nil
 }
 
 // listen opens the listeners.
@@ -131,6 +141,7 @@
 	r.Log.Info("router: Started.", zap.String("vm", r.settings.VM), zap.String("availabilityZone", r.settings.AvailabilityZone),
 		zap.Stringer("listen", r.settings.Listen), zap.Stringer("store", r.settings.Store), zap.Any("limits", r.settings.limits()))
 	r.follow(ctx)
+	r.tasks.Go(ctx, "notes", r.notes.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
 	shared := &http.Server{Handler: peers.NewServer(r.Log, r.mirror, r.self.Token), ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -43,7 +43,8 @@
 
 // Book holds the endpoints of all services. Use NewBook.
 type Book struct {
-	byID map[string]*Endpoint
+	byID   map[string]*Endpoint
+	byHash map[uint64]*Endpoint
 	// byService holds the endpoints of each service in the order of their
 	// hashes, which is the same in every process.
 	byService map[string][]*Endpoint
@@ -54,7 +55,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64)}
+	return &Book{byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64)}
 }
 
 // goneMost bounds how many removed endpoints are remembered.
@@ -85,6 +86,7 @@
 
 func (b *Book) insert(p *Endpoint) {
 	p.hash = mix(Hash(p.ID))
+	b.byHash[p.hash] = p
 	list := b.byService[p.Service]
 	i, _ := slices.BinarySearchFunc(list, p.hash, func(q *Endpoint, h uint64) int { return cmp.Compare(q.hash, h) })
 	b.byService[p.Service] = slices.Insert(list, i, p)
@@ -113,6 +115,7 @@
 	}
 	b.gone[p.ID] = revision
 	delete(b.byID, p.ID)
+	delete(b.byHash, p.hash)
 	b.byService[p.Service] = slices.DeleteFunc(b.byService[p.Service], func(q *Endpoint) bool { return q == p })
 }
 
@@ -132,6 +135,12 @@
 // Get returns the endpoint of an ID; nil if there is none.
 func (b *Book) Get(id string) *Endpoint { return b.byID[id] }
 
+// ByHash returns the endpoint of a hash; nil if there is none.
+func (b *Book) ByHash(hash uint64) *Endpoint { return b.byHash[hash] }
+
+// Hash returns what other processes know the endpoint by.
+func (p *Endpoint) Hash() uint64 { return p.hash }
+
 // Len returns how many endpoints are known.
 func (b *Book) Len() int { return len(b.byID) }
 
--- a/pkg/pool/load.go
+++ b/pkg/pool/load.go
@@ -12,6 +12,9 @@
 	// Reading is the time, in seconds, that our own attempts which wait for a
 	// head are expected to take; 0 or more.
 	Reading float64
+	// busyUntil is when the endpoint is done with what other routers told that
+	// they sent it.
+	busyUntil time.Time
 	// reported is what the endpoint told last, and reportedAt when; sentThen is
 	// Sent at that moment.
 	reported   int
@@ -29,6 +32,21 @@
 	l.reported, l.sentThen, l.reportedAt = running+waiting, l.Sent, now
 }
 
+// Busy notes that another router sent the endpoint something that takes d, behind
+// what it has already.
+func (l *Load) Busy(now time.Time, d time.Duration) {
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(d)
+}
+
+// wait returns how long a prompt is expected to wait for others to be read, in
+// seconds.
+func (l *Load) wait(now time.Time) float64 {
+	return l.Reading + max(l.busyUntil.Sub(now), 0).Seconds()
+}
+
 // Runs returns how many runs the endpoint is believed to have.
 func (l *Load) Runs(now time.Time) int {
 	if l.reportedAt.IsZero() || now.Sub(l.reportedAt) > reportHolds {
