--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -18,7 +18,7 @@
 func (x *run) deliver(ctx context.Context, a *Attempt, t *try, reply *Reply, s *silence) (next bool) {
 	var broke error
 	if x.route.Kind == Stream && reply.Status < 300 {
-		broke = x.deliverStream(reply, s)
+		broke = x.deliverStream(reply, t, s)
 	} else {
 		broke = x.deliverWhole(reply, s)
 	}
@@ -107,16 +107,20 @@
 }
 
 // deliverStream passes on whole events as they come.
-func (x *run) deliverStream(reply *Reply, s *silence) error {
+func (x *run) deliverStream(reply *Reply, t *try, s *silence) error {
 	if !x.begun {
 		x.head(reply, -1)
 	}
 	flush := http.NewResponseController(x.w)
 	ev := events{last: x.lastEvent}
 	buf := make([]byte, eventBuffer)
+	heard := x.e.Now()
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
+			now := x.e.Now()
+			t.Pause = max(t.Pause, now.Sub(heard).Milliseconds())
+			heard = now
 			s.heardNow()
 			out := ev.take(buf[:n])
 			if werr := x.write(out); werr != nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -108,4 +108,7 @@
 	Load int
 	// Head is how long the head took, in milliseconds.
 	Head int64
+	// Pause is the longest time between two pieces of a stream, in
+	// milliseconds.
+	Pause int64
 }
