Remember removals of objects that were never known; test mirror and peers

Cause, found by the new test of copies that feed one another (seed 11): a removal that came before the object's first word was forgotten, and a late word brought the object back, so that a removed endpoint would get requests.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -126,21 +126,23 @@
 	if g, ok := c.gone[ch.Name]; ok && ch.Revision <= g.Revision {
 		return
 	}
-	if ch.Gone {
-		if _, ok := c.objects[ch.Name]; !ok {
-			return
-		}
-		delete(c.objects, ch.Name)
-		if len(c.gone) >= goneMost {
-			clear(c.gone)
-			c.floor = ch.Revision
-		}
-		c.gone[ch.Name] = ch
-	} else {
+	if !ch.Gone {
 		delete(c.gone, ch.Name)
 		c.objects[ch.Name] = ch.Object
+		m.OnChange(kind, ch)
+		return
+	}
+	if len(c.gone) >= goneMost {
+		clear(c.gone)
+		c.floor = ch.Revision
+	}
+	// Also of an object that was never known here: a late word of it must not
+	// bring it in.
+	c.gone[ch.Name] = ch
+	if _, ok := c.objects[ch.Name]; ok {
+		delete(c.objects, ch.Name)
+		m.OnChange(kind, ch)
 	}
-	m.OnChange(kind, ch)
 }
 
 // advance notes up to where the copy goes; mu is held.
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,201 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func object(name string, revision int64) Object {
+	return Object{Name: name, Revision: revision, Spec: json.RawMessage(fmt.Sprint(revision))}
+}
+
+// state is what a listener of a mirror knows.
+type state map[string]int64
+
+// listen makes a state that follows a mirror, and fails on a change that goes
+// back.
+func listen(t *testing.T, m *Mirror) state {
+	s := make(state)
+	m.OnChange = func(_ string, c Change) {
+		if c.Revision < s[c.Name] {
+			t.Errorf("%s: got revision %d after %d", c.Name, c.Revision, s[c.Name])
+		}
+		s[c.Name] = c.Revision
+		if c.Gone {
+			s[c.Name] = -c.Revision
+		}
+	}
+	return s
+}
+
+func TestOldWordsChangeNothing(t *testing.T) {
+	m := New("k")
+	s := listen(t, m)
+	m.List("k", []Object{object("a", 3), object("b", 4)}, 5, t0, time.Time{})
+	m.Apply("k", []Change{{Object: object("a", 7)}, {Object: Object{Name: "b", Revision: 8}, Gone: true}}, 8, t0)
+	m.Apply("k", []Change{{Object: object("a", 6)}, {Object: object("b", 4)}}, 7, t0)
+	m.List("k", []Object{object("a", 3), object("b", 4)}, 5, t0, time.Time{})
+	if want := (state{"a": 7, "b": -8}); !maps.Equal(s, want) {
+		t.Errorf("state: got %v, want %v", s, want)
+	}
+	if got := m.Revision("k"); got != 8 {
+		t.Errorf("revision: got %d, want 8", got)
+	}
+}
+
+func TestProofsNeverGoBack(t *testing.T) {
+	m := New("k")
+	m.List("k", nil, 5, t0, time.Time{})
+	m.Apply("k", nil, 5, t0.Add(time.Second))
+	m.Apply("k", nil, 5, t0)
+	// An answer about an older revision proves nothing about a newer copy.
+	m.Apply("k", nil, 4, t0.Add(time.Hour))
+	if got, want := m.Proven("k"), t0.Add(time.Second); !got.Equal(want) {
+		t.Errorf("proven at: got %v, want %v", got, want)
+	}
+}
+
+// Copies that are fed from one another in any order, late and twice, end equal.
+func TestCopiesOfCopiesAgree(t *testing.T) {
+	for seed := range uint64(50) {
+		rnd := rand.New(rand.NewPCG(seed, 7))
+		truth, copies := New("k"), []*Mirror{New("k"), New("k"), New("k")}
+		want := listen(t, truth)
+		var states []state
+		for _, c := range copies {
+			states = append(states, listen(t, c))
+		}
+		truth.List("k", nil, 0, t0, time.Time{})
+		var late []func()
+		pull := func(from, to *Mirror) {
+			d, ok := from.Since("k", to.Revision("k"))
+			if !ok {
+				return
+			}
+			late = append(late, func() { give(to, d) })
+		}
+		for revision := int64(1); revision < 200; revision++ {
+			name := fmt.Sprint(rnd.IntN(12))
+			c := Change{Object: object(name, revision), Gone: rnd.IntN(3) == 0}
+			truth.Apply("k", []Change{c}, revision, t0)
+			pull(truth, copies[rnd.IntN(3)])
+			pull(copies[rnd.IntN(3)], copies[rnd.IntN(3)])
+			if len(late) > 0 && rnd.IntN(2) == 0 {
+				late[rnd.IntN(len(late))]()
+			}
+		}
+		for _, c := range copies {
+			d, _ := truth.Since("k", c.Revision("k"))
+			give(c, d)
+		}
+		for i, s := range states {
+			if got, want := alive(s), alive(want); !maps.Equal(got, want) {
+				t.Fatalf("seed %d, copy %d: got %v, want %v", seed, i, got, want)
+			}
+		}
+	}
+}
+
+func give(to *Mirror, d Delta) {
+	if !d.Whole {
+		to.Apply("k", d.Changes, d.Revision, d.ProvenAt)
+		return
+	}
+	var list []Object
+	for _, c := range d.Changes {
+		list = append(list, c.Object)
+	}
+	to.List("k", list, d.Revision, d.ProvenAt, time.Time{})
+}
+
+func alive(s state) state {
+	out := make(state)
+	for name, revision := range s {
+		if revision > 0 {
+			out[name] = revision
+		}
+	}
+	return out
+}
+
+func TestAwaitHearsOfAChange(t *testing.T) {
+	m := New("k", "other")
+	m.List("k", nil, 1, t0, time.Time{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		m.Await(context.Background(), map[string]int64{"k": 1}, time.Now().Add(time.Minute))
+	}()
+	m.Apply("k", []Change{{Object: object("a", 2)}}, 2, t0)
+	<-ended
+}
+
+var errDown = errors.New("down")
+
+// A store that is away for long lets entries lapse; they are waited for after it.
+func TestRemovalsAfterAnOutageLapse(t *testing.T) {
+	m := New("k")
+	var got []Change
+	m.OnChange = func(_ string, c Change) { got = append(got, c) }
+	f := Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", Wait: config.Span(time.Millisecond), Source: Source{
+		List: func(context.Context, string) ([]Object, int64, error) { return []Object{object("a", 1)}, 1, nil },
+		Watch: func(context.Context, string, int64, time.Time) ([]Change, int64, error) {
+			return []Change{{Object: Object{Name: "a", Revision: 2}, Gone: true}}, 2, nil
+		},
+	}}
+	ctx := context.Background()
+	if err := f.step(ctx, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	f.lost(now.Add(-2*time.Second), errDown)
+	if err := f.step(ctx, now); err != nil {
+		t.Fatal(err)
+	}
+	if len(got) != 2 || !got[1].Gone || got[1].LapsesAt.Before(now.Add(time.Second)) {
+		t.Errorf("changes: got %+v, want a removal that lapses about 2 s later", got)
+	}
+}
+
+func TestShortTroubleLetsNothingLapse(t *testing.T) {
+	f := Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k"}
+	now := time.Now()
+	f.lost(now.Add(-outageLeast/2), errDown)
+	f.returned(now)
+	if !f.lapsesAt.IsZero() {
+		t.Errorf("lapses at: got %v, want never", f.lapsesAt)
+	}
+}
+
+func TestLostHistoryIsListedAgain(t *testing.T) {
+	m := New("k")
+	lists := 0
+	ctx, cancel := context.WithCancel(context.Background())
+	f := Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", Source: Source{
+		List: func(context.Context, string) ([]Object, int64, error) {
+			if lists++; lists == 2 {
+				cancel()
+			}
+			return nil, int64(lists), nil
+		},
+		Watch: func(context.Context, string, int64, time.Time) ([]Change, int64, error) { return nil, 0, ErrHistory },
+	}}
+	if err := f.Run(ctx); err != nil || lists != 2 {
+		t.Errorf("got %d lists, %v; want 2", lists, err)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,215 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/internal/mirror"
+)
+
+// patience bounds the waits of tests.
+const patience = 20 * time.Second
+
+// served is a peer with a mirror of its own.
+type served struct {
+	Peer
+	mirror *mirror.Mirror
+	srv    *httptest.Server
+}
+
+func serve(t *testing.T, name string) *served {
+	m := mirror.New("config", "k")
+	p := &served{mirror: m, Peer: Peer{Name: name, Token: "token-of-" + name + "-0123456789"}}
+	p.srv = httptest.NewServer(NewServer(zap.NewNop(), m, p.Token))
+	t.Cleanup(p.srv.Close)
+	p.Addr = p.srv.Listener.Addr().(*net.TCPAddr).AddrPort()
+	return p
+}
+
+func asker(list ...*served) *Asker {
+	f := NewFleet("self")
+	for _, p := range list {
+		f.Put(p.Peer)
+	}
+	return NewAsker(zap.NewNop(), f, mirror.New("config", "k"), "config", "config", "k")
+}
+
+func put(m *mirror.Mirror, revision int64, at time.Time) {
+	for _, kind := range []string{"config", "k"} {
+		m.List(kind, []mirror.Object{{Name: "a", Revision: revision, Spec: json.RawMessage(`{}`)}}, revision, at, time.Time{})
+	}
+}
+
+func TestAskTakesChangesAndTheirAge(t *testing.T) {
+	p := serve(t, "p")
+	a := asker(p)
+	proven := time.Now().Add(-time.Second)
+	put(p.mirror, 5, proven)
+	if !a.ask(context.Background(), p.Peer) {
+		t.Fatal("ask: got false, want true")
+	}
+	if got := a.Mirror.Revision("k"); got != 5 {
+		t.Errorf("revision: got %d, want 5", got)
+	}
+	got := a.Mirror.Proven("config")
+	if got.After(proven.Add(time.Millisecond)) || got.Before(proven.Add(-patience)) {
+		t.Errorf("proven at: got %v, want at most %v", got, proven)
+	}
+}
+
+func TestAskHearsOfAChangeWhileHeld(t *testing.T) {
+	p := serve(t, "p")
+	a := asker(p)
+	put(p.mirror, 5, time.Now())
+	a.ask(context.Background(), p.Peer)
+	got := make(chan bool)
+	go func() { got <- a.ask(context.Background(), p.Peer) }()
+	put(p.mirror, 6, time.Now())
+	if !<-got || a.Mirror.Revision("k") != 6 {
+		t.Errorf("revision: got %d, want 6", a.Mirror.Revision("k"))
+	}
+}
+
+func TestWrongTokenGetsNothing(t *testing.T) {
+	p := serve(t, "p")
+	put(p.mirror, 5, time.Now())
+	a := asker(p)
+	thief := p.Peer
+	thief.Token = "guessed"
+	if a.ask(context.Background(), thief) || a.Mirror.Revision("k") != -1 {
+		t.Error("an asker without the token got an answer")
+	}
+}
+
+func TestIllInformedPeerIsLeft(t *testing.T) {
+	p := serve(t, "p")
+	put(p.mirror, 5, time.Now().Add(-time.Minute))
+	a := asker(p)
+	if a.ask(context.Background(), p.Peer) {
+		t.Error("ask: got true of a peer that heard nothing for a minute")
+	}
+	if _, ok := a.Fleet.Next(time.Now(), 0, true); ok {
+		t.Error("the peer is asked again at once")
+	}
+	if got := a.Mirror.Revision("k"); got != 5 {
+		t.Errorf("revision: got %d, want 5: what it knows is taken all the same", got)
+	}
+}
+
+// Removed objects that only lapsed stay usable for as long at the asker.
+func TestLapsesArePassedOn(t *testing.T) {
+	p := serve(t, "p")
+	a := asker(p)
+	put(p.mirror, 5, time.Now())
+	a.ask(context.Background(), p.Peer)
+	lapsesAt := time.Now().Add(time.Hour)
+	p.mirror.List("k", nil, 6, time.Now(), lapsesAt)
+	var got mirror.Change
+	a.Mirror.OnChange = func(_ string, c mirror.Change) { got = c }
+	a.ask(context.Background(), p.Peer)
+	if !got.Gone || got.LapsesAt.Before(lapsesAt.Add(-patience)) || got.LapsesAt.After(lapsesAt.Add(patience)) {
+		t.Errorf("change: got %+v, want gone, lapsing at about %v", got, lapsesAt)
+	}
+}
+
+func TestFirstTwoAskTheStore(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	now := time.Now()
+	count := func(shunned string) (n int) {
+		for _, self := range names {
+			f := NewFleet(self)
+			for _, name := range names {
+				f.Put(Peer{Name: name})
+			}
+			if shunned != "" && self != shunned {
+				f.Shun(shunned, now)
+			}
+			if self != shunned && f.Asker(now) {
+				n++
+			}
+		}
+		return n
+	}
+	if got := count(""); got != askers {
+		t.Errorf("routers that ask the store: got %d, want %d", got, askers)
+	}
+	for _, name := range names {
+		if got := count(name); got != askers {
+			t.Errorf("with %s silent: got %d, want %d", name, got, askers)
+		}
+	}
+}
+
+func TestSilentPeerIsGoneLater(t *testing.T) {
+	f := NewFleet("self")
+	f.Put(Peer{Name: "a"})
+	now := time.Now()
+	f.Fail("a", now)
+	if got := f.Gone(now.Add(goneAfter)); len(got) != 0 {
+		t.Errorf("gone too soon: got %v", got)
+	}
+	if got := f.Gone(now.Add(goneAfter + time.Second)); len(got) != 1 {
+		t.Errorf("gone: got %v, want a", got)
+	}
+	f.Heard("a")
+	if got := f.Gone(now.Add(goneAfter + time.Second)); len(got) != 0 {
+		t.Errorf("gone after it was heard: got %v", got)
+	}
+}
+
+func TestNotesReachTheOthers(t *testing.T) {
+	heard := make(chan Note, 10)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 3)
+	var list []*Notes
+	var all []Peer
+	for i := range 3 {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := c.LocalAddr().(*net.UDPAddr).AddrPort()
+		_ = c.Close()
+		all = append(all, Peer{Name: fmt.Sprint(i), Addr: addr, Token: fmt.Sprintf("%016d-and-more", i)})
+		f := NewFleet(all[i].Name)
+		n, err := NewNotes(zap.NewNop(), f, all[i], func(n Note) { heard <- n })
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, n)
+		go func() { ended <- n.Run(ctx) }()
+	}
+	for _, n := range list {
+		for _, p := range all {
+			n.fleet.Put(p)
+		}
+	}
+	want := Note{Endpoint: 77, Busy: 1500 * time.Millisecond}
+	list[0].Send(want)
+	for range 2 {
+		select {
+		case got := <-heard:
+			if got != want {
+				t.Errorf("note: got %+v, want %+v", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatal("a note was not heard")
+		}
+	}
+	cancel()
+	for range list {
+		if err := <-ended; err != nil {
+			t.Errorf("hearer: %v", err)
+		}
+	}
+}
