--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -70,14 +70,11 @@
 }
 
 // Turn waits until the store should be asked for a kind; it returns false if ctx
-// was done first. Registrations come first: they say whom to ask for the rest.
+// was done first. A starting router reads all from the store itself: after all
+// were killed, the registered peers are as new as it is.
 func (a *Asker) Turn(ctx context.Context, kind string) bool {
 	for ctx.Err() == nil {
-		known := a.Mirror.Revision(a.RouterKind) >= 0
-		if !known && kind == a.RouterKind {
-			return true
-		}
-		if known && (a.direct.Load() || a.Fleet.Asker(time.Now())) {
+		if a.Mirror.Revision(kind) < 0 || a.direct.Load() || a.Fleet.Asker(time.Now()) {
 			return true
 		}
 		tasks.Pause(ctx, idle.After(time.Now()))
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -213,3 +213,25 @@
 		}
 	}
 }
+
+// A starting router does not wait for peers that may be starting too.
+func TestFirstReadIsTheStores(t *testing.T) {
+	f := NewFleet("self")
+	for i := range 9 {
+		f.Put(Peer{Name: fmt.Sprint("p", i)})
+	}
+	f.Put(Peer{Name: "self"})
+	a := NewAsker(zap.NewNop(), f, mirror.New("config", "k"), "config", "config", "k")
+	ctx, cancel := context.WithCancel(context.Background())
+	if f.Asker(time.Now()) {
+		t.Fatal("self is among the first; the test needs another name")
+	}
+	if !a.Turn(ctx, "k") {
+		t.Error("before the first read: got false, want the store's turn")
+	}
+	put(a.Mirror, 5, time.Now())
+	cancel()
+	if a.Turn(ctx, "k") {
+		t.Error("after the first read: got the store's turn, want the peers'")
+	}
+}
