--- a/internal/relay/counts.go
+++ b/internal/relay/counts.go
@@ -15,7 +15,10 @@
 // counts are the core's metrics.
 type counts struct {
 	scope tally.Scope
-	under tally.Gauge
+	// under, age, endpoints and routers are what the router believes now: the
+	// requests under way, the age of the table's proof in seconds, the known
+	// endpoints and the registered routers.
+	under, age, endpoints, routers tally.Gauge
 	// mu guards the maps, which hold one metric for each set of tags.
 	mu       sync.Mutex
 	counters map[tagged]tally.Counter
@@ -27,7 +30,10 @@
 
 func newCounts(scope tally.Scope) counts {
 	s := scope.SubScope("relay")
-	return counts{scope: s, under: s.Gauge("under_way"), counters: make(map[tagged]tally.Counter), times: make(map[string]tally.Histogram)}
+	return counts{
+		scope: s, under: s.Gauge("under_way"), age: s.Gauge("configuration_age_seconds"), endpoints: s.Gauge("endpoints"), routers: s.Gauge("routers"),
+		counters: make(map[tagged]tally.Counter), times: make(map[string]tally.Histogram),
+	}
 }
 
 // headBuckets are the upper bounds of the histograms, 5 ms to about 20 s.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -224,6 +224,7 @@
 		case <-t.C:
 			e.expire()
 			e.moveRolls(ctx)
+			e.gauge()
 		case <-ctx.Done():
 			return nil
 		}
@@ -234,6 +235,19 @@
 // the second within which a bad version must be left.
 const tendEvery = 100 * time.Millisecond
 
+// gauge tells the metrics what the router believes.
+func (e *Engine) gauge() {
+	e.mu.Lock()
+	endpoints := e.book.Len()
+	e.mu.Unlock()
+	e.counts.under.Update(float64(e.under.Load()))
+	e.counts.endpoints.Update(float64(endpoints))
+	e.counts.routers.Update(float64(e.Routers()))
+	if e.table.Load() != nil {
+		e.counts.age.Update(e.age(e.Now()).Seconds())
+	}
+}
+
 func (e *Engine) expire() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
