--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,9 +36,6 @@
 	// asked for most often.
 	Watched string
 	HTTP    *http.Client
-	// RouterKind is the kind of registrations; nobody is asked before they
-	// were read.
-	RouterKind string
 	// direct says that no peer answered well, so that the store is asked.
 	direct atomic.Bool
 }
@@ -55,8 +53,11 @@
 	// again.
 	idle        = config.Span(100 * time.Millisecond)
 	directAgain = config.Span(time.Second)
-	// startPoll is how often a starting router looks whether the registrations
-	// were read.
+	// firstReadWithin is how long a starting router leaves the first read to
+	// the store before it asks peers for all: whole lists are long, and the few
+	// routers that are asked would send them to everybody.
+	firstReadWithin = config.Span(700 * time.Millisecond)
+	// startPoll is how often it looks whether all was read.
 	startPoll = config.Span(10 * time.Millisecond)
 	// answerMost bounds an answer, in bytes.
 	answerMost = 16 << 20
@@ -86,9 +87,10 @@
 // the store leaves this router without word.
 func (a *Asker) Run(ctx context.Context) error {
 	primary := xxhash.Sum64String(a.Fleet.self)
+	firstRead := firstReadWithin.After(time.Now())
 	for ctx.Err() == nil {
 		now := time.Now()
-		if a.Mirror.Revision(a.RouterKind) < 0 {
+		if !a.listed() && now.Before(firstRead) {
 			tasks.Pause(ctx, startPoll.After(now))
 			continue
 		}
@@ -117,6 +119,11 @@
 	return nil
 }
 
+// listed reports whether every kind was read once.
+func (a *Asker) listed() bool {
+	return !slices.ContainsFunc(a.Kinds, func(kind string) bool { return a.Mirror.Revision(kind) < 0 })
+}
+
 // set notes whether the store has to be asked.
 func (a *Asker) set(direct bool, peer string) {
 	if a.direct.Swap(direct) == direct {
