--- a/cmd/traildrift/main.go
+++ b/cmd/traildrift/main.go
@@ -15,6 +15,8 @@
 
 	"github.com/traildrift/traildrift/internal/entry"
 	"github.com/traildrift/traildrift/internal/guard"
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/router"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/platform"
 )
@@ -36,6 +38,19 @@
 // routerArgs start a router.
 type routerArgs struct {
 	Config string `arg:"-c,--config" help:"router settings file; the platform's environment names it if left out"`
+	Check  bool   `arg:"--check" help:"check the settings file and say what is wrong, without starting"`
+}
+
+func (a *routerArgs) run(ctx context.Context) error {
+	if !a.Check {
+		return platform.Main(ctx, a.Config)
+	}
+	var s router.Settings
+	if err := proc.Load(a.Config, &s); err != nil {
+		return err
+	}
+	fmt.Printf("%s: the settings of router %s are sound\n", a.Config, s.VM)
+	return nil
 }
 
 // noArgs are those of a command without any.
@@ -90,7 +105,7 @@
 	case a.Guard != nil:
 		return guard.Main(ctx, a.Guard.Config)
 	case a.Router != nil:
-		return platform.Main(ctx, a.Router.Config)
+		return a.Router.run(ctx)
 	case a.Settings != nil:
 		return a.Settings.run(ctx)
 	case a.Rollout != nil:
--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -48,6 +48,9 @@
 	// agedAfter is how old a peer's copy may be for it to count as well
 	// informed: a peer that asks the store has one of at most 1.4 s.
 	agedAfter = 1800 * time.Millisecond
+	// unheardAfter is how old the proof of the watched kind may be for the
+	// others to be asked for as well.
+	unheardAfter = 2500 * time.Millisecond
 	// idle is how often a router that asks the store looks whether it should
 	// ask peers instead, and directAgain how often one that found no peer tries
 	// again.
@@ -59,6 +62,8 @@
 	firstReadWithin = config.Span(700 * time.Millisecond)
 	// startPoll is how often it looks whether all was read.
 	startPoll = config.Span(10 * time.Millisecond)
+	// turnPoll is how often a follower looks whether it is its turn.
+	turnPoll = config.Span(50 * time.Millisecond)
 	// answerMost bounds an answer, in bytes.
 	answerMost = 16 << 20
 )
@@ -72,13 +77,17 @@
 
 // Turn waits until the store should be asked for a kind; it returns false if ctx
 // was done first. A starting router reads all from the store itself: after all
-// were killed, the registered peers are as new as it is.
+// were killed, the registered peers are as new as it is. While the store is not
+// heard of, one kind alone is tried: each call is priced, also to a store that is
+// down.
 func (a *Asker) Turn(ctx context.Context, kind string) bool {
 	for ctx.Err() == nil {
-		if a.Mirror.Revision(kind) < 0 || a.direct.Load() || a.Fleet.Asker(time.Now()) {
+		now := time.Now()
+		heard := kind == a.Watched || now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
+		if heard && (a.Mirror.Revision(kind) < 0 || a.direct.Load() || a.Fleet.Asker(now)) {
 			return true
 		}
-		tasks.Pause(ctx, idle.After(time.Now()))
+		tasks.Pause(ctx, turnPoll.After(now))
 	}
 	return false
 }
