--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -133,7 +133,7 @@
 	return out
 }
 
-func TestAwaitHearsOfAChange(t *testing.T) {
+func TestAwaitHearsOfAChange(*testing.T) {
 	m := New("k", "other")
 	m.List("k", nil, 1, t0, time.Time{})
 	ended := make(chan struct{})
--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -108,26 +108,29 @@
 			tasks.Pause(ctx, idle.After(now))
 			continue
 		}
-		p, ok := a.Fleet.Next(now, primary, false)
-		if !ok || !informed {
-			p, ok = a.Fleet.Next(now, rand.Uint64(), true)
-		}
-		if ok && a.ask(ctx, p) {
-			a.set(false, p.Name)
-			continue
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		if _, more := a.Fleet.Next(time.Now(), primary, false); more && !a.direct.Load() {
-			continue
-		}
-		a.set(true, p.Name)
-		tasks.Pause(ctx, directAgain.After(time.Now()))
+		a.askNext(ctx, primary, informed)
 	}
 	return nil
 }
 
+// askNext asks the next peer, and turns to the store when none is left.
+func (a *Asker) askNext(ctx context.Context, primary uint64, informed bool) {
+	now := time.Now()
+	p, ok := a.Fleet.Next(now, primary, false)
+	if !ok || !informed {
+		p, ok = a.Fleet.Next(now, rand.Uint64(), true)
+	}
+	if ok && a.ask(ctx, p) {
+		a.set(false, p.Name)
+		return
+	}
+	if _, more := a.Fleet.Next(time.Now(), primary, false); ctx.Err() != nil || more && !a.direct.Load() {
+		return
+	}
+	a.set(true, p.Name)
+	tasks.Pause(ctx, directAgain.After(time.Now()))
+}
+
 // listed reports whether every kind was read once.
 func (a *Asker) listed() bool {
 	return !slices.ContainsFunc(a.Kinds, func(kind string) bool { return a.Mirror.Revision(kind) < 0 })
--- a/internal/proc/settings.go
+++ b/internal/proc/settings.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"os"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/seal"
@@ -72,19 +74,28 @@
 }
 
 // Load reads a process settings file strictly into dst, which must be a
-// pointer. The error is config.Problems: file, line, key and what is allowed.
+// pointer. The error is config.Problems, all at once: file, line, key and what is
+// allowed.
 func Load(file string, dst Checked) error {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return config.Problems{{File: file, Line: 1, Key: "(file)", Message: err.Error()}}
 	}
-	if err := config.Decode(file, text, dst); err != nil {
+	var ps config.Problems
+	if err := config.Decode(file, text, dst); err != nil && !errors.As(err, &ps) {
 		return err
 	}
+	told := make(map[int]bool)
+	for _, p := range ps {
+		told[p.Line] = true
+	}
 	lines := config.NewLines(text)
-	var ps config.Problems
 	dst.Check(func(key, message string) {
-		ps = append(ps, config.Problem{File: file, Line: lines.Of(key), Key: key, Message: message})
+		line := lines.Of(key)
+		// Keys that are missing have the document's first line.
+		if line <= 1 || !told[line] {
+			ps = append(ps, config.Problem{File: file, Line: line, Key: key, Message: message})
+		}
 	})
 	if len(ps) > 0 {
 		return ps
--- a/pkg/config/file.go
+++ b/pkg/config/file.go
@@ -69,27 +69,28 @@
 }
 
 // Decode reads one YAML document into dst, which must be a pointer to a
-// struct. Unknown keys and wrong types are Problems with their line.
+// struct. Unknown keys and wrong types are Problems, all of them, with their
+// lines; dst then holds the plain values of the top level that are right.
 func Decode(name string, text []byte, dst any) error {
 	err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(dst)
 	if err == nil {
 		return nil
 	}
-	p := Problem{File: name, Line: 1, Key: "(document)", Message: err.Error()}
+	var ps Problems
 	var yerr yaml.Error
 	if asYAML(err, &yerr) && yerr.GetToken() != nil {
-		p.Message = yerr.GetMessage()
-		p.Line = yerr.GetToken().Position.Line
-		p.Key = yerr.GetToken().Value
-		return Problems{p}
+		t := yerr.GetToken()
+		ps = append(ps, Problem{File: name, Line: t.Position.Line, Key: t.Value, Message: yerr.GetMessage()})
 	}
 	for _, l := range NewLines(text).leaves() {
-		if msg := l.try(reflect.TypeOf(dst).Elem()); msg != "" {
-			p.Line, p.Key, p.Message = l.line, strings.Join(l.keys, "."), msg
-			break
+		if msg := l.decode(dst); msg != "" && (len(ps) == 0 || ps[0].Line != l.line) {
+			ps = append(ps, Problem{File: name, Line: l.line, Key: strings.Join(l.keys, "."), Message: msg})
 		}
 	}
-	return Problems{p}
+	if len(ps) == 0 {
+		ps = Problems{{File: name, Line: 1, Key: "(document)", Message: err.Error()}}
+	}
+	return ps
 }
 
 // leaf is one value of a document that is no mapping.
@@ -115,9 +116,10 @@
 	return dst
 }
 
-// try decodes a document that holds nothing but the leaf into a fresh value,
-// and returns what is wrong. It finds the place of errors that name none.
-func (l leaf) try(t reflect.Type) string {
+// decode decodes a document that holds nothing but the leaf and returns what is
+// wrong. A leaf of the top level goes into dst, so that what is right can still be
+// checked; others go into a fresh value, as they would replace their neighbours.
+func (l leaf) decode(dst any) string {
 	var doc strings.Builder
 	for depth, key := range l.keys {
 		fmt.Fprintf(&doc, "%s%q:", strings.Repeat(" ", depth), key)
@@ -126,10 +128,17 @@
 		}
 	}
 	doc.WriteString(" " + l.text + "\n")
-	err := yaml.NewDecoder(strings.NewReader(doc.String()), yaml.Strict()).Decode(reflect.New(t).Interface())
+	if len(l.keys) > 1 {
+		dst = reflect.New(reflect.TypeOf(dst).Elem()).Interface()
+	}
+	err := yaml.NewDecoder(strings.NewReader(doc.String()), yaml.Strict()).Decode(dst)
 	if err == nil {
 		return ""
 	}
+	var yerr yaml.Error
+	if asYAML(err, &yerr) {
+		return yerr.GetMessage()
+	}
 	return err.Error()
 }
 
