Bound the memory that bodies of requests take

Cause: bodies are read whole, up to 4 MB each by the operator's limit, in a process of 134 MB that is killed above; nothing bounded them together. Beyond a fifth of the memory a request is refused as not run, with a time to come back.

--- /dev/null
+++ b/internal/router/bodies_test.go
@@ -0,0 +1,36 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package router
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func TestBodiesAreBounded(t *testing.T) {
+	b := newBodies(5) // a fifth of 5 MB
+	read := func(mb float64) (int, error) {
+		text, err := io.ReadAll(b.reader(strings.NewReader(strings.Repeat("x", int(mb*(1<<20))))))
+		return len(text), err
+	}
+	n, err := read(0.75)
+	if err != nil {
+		t.Fatalf("first body: got %v, want none", err)
+	}
+	m, err := read(0.75)
+	if !errors.Is(err, errBodiesFull) {
+		t.Errorf("body beyond the bound: got %v, want %v", err, errBodiesFull)
+	}
+	b.free(m)
+	b.free(n)
+	if n, err = read(0.75); err != nil {
+		t.Errorf("body after the others were freed: got %v, want none", err)
+	}
+	b.free(n)
+	if got := b.held.Load(); got != 0 {
+		t.Errorf("held at the end: got %d, want 0", got)
+	}
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -25,6 +25,9 @@
 	idleWithin   = config.Span(60 * time.Second)
 	// bodyWithin bounds the reading of a body.
 	bodyWithin = config.Span(10 * time.Second)
+	// bodiesAgain is when a caller comes back whose body found no room, in
+	// seconds.
+	bodiesAgain = "0.5"
 	// bodyMost bounds a body where the configuration does not, in bytes.
 	bodyMost = 8 << 20
 )
@@ -59,9 +62,13 @@
 	if err != nil {
 		r.Log.Info("router: A body could not be read.", zap.String("path", q.URL.Path), zap.Int("status", status), logs.Err(err))
 		w.Header().Set("Connection", "close")
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", bodiesAgain)
+		}
 		w.WriteHeader(status)
 		return
 	}
+	defer r.bodies.free(len(body))
 	r.Engine.Serve(q.Context(), w, r.wire.Request(q, body, now))
 }
 
@@ -79,16 +86,21 @@
 	if err := control.SetReadDeadline(bodyWithin.After(time.Now())); err != nil {
 		return nil, http.StatusInternalServerError, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, most))
+	body, err := io.ReadAll(r.bodies.reader(http.MaxBytesReader(w, q.Body, most)))
 	if err == nil {
 		err = control.SetReadDeadline(time.Time{})
 	}
+	if err == nil {
+		return body, 0, nil
+	}
+	r.bodies.free(len(body))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, err
-	}
-	if err != nil {
+	case errors.Is(err, errBodiesFull):
+		return nil, http.StatusServiceUnavailable, err
+	default:
 		return nil, http.StatusBadRequest, err
 	}
-	return body, 0, nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,6 +43,7 @@
 	fleet    *peers.Fleet
 	asker    *peers.Asker
 	notes    *peers.Notes
+	bodies   *bodies
 	// self is this router's registration; registered says that the store has
 	// it.
 	self       peers.Peer
@@ -71,6 +72,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryKept / 100)
 	}
+	r.bodies = newBodies(s.MemoryMB)
 	r.mirror = mirror.New(w.ConfigKind, w.TrialKind, w.EndpointKind, w.RouterKind)
 	r.mirror.OnChange = r.take
 	r.fleet = peers.NewFleet(s.VM)
