Let the old version stand in where none of the new one is left; split long files of the core

A session that a trial's share gives to the new version found no endpoint once those had gone, and was refused, though the old ones were there.

--- /dev/null
+++ b/internal/relay/choose.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/sizes"
+)
+
+// choose picks an endpoint and counts the attempt as sent to it.
+func (x *run) choose(now time.Time) (*Attempt, *try, *fault.Error) {
+	e := x.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, why := x.pick(now)
+	if p == nil {
+		x.giveBack(now)
+		return nil, nil, fault.New(fault.NoVersion, fault.NotRun, "The service has no endpoint that takes requests.").At(soon.After(now))
+	}
+	x.tries = append(x.tries, try{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
+	x.tried = append(x.tried, p.ID)
+	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.expected()}
+	p.Load.Sent++
+	p.Load.Reading += a.expected
+	x.made++
+	if x.workspace != nil {
+		a.Workspace = x.workspace.Name
+		a.Rank += x.workspace.Rank * ranksOfRoutes
+	}
+	a.Rank = min(a.Rank, lastRank)
+	return a, &x.tries[len(x.tries)-1], nil
+}
+
+const (
+	// ranksOfRoutes is how many ranks one rank of a workspace outweighs, and
+	// lastRank the least urgent that endpoints know.
+	ranksOfRoutes = 3
+	lastRank      = 9
+)
+
+// pick returns an endpoint for the next attempt, and why; the engine's mu is held.
+// Better the same endpoint again than none, and better the old version than none.
+func (x *run) pick(now time.Time) (*pool.Endpoint, pool.Reason) {
+	e := x.e
+	want := x.want()
+	p, why := e.book.Pick(now, &want)
+	if p == nil && len(x.tried) > 0 {
+		want.Avoid = nil
+		p, why = e.book.Pick(now, &want)
+	}
+	if _, spare := e.fit(x.service, x.draw); p == nil && spare != nil {
+		want.Fit = spare
+		p, why = e.book.Pick(now, &want)
+	}
+	return p, why
+}
+
+// want is what the request asks of an endpoint; the engine's mu is held.
+func (x *run) want() pool.Want {
+	fit, _ := x.e.fit(x.service, x.draw)
+	w := pool.Want{Service: x.service, Fit: fit, Zone: x.e.limits.Load().Zone, Avoid: x.tried, Draw: x.e.draw()}
+	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
+		// The last part is the request's own, so what others may have left is
+		// named by the one before it.
+		w.Bonus = prefixSaves * x.expected()
+		w.Affinity = pool.Hash(x.model() + "/" + x.r.Prefix[max(n-2, 0)])
+		if h, ok := x.e.homes[x.service]; ok {
+			w.Home = h.of(sortOf(x.route, x.model()))
+		}
+	}
+	return w
+}
+
+// toldLeast is the expected time to the head, in seconds, from which on the other
+// routers are told: shorter ones hold up nobody for long, and are many.
+const toldLeast = 0.08
+
+// prefixSaves is the part of the time to the head that a prefix in memory saves;
+// two thirds of the users' shared parts are found kept.
+const prefixSaves = 0.4
+
+// expected returns how long the head is expected to take, in seconds; the
+// engine's mu is held.
+func (x *run) expected() float64 { return x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn) }
+
+// model returns the model to name to the endpoint; empty where the caller does.
+func (x *run) model() string {
+	if !x.r.OpenModel || len(x.route.Sizes) == 0 {
+		return ""
+	}
+	return x.route.Sizes[min(x.size, len(x.route.Sizes)-1)]
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -268,41 +268,6 @@
 	return w
 }
 
-// mean is a decayed mean of the times to the head of one sort of requests, and of
-// the tokens of their prompts. The zero value is empty.
-type mean struct {
-	value, tokens float64
-	n             int
-}
-
-const (
-	// meanWeight is how much one answer counts in a mean.
-	meanWeight = 0.05
-	// tokensLeast and tokensMost bound by how much a prompt's size changes the
-	// expected time: part of it does not depend on the size.
-	tokensLeast, tokensMost = 0.5, 6
-)
-
-func (m *mean) add(d time.Duration, tokens int) {
-	m.n++
-	w := max(meanWeight, 1/float64(m.n))
-	m.value += (float64(d) - m.value) * w
-	m.tokens += (float64(tokens) - m.tokens) * w
-}
-
-// expect returns the time to the head of a request with a prompt of this size, in
-// seconds; 0 if none was seen yet.
-func (m *mean) expect(tokens int) float64 {
-	if m == nil {
-		return 0
-	}
-	size := 1.0
-	if m.tokens > 0 && tokens > 0 {
-		size = min(max(float64(tokens)/m.tokens, tokensLeast), tokensMost)
-	}
-	return m.value * size / float64(time.Second)
-}
-
 // Bounds returns what callers may send under the table in force; zero values
 // before there is one.
 func (e *Engine) Bounds() Bounds {
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -113,19 +113,26 @@
 		zap.Int64("onRevision", next.Revision), logs.Err(err))
 }
 
-// fit returns which versions of a service may serve a session, and whether the
-// new version of a roll-out is meant; mu is held. A version that this router found
-// bad gets nothing more, whatever is stored.
-func (e *Engine) fit(service string, draw float64) (fit func(version string) bool, fresh bool) {
+// fit returns which versions of a service may serve a session, nil for all; mu is
+// held. A version that this router found bad gets nothing more, whatever is
+// stored. spare says which versions may serve where none that fits is left; nil
+// for none: a session may go back from a version on trial, never on to it.
+func (e *Engine) fit(service string, draw float64) (fit, spare func(version string) bool) {
 	r, ok := e.rolls[service]
 	if !ok {
-		return nil, false
+		return nil, nil
 	}
 	version := r.trial.Version
-	if r.trial.State == roll.Proven || r.trial.New(draw) && !r.judge.Bad() {
-		return func(v string) bool { return v == version }, true
+	isNew := func(v string) bool { return v == version }
+	isOld := func(v string) bool { return v != version }
+	switch {
+	case r.trial.State == roll.Proven:
+		return isNew, nil
+	case r.trial.New(draw) && !r.judge.Bad():
+		return isNew, isOld
+	default:
+		return isOld, nil
 	}
-	return func(v string) bool { return v != version }, false
 }
 
 // evidence notes what an answer says about a new version; mu is held.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -12,7 +12,6 @@
 
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
-	"github.com/traildrift/traildrift/pkg/sizes"
 	"github.com/traildrift/traildrift/pkg/tries"
 )
 
@@ -80,79 +79,6 @@
 	x.e.mu.Unlock()
 }
 
-// choose picks an endpoint and counts the attempt as sent to it.
-func (x *run) choose(now time.Time) (*Attempt, *try, *fault.Error) {
-	e := x.e
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	want := x.want()
-	p, why := e.book.Pick(now, &want)
-	if p == nil && len(x.tried) > 0 {
-		// Better the same endpoint again than none.
-		want.Avoid = nil
-		p, why = e.book.Pick(now, &want)
-	}
-	if p == nil {
-		x.giveBack(now)
-		return nil, nil, fault.New(fault.NoVersion, fault.NotRun, "The service has no endpoint that takes requests.").At(soon.After(now))
-	}
-	x.tries = append(x.tries, try{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
-	x.tried = append(x.tried, p.ID)
-	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.expected()}
-	p.Load.Sent++
-	p.Load.Reading += a.expected
-	x.made++
-	if x.workspace != nil {
-		a.Workspace = x.workspace.Name
-		a.Rank += x.workspace.Rank * ranksOfRoutes
-	}
-	a.Rank = min(a.Rank, lastRank)
-	return a, &x.tries[len(x.tries)-1], nil
-}
-
-const (
-	// ranksOfRoutes is how many ranks one rank of a workspace outweighs, and
-	// lastRank the least urgent that endpoints know.
-	ranksOfRoutes = 3
-	lastRank      = 9
-)
-
-// want is what the request asks of an endpoint; the engine's mu is held.
-func (x *run) want() pool.Want {
-	fit, _ := x.e.fit(x.service, x.draw)
-	w := pool.Want{Service: x.service, Fit: fit, Zone: x.e.limits.Load().Zone, Avoid: x.tried, Draw: x.e.draw()}
-	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
-		// The last part is the request's own, so what others may have left is
-		// named by the one before it.
-		w.Bonus = prefixSaves * x.expected()
-		w.Affinity = pool.Hash(x.model() + "/" + x.r.Prefix[max(n-2, 0)])
-		if h, ok := x.e.homes[x.service]; ok {
-			w.Home = h.of(sortOf(x.route, x.model()))
-		}
-	}
-	return w
-}
-
-// toldLeast is the expected time to the head, in seconds, from which on the other
-// routers are told: shorter ones hold up nobody for long, and are many.
-const toldLeast = 0.08
-
-// prefixSaves is the part of the time to the head that a prefix in memory saves;
-// two thirds of the users' shared parts are found kept.
-const prefixSaves = 0.4
-
-// expected returns how long the head is expected to take, in seconds; the
-// engine's mu is held.
-func (x *run) expected() float64 { return x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn) }
-
-// model returns the model to name to the endpoint; empty where the caller does.
-func (x *run) model() string {
-	if !x.r.OpenModel || len(x.route.Sizes) == 0 {
-		return ""
-	}
-	return x.route.Sizes[min(x.size, len(x.route.Sizes)-1)]
-}
-
 // attempt sends the request to an endpoint and deals with its answer. It reports
 // whether another attempt follows.
 func (x *run) attempt(ctx context.Context, a *Attempt, t *try) (next bool) {
@@ -290,57 +216,6 @@
 	}
 }
 
-// hopeless is the confidence under which an answer in time is worth less than a
-// late one of a better model, which earns a tenth to a third.
-const hopeless = 20
-
-// inTime returns the largest model up to size whose answer is expected within the
-// route's aim; the present one if there is none. The engine's mu is held.
-func (x *run) inTime(size int, now time.Time) int {
-	left := x.route.Aim.After(x.r.Arrived).Sub(now).Seconds()
-	for ; size > x.size; size-- {
-		m := x.e.heads[sortOf(x.route, x.route.Sizes[size])]
-		if m.expect(x.r.TokensIn) <= left {
-			break
-		}
-	}
-	return size
-}
-
-// reserved is how many extra attempts are kept for failures when a weak answer is
-// given up.
-const reserved = 3
-
-// larger reports whether an answer of this confidence is dropped for one of a
-// larger model, and pays for that.
-func (x *run) larger(confidence int, now time.Time) bool {
-	if !x.r.OpenModel || x.begun || !x.route.resumable() || x.made >= x.route.MaxAttempts {
-		return false
-	}
-	l := x.e.limits.Load()
-	size := l.Cascade.Next(x.size, len(x.route.Sizes), confidence)
-	if size == x.size {
-		return false
-	}
-	x.e.mu.Lock()
-	defer x.e.mu.Unlock()
-	size = x.inTime(size, now)
-	if size == x.size && confidence >= hopeless {
-		return false
-	}
-	size = max(size, x.size+1)
-	want := x.want()
-	want.Avoid = nil
-	if !x.e.book.Any(now, &want) || !x.e.budget(x.service).Take(now, reserved) {
-		return false
-	}
-	x.prepaid, x.size = true, size
-	x.mayHaveRun = true
-	// The endpoint that answered is as good as any for the larger model.
-	x.tried = x.tried[:0]
-	return true
-}
-
 // end answers the request with a failure, or breaks off an answer that was begun.
 func (x *run) end(ctx context.Context, err *fault.Error) {
 	now := x.e.Now()
