Cut streams in time proportional to their length, and bound one event

Cause, found by fuzzing (it stood still): the search for the other line ending went through all that was read for each event, and an event that never ends was kept whole.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
@@ -106,6 +108,9 @@
 	return nil
 }
 
+// errLongEvent ends a stream whose event does not end.
+var errLongEvent = errors.New("relay: an event is too long")
+
 // deliverStream passes on whole events as they come.
 func (x *run) deliverStream(reply *Reply, t *try, s *silence) error {
 	if !x.begun {
@@ -133,6 +138,9 @@
 			}
 			x.lastEvent = ev.last
 		}
+		if ev.rest() > eventMost {
+			return errLongEvent
+		}
 		if err == io.EOF && ev.rest() > 0 {
 			return io.ErrUnexpectedEOF
 		}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -38,18 +38,29 @@
 	}
 }
 
+// eventMost bounds one event, in bytes; those of the users' runners have at most
+// a few hundred.
+const eventMost = 1 << 20
+
 // rest returns how many bytes of an event that is not whole were read.
 func (s *events) rest() int { return len(s.buf) }
 
-// eventEnd returns the length of the first whole event, or -1.
+// eventEnd returns the length of the first whole event, which ends with an empty
+// line, or -1.
 func eventEnd(b []byte) int {
-	end := -1
-	for _, sep := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(b, []byte(sep)); i >= 0 && (end < 0 || i+len(sep) < end) {
-			end = i + len(sep)
+	for i := 0; ; {
+		n := bytes.IndexByte(b[i:], '\n')
+		if n < 0 {
+			return -1
+		}
+		i += n + 1
+		switch {
+		case bytes.HasPrefix(b[i:], []byte("\n")):
+			return i + 1
+		case bytes.HasPrefix(b[i:], []byte("\r\n")):
+			return i + 2
 		}
 	}
-	return end
 }
 
 // eventID returns the ID of an event.
--- /dev/null
+++ b/internal/relay/table_test.go
@@ -0,0 +1,126 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
+)
+
+func TestMatch(t *testing.T) {
+	table := NewTable(1, Bounds{}, []Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "other", Host: "B.example", Prefix: "/x/"},
+	}, nil)
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/z", "short"},
+		{"a.example", "/x", "root"},
+		{"A.Example:8080", "/x/", "short"},
+		{"b.example", "/x/y/", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: got %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestBackendsByWeight(t *testing.T) {
+	r := Route{Backends: []Backend{{"a", 90}, {"b", 10}}}
+	got := make(map[string]int)
+	for d := range uint64(1000) {
+		got[r.backend(d)]++
+	}
+	if got["a"] != 900 || got["b"] != 100 {
+		t.Errorf("draws: got %v, want a 900, b 100", got)
+	}
+}
+
+func TestHomesDivideByWork(t *testing.T) {
+	var h homes
+	now := time.Unix(0, 0)
+	if got := h.of("x"); got != (pool.Range{}) {
+		t.Errorf("unknown sort: got %v, want all endpoints", got)
+	}
+	for range 100 {
+		h.add("heavy", 900*time.Millisecond, now)
+		h.add("light", 100*time.Millisecond, now)
+	}
+	heavy, light := h.of("heavy"), h.of("light")
+	if heavy.From != 0 || heavy.To != light.From || math.Abs(light.To-1) > 1e-9 {
+		t.Errorf("parts: got %v and %v, want them to fill 0 to 1", heavy, light)
+	}
+	if got := heavy.To - heavy.From; got < 0.85 || got > 0.92 {
+		t.Errorf("part of the heavy sort: got %.3f, want about 0.9", got)
+	}
+	// Work is forgotten: after a long time of light requests they have most.
+	for i := range 1000 {
+		h.add("light", 100*time.Millisecond, now.Add(time.Duration(i)*time.Second))
+	}
+	if got := h.of("light"); got.To-got.From < 0.5 {
+		t.Errorf("part of the light sort later: got %.3f, want over 0.5", got.To-got.From)
+	}
+}
+
+// engine returns a core over one endpoint that fails or answers as send says.
+func engine(t *testing.T, r Route, send Send) *Engine {
+	e := New(zap.NewNop(), tally.NoopScope, Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: config.Span(10 * time.Second), ConfigWithin: config.Span(time.Hour)})
+	e.Send, e.Listed = send, func() bool { return true }
+	e.Proven = time.Now
+	r.Name, r.Host, r.Prefix, r.Backends, r.Anonymous = "r", "h", "/", []Backend{{"s", 1}}, true
+	e.TakeTable(NewTable(1, Bounds{}, []Route{r}, nil))
+	e.TakeEndpoint(pool.Entry{ID: "e", Service: "s", Slots: 4, Revision: 1})
+	return e
+}
+
+// serveOnce serves a request and returns the status and how often it was sent.
+func serveOnce(t *testing.T, r Route, err *fault.Error) (status, sent int) {
+	e := engine(t, r, func(context.Context, *Attempt) (*Reply, error) { sent++; return nil, err })
+	w := httptest.NewRecorder()
+	e.Serve(t.Context(), w, &Request{ID: "x", Method: "POST", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: time.Now()})
+	return w.Code, sent
+}
+
+func TestAttemptsByWhatIsKnown(t *testing.T) {
+	unsent := fault.New(fault.EndpointLost, fault.NotRun, "not sent")
+	lost := fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+	full := fault.New(fault.Overloaded, fault.NotRun, "full")
+	for _, c := range []struct {
+		name         string
+		r            Route
+		err          *fault.Error
+		status, sent int
+	}{
+		{"never sent, as often as may be", Route{Kind: Unsafe, MaxAttempts: 1}, unsent, 503, triesMost},
+		{"may have run, once", Route{Kind: Unsafe, MaxAttempts: 3}, lost, 502, 1},
+		{"may run again", Route{Kind: Safe, MaxAttempts: 3}, lost, 502, 3},
+		{"refused", Route{Kind: Unsafe, MaxAttempts: 2}, full, 503, 2},
+		{"a stream that may be resumed", Route{Kind: Stream, Resume: true, MaxAttempts: 2}, lost, 502, 2},
+		{"a stream that may not", Route{Kind: Stream, MaxAttempts: 2}, lost, 502, 1},
+	} {
+		status, sent := serveOnce(t, c.r, c.err)
+		if status != c.status || sent != c.sent {
+			t.Errorf("%s: got %d after %d attempts, want %d after %d", c.name, status, sent, c.status, c.sent)
+		}
+	}
+}
