--- a/internal/relay/table_test.go
+++ b/internal/relay/table_test.go
@@ -83,7 +83,7 @@
 }
 
 // engine returns a core over one endpoint that fails or answers as send says.
-func engine(t *testing.T, r Route, send Send) *Engine {
+func engine(r Route, send Send) *Engine {
 	e := New(zap.NewNop(), tally.NoopScope, Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: config.Span(10 * time.Second), ConfigWithin: config.Span(time.Hour)})
 	e.Send, e.Listed = send, func() bool { return true }
 	e.Proven = time.Now
@@ -95,7 +95,7 @@
 
 // serveOnce serves a request and returns the status and how often it was sent.
 func serveOnce(t *testing.T, r Route, err *fault.Error) (status, sent int) {
-	e := engine(t, r, func(context.Context, *Attempt) (*Reply, error) { sent++; return nil, err })
+	e := engine(r, func(context.Context, *Attempt) (*Reply, error) { sent++; return nil, err })
 	w := httptest.NewRecorder()
 	e.Serve(t.Context(), w, &Request{ID: "x", Method: "POST", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: time.Now()})
 	return w.Code, sent
