--- a/internal/rig/pages_test.go
+++ b/internal/rig/pages_test.go
@@ -13,6 +13,7 @@
 	"github.com/traildrift/traildrift/internal/entry"
 	"github.com/traildrift/traildrift/internal/guard"
 	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/router"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -44,7 +45,7 @@
 	for _, k := range config.Keys() {
 		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s | %s | %s |", k.Name, k.Type, k.Unit, k.Default, k.Allowed, k.Doc))
 	}
-	for _, typ := range []reflect.Type{reflect.TypeFor[proc.Common](), reflect.TypeFor[entry.Settings](), reflect.TypeFor[guard.Settings]()} {
+	for _, typ := range []reflect.Type{reflect.TypeFor[proc.Common](), reflect.TypeFor[entry.Settings](), reflect.TypeFor[guard.Settings](), reflect.TypeFor[router.Settings]()} {
 		want = append(want, rowsOf(typ)...)
 	}
 	for _, row := range want {
