Drop what the router's core computes twice or nobody uses

Found on reading the change again: answered took a flag that was always false; the spare version was looked up for each attempt, also where an endpoint had been found; the time to the head was expected again for the wait, though the attempt holds it; an event's number was compared twice; Book.Of had no caller, LapseGrace none outside its package. No behaviour changes.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -63,8 +63,8 @@
 	// outageLeast is how long the store must be away for entries to lapse;
 	// they are removed after three missed heartbeats of about a second.
 	outageLeast = time.Second
-	// LapseGrace is how long after an outage lapsed entries are waited for.
-	LapseGrace = config.Span(2 * time.Second)
+	// lapseGrace is how long after an outage lapsed entries are waited for.
+	lapseGrace = config.Span(2 * time.Second)
 	// pauseFirst and pauseMost bound the pauses between failed calls, which
 	// double.
 	pauseFirst = 50 * time.Millisecond
@@ -144,7 +144,7 @@
 // outage.
 func (f *Follower) returned(now time.Time) {
 	if !f.lostAt.IsZero() && now.Sub(f.lostAt) >= outageLeast {
-		f.lapsesAt = LapseGrace.After(now)
+		f.lapsesAt = lapseGrace.After(now)
 	}
 }
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -52,11 +52,14 @@
 		want.Avoid = nil
 		p, why = e.book.Pick(now, &want)
 	}
-	if _, spare := e.fit(x.service, x.draw); p == nil && spare != nil {
+	if p != nil {
+		return p, why
+	}
+	if _, spare := e.fit(x.service, x.draw); spare != nil {
 		want.Fit = spare
-		p, why = e.book.Pick(now, &want)
+		return e.book.Pick(now, &want)
 	}
-	return p, why
+	return nil, ""
 }
 
 // want is what the request asks of an endpoint; the engine's mu is held.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -30,9 +30,9 @@
 		id, ok := eventID(event)
 		if !ok || !known(id, s.last) {
 			out = append(out, event...)
-		}
-		if ok && !known(id, s.last) {
-			s.last = id
+			if ok {
+				s.last = id
+			}
 		}
 		s.buf = s.buf[n:]
 	}
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -22,20 +22,16 @@
 	}
 }
 
-// answered notes an answer that may be passed on, or one that the endpoint
-// itself failed.
-func (e *Engine) answered(a *Attempt, route *Route, head time.Duration, failed bool) {
+// answered notes an answer that may be passed on.
+func (e *Engine) answered(a *Attempt, route *Route, head time.Duration) {
 	e.counts.time("head", route.Name, head)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.evidence(&a.Endpoint, sortOf(route, a.Model), failed, head)
-	if failed {
-		return
-	}
+	key := sortOf(route, a.Model)
+	e.evidence(&a.Endpoint, key, false, head)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		p.Trust.OK()
 	}
-	key := sortOf(route, a.Model)
 	m, ok := e.heads[key]
 	if !ok {
 		m = &mean{}
@@ -107,19 +103,18 @@
 	silentPauses = 1.5
 )
 
-// listen begins to wait for the head.
-func (x *run) listen(cancel context.CancelCauseFunc) *silence {
+// listen begins to wait for the head of an attempt.
+func (x *run) listen(a *Attempt, cancel context.CancelCauseFunc) *silence {
 	if !x.route.repeatable() || x.made >= x.route.MaxAttempts {
 		return &silence{}
 	}
 	x.e.mu.Lock()
-	head := x.expected()
 	paid := x.e.budget(x.service).Left(x.e.Now()) >= 1
 	x.e.mu.Unlock()
 	if !paid {
 		return &silence{}
 	}
-	wait := max(silentHeads*head*float64(time.Second), float64(x.route.Aim))
+	wait := max(silentHeads*a.expected*float64(time.Second), float64(x.route.Aim))
 	s := &silence{timer: time.AfterFunc(time.Duration(wait), func() { cancel(errSilent) })}
 	if x.route.resumable() {
 		s.pause = time.Duration(silentPauses * float64(x.route.EventAim))
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -88,7 +88,7 @@
 	if a.expected >= toldLeast {
 		x.e.Tell(a.hash, time.Duration(a.expected*float64(time.Second)))
 	}
-	s := x.listen(cancel)
+	s := x.listen(a, cancel)
 	defer s.stop()
 	reply, sent := x.e.Send(ctx, a)
 	x.e.read(a)
@@ -111,7 +111,7 @@
 		x.end(ctx, err)
 		return false
 	}
-	x.e.answered(a, x.route, now.Sub(t.At), false)
+	x.e.answered(a, x.route, now.Sub(t.At))
 	if x.larger(reply.Confidence, now) {
 		t.Outcome = "dropped for a larger model"
 		return true
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -144,9 +144,6 @@
 // Len returns how many endpoints are known.
 func (b *Book) Len() int { return len(b.byID) }
 
-// Of returns the endpoints of a service; it must not be changed.
-func (b *Book) Of(service string) []*Endpoint { return b.byService[service] }
-
 // usable reports whether the endpoint may get new work.
 func (p *Endpoint) usable(now time.Time) bool {
 	return !p.leaving && (p.lapsedUntil.IsZero() || now.Before(p.lapsedUntil))
