Choose larger models by what is left of the caller's time

Cause: after all routers lost power the callers come back with a second try, at once and together. Change: the wait before a try is told from what is left of the caller's time against the longest seen on its route (the route's bound, while few were seen); a larger model is asked only if it begins within the aim, or, for a hopeless answer, if it ends before the caller gives up. A model that was not seen yet is taken to need three times as long as the next smaller one. Tests: TestLargerModelByTheTimeLeft and TestPatience fail without the change.

--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -5,26 +5,17 @@
 
 import "time"
 
-// hopeless is the confidence under which an answer in time is worth less than a
-// late one of a better model, which earns a tenth to a third.
-const hopeless = 20
-
-// inTime returns the largest model up to size whose answer is expected within the
-// route's aim; the present one if there is none. The engine's mu is held.
-func (x *run) inTime(size int, now time.Time) int {
-	left := x.route.Aim.After(x.r.Arrived).Sub(now).Seconds()
-	for ; size > x.size; size-- {
-		m := x.e.heads[sortOf(x.route, x.route.Sizes[size])]
-		if m.expect(x.r.TokensIn) <= left {
-			break
-		}
-	}
-	return size
-}
-
-// reserved is how many extra attempts are kept for failures when a weak answer is
-// given up.
-const reserved = 3
+const (
+	// hopeless is the confidence under which an answer in time is worth less than
+	// a late one of a better model, which earns a tenth to a third.
+	hopeless = 20
+	// reserved is how many extra attempts are kept for failures when a weak
+	// answer is given up.
+	reserved = 3
+	// dearer is how many times the time to the head a larger model is taken to
+	// need than the next smaller one while no answer of it was seen.
+	dearer = 3
+)
 
 // larger reports whether an answer of this confidence is dropped for one of a
 // larger model, and pays for that.
@@ -39,11 +30,10 @@
 	}
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
-	size = x.inTime(size, now)
-	if size == x.size && confidence >= hopeless {
+	size = x.affordable(size, confidence, now)
+	if size == x.size {
 		return false
 	}
-	size = max(size, x.size+1)
 	want := x.want()
 	want.Avoid = nil
 	if !x.e.book.Any(now, &want) || !x.e.budget(x.service).Take(now, reserved) {
@@ -55,3 +45,41 @@
 	x.tried = x.tried[:0]
 	return true
 }
+
+// affordable returns the largest model up to size that the time left allows; the
+// present one if there is none. Where none answers within the aim, a hopeless
+// answer still gives way to one that comes before the caller gives up. The
+// engine's mu is held.
+func (x *run) affordable(size, confidence int, now time.Time) int {
+	inAim := x.begins(size, x.route.Aim.After(x.asked).Sub(now))
+	if inAim == x.size && confidence >= hopeless {
+		return x.size
+	}
+	size = max(inAim, x.size+1)
+	stream := time.Duration(x.e.streams[x.route.Name].expect(0) * float64(time.Second))
+	return x.begins(size, x.deadline.Sub(now)-stream)
+}
+
+// begins returns the largest model up to size whose answer is expected to begin
+// within a time; the present one if there is none. The engine's mu is held.
+func (x *run) begins(size int, within time.Duration) int {
+	for ; size > x.size; size-- {
+		if x.expectedOf(size) <= within.Seconds() {
+			break
+		}
+	}
+	return size
+}
+
+// expectedOf returns how long the head of a model's answer is expected to take, in
+// seconds; 0 while no model was seen. The engine's mu is held.
+func (x *run) expectedOf(size int) float64 {
+	times := 1.0
+	for ; size >= 0; size-- {
+		if m, ok := x.e.heads[sortOf(x.route, x.route.Sizes[size])]; ok {
+			return times * m.expect(x.r.TokensIn)
+		}
+		times *= dearer
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/relay/cascade_test.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/sizes"
+)
+
+func TestPatience(t *testing.T) {
+	var p patience
+	const within = config.Span(25 * time.Second)
+	// A router that has just started takes the route's bound for the usual wait.
+	if got, want := p.waited(24*time.Second, within), time.Second; got != want {
+		t.Errorf("second try at the start: got %v, want %v", got, want)
+	}
+	for range 2 * patienceEnough {
+		p.waited(20*time.Second, within)
+	}
+	if got := p.waited(20*time.Second, within); got > 4*time.Second {
+		t.Errorf("usual wait: got %v, want it to have come down", got)
+	}
+	for range 20 * patienceKept {
+		p.waited(20*time.Second, within)
+	}
+	if got, want := p.waited(20*time.Second, within), 10*time.Millisecond; got > want {
+		t.Errorf("first try of callers who wait 20 s: got %v, want at most %v", got, want)
+	}
+	// One shorter wait lowers what is taken for the usual one by a 512th.
+	if got, want := p.waited(8*time.Second, within), 12*time.Second; (got - want).Abs() > want/patienceKept+10*time.Millisecond {
+		t.Errorf("second try with 8 s left: got %v, want %v", got, want)
+	}
+	var short patience
+	// The bound says nothing of callers who wait longer than it.
+	if got := short.waited(1500*time.Millisecond, config.Span(800*time.Millisecond)); got != 0 {
+		t.Errorf("caller who waits longer than the route's bound: got %v, want 0", got)
+	}
+}
+
+// TestLargerModelByTheTimeLeft serves weak answers to callers with more and less
+// time left.
+func TestLargerModelByTheTimeLeft(t *testing.T) {
+	const usual = 25 * time.Second
+	for _, c := range []struct {
+		name       string
+		left       time.Duration
+		confidence int
+		want       string
+	}{
+		{"first try", usual, 10, "small large"},
+		{"the aim has passed", usual - 4*time.Second, 30, "small"},
+		{"the aim has passed, hopeless", usual - 4*time.Second, 10, "small large"},
+		{"hardly any time left, hopeless", 2 * time.Second, 10, "small"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var models []string
+			e := engine(Route{Kind: Stream, Resume: true, MaxAttempts: 3, Sizes: []string{"small", "large"}, Aim: config.Span(3 * time.Second), Within: config.Span(usual)},
+				func(_ context.Context, a *Attempt) (*Reply, error) {
+					models = append(models, a.Model)
+					confidence := c.confidence
+					if a.Model == "large" {
+						confidence = 90
+					}
+					return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n")), Length: -1, Ours: true, Whole: true, Confidence: confidence}, nil
+				})
+			l := *e.limits.Load()
+			l.Cascade = sizes.Policy{Straight: 40, Step: 60}
+			e.SetLimits(l)
+			e.heads["r small"] = &mean{value: float64(100 * time.Millisecond), n: 1}
+			e.heads["r large"] = &mean{value: float64(time.Second), n: 1}
+			e.streams["r"] = &mean{value: float64(1500 * time.Millisecond), n: 1}
+			now := time.Now()
+			r := &Request{ID: "x", Method: "POST", Host: "h", Path: "/", Target: "/", Header: http.Header{}, OpenModel: true, Arrived: now, Deadline: now.Add(c.left)}
+			w := httptest.NewRecorder()
+			e.Serve(t.Context(), w, r)
+			if got := strings.Join(models, " "); got != c.want || w.Code != http.StatusOK {
+				t.Errorf("models asked: got %q with status %d, want %q with 200", got, w.Code, c.want)
+			}
+		})
+	}
+}
+
+func TestUnseenModelIsTakenToBeDearer(t *testing.T) {
+	e := engine(Route{Kind: Stream, Sizes: []string{"s", "m", "l"}}, func(context.Context, *Attempt) (*Reply, error) {
+		return nil, fault.New(fault.EndpointLost, fault.NotRun, "none")
+	})
+	e.heads["r s"] = &mean{value: float64(time.Second), n: 1}
+	x := &run{e: e, r: &Request{}, route: e.table.Load().Match("h", "/")}
+	got := fmt.Sprint(x.expectedOf(0), x.expectedOf(1), x.expectedOf(2))
+	if want := "1 3 9"; got != want {
+		t.Errorf("expected times: got %s, want %s", got, want)
+	}
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -102,7 +102,12 @@
 
 // expected returns how long the head is expected to take, in seconds; the
 // engine's mu is held.
-func (x *run) expected() float64 { return x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn) }
+func (x *run) expected() float64 {
+	if x.model() == "" {
+		return x.e.heads[sortOf(x.route, "")].expect(x.r.TokensIn)
+	}
+	return x.expectedOf(x.size)
+}
 
 // model returns the model to name to the endpoint; empty where the caller does.
 func (x *run) model() string {
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -19,6 +19,7 @@
 // because the answer broke and may be asked for again or resumed.
 func (x *run) deliver(ctx context.Context, a *Attempt, t *try, reply *Reply, s *silence) (next bool) {
 	var broke error
+	began := x.e.Now()
 	if x.route.Kind == Stream && reply.Status < 300 {
 		broke = x.deliverStream(reply, t, s)
 	} else {
@@ -26,6 +27,7 @@
 	}
 	if broke == nil {
 		t.Outcome = "delivered"
+		x.e.ended(x.route, x.e.Now().Sub(began))
 		x.log(x.e.Now(), reply.Status, nil)
 		return false
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -94,24 +94,29 @@
 	budgets map[string]*budget.Window
 	heads   map[string]*mean
 	homes   map[string]*homes
-	rolls   map[string]*rollout
+	// streams holds how long the streams of a route go on after their head.
+	streams   map[string]*mean
+	patiences map[string]*patience
+	rolls     map[string]*rollout
 }
 
 // New returns an engine that knows no configuration yet.
 func New(log *zap.Logger, scope tally.Scope, l Limits) *Engine {
 	e := &Engine{
-		Log:     log,
-		Now:     time.Now,
-		Tell:    func(uint64, time.Duration) {},
-		Proven:  func() time.Time { return time.Time{} },
-		Listed:  func() bool { return false },
-		Routers: func() int { return 1 },
-		book:    pool.NewBook(),
-		budgets: make(map[string]*budget.Window),
-		heads:   make(map[string]*mean),
-		homes:   make(map[string]*homes),
-		rolls:   make(map[string]*rollout),
-		counts:  newCounts(scope),
+		Log:       log,
+		Now:       time.Now,
+		Tell:      func(uint64, time.Duration) {},
+		Proven:    func() time.Time { return time.Time{} },
+		Listed:    func() bool { return false },
+		Routers:   func() int { return 1 },
+		book:      pool.NewBook(),
+		budgets:   make(map[string]*budget.Window),
+		heads:     make(map[string]*mean),
+		homes:     make(map[string]*homes),
+		streams:   make(map[string]*mean),
+		patiences: make(map[string]*patience),
+		rolls:     make(map[string]*rollout),
+		counts:    newCounts(scope),
 	}
 	e.lines.init()
 	e.startedAt = time.Now()
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -49,6 +49,18 @@
 	h.add(key, head, e.Now())
 }
 
+// ended notes how long an answer that was passed on went on after its head.
+func (e *Engine) ended(route *Route, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m, ok := e.streams[route.Name]
+	if !ok {
+		m = &mean{}
+		e.streams[route.Name] = m
+	}
+	m.add(d, 0)
+}
+
 // sortOf names what requests have in common that take about as long.
 func sortOf(route *Route, model string) string { return route.Name + " " + model }
 
