Tell other routers of endpoints that fail, and test none with a request that would be lost

Requests that are lost with their attempt go to endpoints without a failure since their last answer, as long as there is one. Ruled out: telling of answers with a failure status too (a seventh of some safe requests fail at every endpoint).

--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,12 +17,17 @@
 	"github.com/traildrift/traildrift/internal/logs"
 )
 
-// Note tells that a router sent an endpoint something that will keep it busy.
+// Note is what a router tells of an endpoint.
 type Note struct {
+	// From is the teller's address; the hearer sets it.
+	From netip.Addr
 	// Endpoint is the hash of its ID.
 	Endpoint uint64
-	// Busy is for how long, from when the note is heard.
+	// Busy is how long a request of the teller keeps the endpoint busy, from
+	// when the note is heard.
 	Busy time.Duration
+	// Failed says that an attempt of the teller got no whole answer.
+	Failed bool
 }
 
 // Notes sends notes to all routers and hears theirs. Notes go by datagram: one
@@ -38,7 +44,12 @@
 const (
 	// tokenBytes is how much of the hearer's token a note begins with.
 	tokenBytes = 16
-	noteBytes  = tokenBytes + 8 + 4
+	// A note is the token, the endpoint, the milliseconds that it is busy, and
+	// a byte of flags.
+	flagsAt   = tokenBytes + 8 + 4
+	noteBytes = flagsAt + 1
+	// flagFailed is the flag of a failure.
+	flagFailed = 1
 	// busyMost bounds what a note may claim.
 	busyMost = 30 * time.Second
 )
@@ -60,7 +71,7 @@
 	defer stop()
 	buf := make([]byte, 2*noteBytes)
 	for {
-		size, _, err := n.conn.ReadFromUDPAddrPort(buf)
+		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -72,7 +83,8 @@
 		}
 		ms := binary.BigEndian.Uint32(buf[tokenBytes+8:])
 		busy := min(time.Duration(ms)*time.Millisecond, busyMost)
-		n.OnNote(Note{Endpoint: binary.BigEndian.Uint64(buf[tokenBytes:]), Busy: busy})
+		failed := buf[flagsAt]&flagFailed != 0
+		n.OnNote(Note{From: from.Addr().Unmap(), Endpoint: binary.BigEndian.Uint64(buf[tokenBytes:]), Busy: busy, Failed: failed})
 	}
 }
 
@@ -81,6 +93,9 @@
 	var buf [noteBytes]byte
 	binary.BigEndian.PutUint64(buf[tokenBytes:], note.Endpoint)
 	binary.BigEndian.PutUint32(buf[tokenBytes+8:], uint32(note.Busy.Milliseconds()))
+	if note.Failed {
+		buf[flagsAt] = flagFailed
+	}
 	n.fleet.each(func(p Peer) {
 		copy(buf[:tokenBytes], p.Token)
 		if _, err := n.conn.WriteToUDPAddrPort(buf[:], p.Addr); err != nil {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -194,7 +195,7 @@
 			n.fleet.Put(p)
 		}
 	}
-	want := Note{Endpoint: 77, Busy: 1500 * time.Millisecond}
+	want := Note{From: netip.MustParseAddr("127.0.0.1"), Endpoint: 77, Busy: 1500 * time.Millisecond, Failed: true}
 	list[0].Send(want)
 	for range 2 {
 		select {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -65,7 +65,7 @@
 // want is what the request asks of an endpoint; the engine's mu is held.
 func (x *run) want() pool.Want {
 	fit, _ := x.e.fit(x.service, x.draw)
-	w := pool.Want{Service: x.service, Fit: fit, Zone: x.e.limits.Load().Zone, Avoid: x.tried, Draw: x.e.draw()}
+	w := pool.Want{Service: x.service, Fit: fit, Zone: x.e.limits.Load().Zone, Avoid: x.tried, Once: !x.route.repeatable(), Draw: x.e.draw()}
 	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
 		// The last part is the request's own, so what others may have left is
 		// named by the one before it.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/traildrift/traildrift/pkg/budget"
 	"github.com/traildrift/traildrift/pkg/config"
@@ -63,9 +64,8 @@
 	// WriteTrial stores the next step of a roll-out, unless the stored one has
 	// another revision.
 	WriteTrial func(ctx context.Context, t roll.Trial) error
-	// Tell tells the other routers that an endpoint, by its hash, is kept busy
-	// for a while.
-	Tell func(endpoint uint64, busy time.Duration)
+	// Tell tells the other routers of an endpoint.
+	Tell func(w Word)
 	// Proven returns when the table in force was the newest, for sure.
 	Proven func() time.Time
 	// Listed reports whether the endpoints are known.
@@ -86,7 +86,9 @@
 	stoppedAt time.Time
 	under     atomic.Int64
 	lines     lines
-	counts    counts
+	// failures bounds what is told of failures.
+	failures *rate.Limiter
+	counts   counts
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -105,10 +107,11 @@
 	e := &Engine{
 		Log:       log,
 		Now:       time.Now,
-		Tell:      func(uint64, time.Duration) {},
+		Tell:      func(Word) {},
 		Proven:    func() time.Time { return time.Time{} },
 		Listed:    func() bool { return false },
 		Routers:   func() int { return 1 },
+		failures:  rate.NewLimiter(failuresPerSecond, failuresPerSecond),
 		book:      pool.NewBook(),
 		budgets:   make(map[string]*budget.Window),
 		heads:     make(map[string]*mean),
@@ -161,15 +164,6 @@
 	e.Log.Info("relay: An endpoint was removed.", zap.String("endpoint", id), zap.Int64("revision", revision), zap.Time("lapsesAt", lapsesAt))
 }
 
-// Heard takes over what another router told of an endpoint.
-func (e *Engine) Heard(endpoint uint64, busy time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if p := e.book.ByHash(endpoint); p != nil {
-		p.Load.Busy(e.Now(), busy)
-	}
-}
-
 // Ready reports whether the router should get new connections, and why not.
 func (e *Engine) Ready() (ready bool, why string) {
 	switch {
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -30,7 +30,7 @@
 	key := sortOf(route, a.Model)
 	e.evidence(&a.Endpoint, key, false, head)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
-		p.Trust.OK()
+		p.Trust.OK(e.Now())
 	}
 	m, ok := e.heads[key]
 	if !ok {
@@ -77,6 +77,9 @@
 		return
 	}
 	p.Trust.Fail(now, notSent(err))
+	if err.Kind == fault.EndpointLost {
+		e.tellFailure(a.hash, now)
+	}
 }
 
 // read notes that an attempt no longer waits for its head.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -88,7 +88,7 @@
 	defer cancel(nil)
 	defer x.e.left(a)
 	if a.expected >= toldLeast {
-		x.e.Tell(a.hash, time.Duration(a.expected*float64(time.Second)))
+		x.e.Tell(Word{Endpoint: a.hash, Busy: time.Duration(a.expected * float64(time.Second))})
 	}
 	s := x.listen(a, cancel)
 	defer s.stop()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,12 +84,14 @@
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
-	notes, err := peers.NewNotes(log, r.fleet, r.self, func(n peers.Note) { r.Engine.Heard(n.Endpoint, n.Busy) })
+	notes, err := peers.NewNotes(log, r.fleet, r.self, func(n peers.Note) {
+		r.Engine.Heard(n.From, relay.Word{Endpoint: n.Endpoint, Busy: n.Busy, Failed: n.Failed})
+	})
 	if err != nil {
 		return nil, err
 	}
 	r.notes = notes
-	r.Engine.Tell = func(endpoint uint64, busy time.Duration) { notes.Send(peers.Note{Endpoint: endpoint, Busy: busy}) }
+	r.Engine.Tell = func(w relay.Word) { notes.Send(peers.Note{Endpoint: w.Endpoint, Busy: w.Busy, Failed: w.Failed}) }
 	return r, nil
 }
 
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -28,6 +28,9 @@
 	// Home is the part of the endpoints, in the order of their hashes, that
 	// requests of this sort go to first; the zero value is all of them.
 	Home Range
+	// Once says that the request is lost if its attempt fails, so that it tests
+	// no endpoint.
+	Once bool
 	// Draw is a random number.
 	Draw uint64
 }
@@ -69,9 +72,15 @@
 // Pick returns an endpoint for a request, and why; nil if there is none.
 func (b *Book) Pick(now time.Time, w *Want) (*Endpoint, Reason) {
 	var buf [64]*Endpoint
-	open := b.fitting(buf[:0], now, w, true)
+	var open []*Endpoint
+	if w.Once {
+		open = b.fitting(buf[:0], now, w, (*Endpoint).sound)
+	}
+	if len(open) == 0 {
+		open = b.fitting(buf[:0], now, w, (*Endpoint).open)
+	}
 	if len(open) == 0 {
-		open = b.fitting(open, now, w, false)
+		open = b.fitting(open, now, w, nil)
 		if len(open) == 0 {
 			return nil, ""
 		}
@@ -117,15 +126,17 @@
 // Any reports whether a service has an endpoint that may get new work.
 func (b *Book) Any(now time.Time, w *Want) bool {
 	var buf [64]*Endpoint
-	return len(b.fitting(buf[:0], now, w, false)) > 0
+	return len(b.fitting(buf[:0], now, w, nil)) > 0
 }
 
-func (b *Book) fitting(dst []*Endpoint, now time.Time, w *Want, trusted bool) []*Endpoint {
+// fitting appends the endpoints that may serve a request and that pass a test of
+// trust; nil lets all pass.
+func (b *Book) fitting(dst []*Endpoint, now time.Time, w *Want, trusted func(*Endpoint, time.Time) bool) []*Endpoint {
 	for _, p := range b.byService[w.Service] {
 		if !p.usable(now) || w.Fit != nil && !w.Fit(p.Version) || slices.Contains(w.Avoid, p.ID) {
 			continue
 		}
-		if trusted && !p.Trust.open(now, p.Load.Sent) {
+		if trusted != nil && !trusted(p, now) {
 			continue
 		}
 		dst = append(dst, p)
@@ -133,6 +144,9 @@
 	return dst
 }
 
+func (p *Endpoint) open(now time.Time) bool  { return p.Trust.open(now, p.Load.Sent) }
+func (p *Endpoint) sound(now time.Time) bool { return p.Trust.sound(now) }
+
 // share returns the load of an endpoint in shares of its slots.
 func (p *Endpoint) share(now time.Time) float64 {
 	return float64(p.Load.Runs(now)) / float64(max(p.Slots, 1))
