Learn how long models read prompts by tokens, apart from the waiting

Cause: the time to the head stood both for the reading and for the wait in front of it, and was told to the other routers as the time that a request keeps an endpoint busy. Change: a line of seconds by unread tokens for each model, from the time to the head without the believed wait; a larger model counts as in time by the wait at the endpoint that would be picked and its reading; what others told ends when an answer shows that it is done, and reaches 2 s ahead at most.

--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -3,7 +3,10 @@
 
 package relay
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// hopeless is the confidence under which an answer in time is worth less than
@@ -51,20 +54,20 @@
 // answer still gives way to one that comes before the caller gives up. The
 // engine's mu is held.
 func (x *run) affordable(size, confidence int, now time.Time) int {
-	inAim := x.begins(size, x.route.Aim.After(x.asked).Sub(now))
+	inAim := x.begins(size, now, x.route.Aim.After(x.asked).Sub(now))
 	if inAim == x.size && confidence >= hopeless {
 		return x.size
 	}
 	size = max(inAim, x.size+1)
 	stream := time.Duration(x.e.streams[x.route.Name].expect(0) * float64(time.Second))
-	return x.begins(size, x.deadline.Sub(now)-stream)
+	return x.begins(size, now, x.deadline.Sub(now)-stream)
 }
 
 // begins returns the largest model up to size whose answer is expected to begin
 // within a time; the present one if there is none. The engine's mu is held.
-func (x *run) begins(size int, within time.Duration) int {
+func (x *run) begins(size int, now time.Time, within time.Duration) int {
 	for ; size > x.size; size-- {
-		if x.expectedOf(size) <= within.Seconds() {
+		if x.expectedOf(size, now) <= within.Seconds() {
 			break
 		}
 	}
@@ -72,14 +75,15 @@
 }
 
 // expectedOf returns how long the head of a model's answer is expected to take, in
-// seconds; 0 while no model was seen. The engine's mu is held.
-func (x *run) expectedOf(size int) float64 {
-	times := 1.0
-	for ; size >= 0; size-- {
-		if m, ok := x.e.heads[sortOf(x.route, x.route.Sizes[size])]; ok {
-			return times * m.expect(x.r.TokensIn)
-		}
-		times *= dearer
+// seconds: the wait at the endpoint that would be picked, and the reading. The
+// engine's mu is held.
+func (x *run) expectedOf(size int, now time.Time) float64 {
+	present := x.size
+	x.size = size
+	defer func() { x.size = present }()
+	p, why := x.pick(now)
+	if p == nil {
+		return math.Inf(1)
 	}
-	return 0
+	return p.Load.Wait(now) + x.reading(x.unread(why))
 }
--- a/internal/relay/cascade_test.go
+++ b/internal/relay/cascade_test.go
@@ -77,8 +77,8 @@
 			l := *e.limits.Load()
 			l.Cascade = sizes.Policy{Straight: 40, Step: 60}
 			e.SetLimits(l)
-			e.heads["r small"] = &mean{value: float64(100 * time.Millisecond), n: 1}
-			e.heads["r large"] = &mean{value: float64(time.Second), n: 1}
+			e.reads["small"] = readingAlways(100 * time.Millisecond)
+			e.reads["large"] = readingAlways(time.Second)
 			e.streams["r"] = &mean{value: float64(1500 * time.Millisecond), n: 1}
 			now := time.Now()
 			r := &Request{ID: "x", Method: "POST", Host: "h", Path: "/", Target: "/", Header: http.Header{}, OpenModel: true, Arrived: now, Deadline: now.Add(c.left)}
@@ -91,13 +91,20 @@
 	}
 }
 
+// readingAlways returns a line at one height.
+func readingAlways(d time.Duration) *line {
+	var l line
+	l.add(0, d.Seconds())
+	return &l
+}
+
 func TestUnseenModelIsTakenToBeDearer(t *testing.T) {
 	e := engine(Route{Kind: Stream, Sizes: []string{"s", "m", "l"}}, func(context.Context, *Attempt) (*Reply, error) {
 		return nil, fault.New(fault.EndpointLost, fault.NotRun, "none")
 	})
-	e.heads["r s"] = &mean{value: float64(time.Second), n: 1}
-	x := &run{e: e, r: &Request{}, route: e.table.Load().Match("h", "/")}
-	got := fmt.Sprint(x.expectedOf(0), x.expectedOf(1), x.expectedOf(2))
+	e.reads["s"] = readingAlways(time.Second)
+	x := &run{e: e, r: &Request{OpenModel: true}, route: e.table.Load().Match("h", "/")}
+	got := fmt.Sprint(x.readingOf(0, 0), x.readingOf(1, 0), x.readingOf(2, 0))
 	if want := "1 3 9"; got != want {
 		t.Errorf("expected times: got %s, want %s", got, want)
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -23,9 +23,11 @@
 	}
 	x.tries = append(x.tries, try{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
 	x.tried = append(x.tried, p.ID)
-	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.expected()}
+	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn), wait: p.Load.Wait(now), busyThen: p.Load.BusyUntil()}
+	a.unread = x.unread(why)
+	a.reading = x.reading(a.unread)
 	p.Load.Sent++
-	p.Load.Reading += a.expected
+	p.Load.Reading += a.reading
 	x.made++
 	if x.workspace != nil {
 		a.Workspace = x.workspace.Name
@@ -69,7 +71,7 @@
 	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
 		// The last part is the request's own, so what others may have left is
 		// named by the one before it.
-		w.Bonus = prefixSaves*x.expected() + heldValue*float64(x.shared())
+		w.Bonus = prefixSaves*x.reading(x.r.TokensIn) + heldValue*float64(x.shared())
 		w.Affinity = pool.Hash(x.model() + "/" + x.r.Prefix[max(n-2, 0)])
 		if h, ok := x.e.homes[x.service]; ok {
 			w.Home = h.of(sortOf(x.route, x.model()))
@@ -100,13 +102,44 @@
 	return sum
 }
 
-// expected returns how long the head is expected to take, in seconds; the
-// engine's mu is held.
-func (x *run) expected() float64 {
+// unread returns how many tokens of the prompt are expected to be read by an
+// endpoint that was picked for a reason.
+func (x *run) unread(why pool.Reason) int {
+	if why == pool.ByAffinity {
+		return x.r.TokensIn - x.shared()
+	}
+	return x.r.TokensIn
+}
+
+// reading returns how long the model is expected to read so many tokens, in
+// seconds; the engine's mu is held.
+func (x *run) reading(tokens int) float64 {
+	return x.readingOf(x.size, tokens)
+}
+
+// readingOf is reading for the model of a size; one that was not seen yet is
+// taken to be dearer than the next smaller one.
+func (x *run) readingOf(size, tokens int) float64 {
 	if x.model() == "" {
-		return x.e.heads[sortOf(x.route, "")].expect(x.r.TokensIn)
+		return x.e.reads[sortOf(x.route, "")].at(float64(tokens))
+	}
+	times := 1.0
+	for ; size >= 0; size-- {
+		if l, ok := x.e.reads[x.route.Sizes[size]]; ok {
+			return times * l.at(float64(tokens))
+		}
+		times *= dearer
+	}
+	return 0
+}
+
+// readKey names what reads prompts at the same speed: a model, or the endpoints of
+// a route where the caller names the model.
+func readKey(route *Route, model string) string {
+	if model == "" {
+		return sortOf(route, "")
 	}
-	return x.expectedOf(x.size)
+	return model
 }
 
 // model returns the model to name to the endpoint; empty where the caller does.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -94,8 +94,11 @@
 	mu      sync.Mutex
 	book    *pool.Book
 	budgets map[string]*budget.Window
-	heads   map[string]*mean
-	homes   map[string]*homes
+	// heads holds the times to the head by sort.
+	heads map[string]*mean
+	// reads holds the times in which prompts were read, in seconds by tokens.
+	reads map[string]*line
+	homes map[string]*homes
 	// streams holds how long the streams of a route go on after their head.
 	streams   map[string]*mean
 	patiences map[string]*patience
@@ -115,6 +118,7 @@
 		book:      pool.NewBook(),
 		budgets:   make(map[string]*budget.Window),
 		heads:     make(map[string]*mean),
+		reads:     make(map[string]*line),
 		homes:     make(map[string]*homes),
 		streams:   make(map[string]*mean),
 		patiences: make(map[string]*patience),
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -31,13 +31,18 @@
 	e.evidence(&a.Endpoint, key, false, head)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		p.Trust.OK(e.Now())
+		p.Load.Answered(e.Now(), a.busyThen)
 	}
-	m, ok := e.heads[key]
+	meanOf(e.heads, key).add(head, a.Request.TokensIn)
+	// What the believed wait does not explain is the reading; wrong beliefs may
+	// not make it nothing.
+	reading := max(head-time.Duration(a.wait*float64(time.Second)), head/readingLeast)
+	l, ok := e.reads[readKey(route, a.Model)]
 	if !ok {
-		m = &mean{}
-		e.heads[key] = m
+		l = &line{}
+		e.reads[readKey(route, a.Model)] = l
 	}
-	m.add(head, a.Request.TokensIn)
+	l.add(float64(a.unread), reading.Seconds())
 	if !route.Affinity {
 		return
 	}
@@ -53,14 +58,13 @@
 func (e *Engine) ended(route *Route, d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m, ok := e.streams[route.Name]
-	if !ok {
-		m = &mean{}
-		e.streams[route.Name] = m
-	}
-	m.add(d, 0)
+	meanOf(e.streams, route.Name).add(d, 0)
 }
 
+// readingLeast is the inverse of the part of the time to the head that counts as
+// reading at least.
+const readingLeast = 4
+
 // sortOf names what requests have in common that take about as long.
 func sortOf(route *Route, model string) string { return route.Name + " " + model }
 
@@ -87,7 +91,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
-		p.Load.Reading = max(p.Load.Reading-a.expected, 0)
+		p.Load.Reading = max(p.Load.Reading-a.reading, 0)
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -61,8 +61,15 @@
 	Deadline time.Time
 	// hash is what other routers know the endpoint by.
 	hash uint64
-	// expected is how long the head is expected to take, in seconds.
-	expected float64
+	// expected is how long the head is expected to take, reading how long the
+	// endpoint is expected to read the prompt, and wait how long it was believed
+	// to read others first, all in seconds.
+	expected, reading, wait float64
+	// busyThen is until when the endpoint was believed to be busy with what other
+	// routers sent, as the attempt was sent.
+	busyThen time.Time
+	// unread is how many tokens of the prompt are expected to be read.
+	unread int
 }
 
 // Reply is an endpoint's answer once its head is there.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -87,8 +87,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer x.e.left(a)
-	if a.expected >= toldLeast {
-		x.e.Tell(Word{Endpoint: a.hash, Busy: time.Duration(a.expected * float64(time.Second))})
+	if a.reading >= toldLeast {
+		x.e.Tell(Word{Endpoint: a.hash, Busy: time.Duration(a.reading * float64(time.Second))})
 	}
 	s := x.listen(a, cancel)
 	defer s.stop()
--- a/pkg/pool/load.go
+++ b/pkg/pool/load.go
@@ -32,6 +32,10 @@
 	l.reported, l.sentThen, l.reportedAt = running+waiting, l.Sent, now
 }
 
+// busyMost is how far ahead an endpoint is believed to be busy at most: what is told
+// is an estimate, and where it is too long by a little, it adds up without end.
+const busyMost = 2 * time.Second
+
 // Busy notes that another router sent the endpoint something that takes d, behind
 // what it has already.
 func (l *Load) Busy(now time.Time, d time.Duration) {
@@ -39,11 +43,26 @@
 		l.busyUntil = now
 	}
 	l.busyUntil = l.busyUntil.Add(d)
+	if most := now.Add(busyMost); l.busyUntil.After(most) {
+		l.busyUntil = most
+	}
+}
+
+// BusyUntil returns when the endpoint is believed to be done with what others sent.
+func (l *Load) BusyUntil() time.Time { return l.busyUntil }
+
+// Answered notes that the head of an attempt has come which was sent when the
+// endpoint was believed to be busy until then: all that was before it is done, so
+// what was left of that belief is dropped.
+func (l *Load) Answered(now, then time.Time) {
+	if over := then.Sub(now); over > 0 {
+		l.busyUntil = l.busyUntil.Add(-over)
+	}
 }
 
-// wait returns how long a prompt is expected to wait for others to be read, in
+// Wait returns how long a prompt is expected to wait for others to be read, in
 // seconds.
-func (l *Load) wait(now time.Time) float64 {
+func (l *Load) Wait(now time.Time) float64 {
 	return l.Reading + max(l.busyUntil.Sub(now), 0).Seconds()
 }
 
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -191,7 +191,7 @@
 // cost says how bad an endpoint is for a request: its load in shares of its
 // slots, a second of expected wait counting as much as all of them.
 func (p *Endpoint) cost(now time.Time, zone string) float64 {
-	c := p.share(now) + p.Load.wait(now)
+	c := p.share(now) + p.Load.Wait(now)
 	if p.Zone != zone {
 		c += farZone
 	}
