--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -165,13 +165,19 @@
 		if !ok {
 			continue
 		}
+		changes, err := k.decode(now)
+		if err != nil {
+			a.Log.Warn("peers: An answer could not be read.", zap.String("peer", p.Name), zap.String("kind", kind), logs.Err(err))
+			a.Fleet.Shun(p.Name, now)
+			return false
+		}
 		// The peer answered no earlier than it had held the question since it
 		// was sent.
 		at := sent.Add(time.Duration(got.HeldMs-k.AgeMs) * time.Millisecond)
 		if k.Whole {
-			a.Mirror.List(kind, objects(k.decode(now)), k.Revision, at, time.Time{})
+			a.Mirror.List(kind, objects(changes), k.Revision, at, time.Time{})
 		} else {
-			a.Mirror.Apply(kind, k.decode(now), k.Revision, at)
+			a.Mirror.Apply(kind, changes, k.Revision, at)
 		}
 	}
 	a.Fleet.Heard(p.Name)
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -19,6 +19,7 @@
 	Log    *zap.Logger
 	Mirror *mirror.Mirror
 	Token  string
+	packs  packs
 	// slots bounds the questions that are held.
 	slots chan struct{}
 }
@@ -68,7 +69,7 @@
 	a := answer{Kinds: make(map[string]kindAnswer), HeldMs: now.Sub(asked).Milliseconds()}
 	for kind, revision := range q.Have {
 		if d, ok := s.Mirror.Since(kind, revision); ok {
-			a.Kinds[kind] = encode(d, now)
+			a.Kinds[kind] = encode(kind, d, now, &s.packs)
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -51,31 +51,45 @@
 
 type wireChange struct {
 	mirror.Object
-	Gone bool `json:"gone,omitempty"`
+	// Packed is the specification compressed, where it is long; Spec is empty
+	// then.
+	Packed []byte `json:"packed,omitempty"`
+	Gone   bool   `json:"gone,omitempty"`
 	// LapseMs is how much longer a removed object may be used.
 	LapseMs int64 `json:"lapseMs,omitempty"`
 }
 
-// encode returns a delta as it is sent at now.
-func encode(d mirror.Delta, now time.Time) kindAnswer {
+// encode returns a delta of a kind as it is sent at now.
+func encode(kind string, d mirror.Delta, now time.Time, p *packs) kindAnswer {
 	a := kindAnswer{Revision: d.Revision, AgeMs: ceilMs(now.Sub(d.ProvenAt)), Whole: d.Whole}
 	for _, c := range d.Changes {
-		a.Changes = append(a.Changes, wireChange{c.Object, c.Gone, max(c.LapsesAt.Sub(now).Milliseconds(), 0)})
+		w := wireChange{Object: c.Object, Gone: c.Gone, LapseMs: max(c.LapsesAt.Sub(now).Milliseconds(), 0)}
+		if w.Packed = p.of(kind, &c.Object); w.Packed != nil {
+			w.Spec = nil
+		}
+		a.Changes = append(a.Changes, w)
 	}
 	return a
 }
 
 // decode returns the changes of an answer that came at now.
-func (a *kindAnswer) decode(now time.Time) []mirror.Change {
+func (a *kindAnswer) decode(now time.Time) ([]mirror.Change, error) {
 	list := make([]mirror.Change, 0, len(a.Changes))
 	for _, c := range a.Changes {
 		ch := mirror.Change{Object: c.Object, Gone: c.Gone}
+		if len(c.Packed) > 0 {
+			spec, err := unpack(c.Packed)
+			if err != nil {
+				return nil, err
+			}
+			ch.Spec = spec
+		}
 		if c.LapseMs > 0 {
 			ch.LapsesAt = now.Add(time.Duration(c.LapseMs) * time.Millisecond)
 		}
 		list = append(list, ch)
 	}
-	return list
+	return list, nil
 }
 
 func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
