Spread the steps of roll-outs, let a starting router wait for its registration, prefer the own zone more

Change: the time is drawn anew for each step, over 40 ms a router (0.25 to 1 s); until it is registered, for 1.5 s at most, a router asks for registrations alone; another availability zone counts 0.06 (0.02 before); reading times are told from 150 ms on (80 ms before), as a datagram to each router is a tenth of the processor time. Test: TestRegisteringRouterLeavesTheStore.

--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -36,6 +36,11 @@
 	// asked for most often.
 	Watched string
 	HTTP    *http.Client
+	// Members is the kind of the routers' registrations; empty for none.
+	Members string
+	// registersUntil is until when a starting router waits to be registered,
+	// before it asks the store for more than the first lists.
+	registersUntil time.Time
 	// direct says that no peer answered well, so that the store is asked.
 	direct atomic.Bool
 }
@@ -60,6 +65,9 @@
 	// the store before it asks peers for all: whole lists are long, and the few
 	// routers that are asked would send them to everybody.
 	firstReadWithin = config.Span(700 * time.Millisecond)
+	// registerWithin bounds how long a starting router waits to be registered: a
+	// slow store takes up to half a second for it.
+	registerWithin = config.Span(1500 * time.Millisecond)
 	// startPoll is how often it looks whether all was read.
 	startPoll = config.Span(10 * time.Millisecond)
 	// turnPoll is how often a follower looks whether it is its turn.
@@ -70,7 +78,7 @@
 
 // NewAsker returns an asker that has found no peer yet.
 func NewAsker(log *zap.Logger, f *Fleet, m *mirror.Mirror, watched string, kinds ...string) *Asker {
-	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, HTTP: &http.Client{Transport: &http.Transport{
+	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, registersUntil: registerWithin.After(time.Now()), HTTP: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 	}}}
 }
@@ -79,10 +87,14 @@
 // was done first. A starting router reads all from the store itself: after all
 // were killed, the registered peers are as new as it is. While the store is not
 // heard of, one kind alone is tried: each call is priced, also to a store that is
-// down.
+// down. While it is being registered, it asks for the registrations alone.
 func (a *Asker) Turn(ctx context.Context, kind string) bool {
 	for ctx.Err() == nil {
 		now := time.Now()
+		if a.Mirror.Revision(kind) >= 0 && a.registering(now) && kind != a.Members {
+			tasks.Pause(ctx, startPoll.After(now))
+			continue
+		}
 		heard := kind == a.Watched || now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
 		if heard && (a.Mirror.Revision(kind) < 0 || a.direct.Load() || a.Fleet.Asker(now)) {
 			return true
@@ -92,6 +104,12 @@
 	return false
 }
 
+// registering reports whether this router will be registered soon: then it learns
+// from the registrations whether the store is left to others.
+func (a *Asker) registering(now time.Time) bool {
+	return a.Members != "" && now.Before(a.registersUntil) && !a.Fleet.Registered()
+}
+
 // Run asks peers until ctx is done: always if the store is not asked, and when
 // the store leaves this router without word.
 func (a *Asker) Run(ctx context.Context) error {
--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -77,6 +77,13 @@
 	return len(f.ranked)
 }
 
+// Registered reports whether this router is among the registered ones.
+func (f *Fleet) Registered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.ranked, func(p Peer) bool { return p.Name == f.self })
+}
+
 // Asker reports whether this router is one of those that ask the store for all.
 // One that is not registered asks for itself.
 func (f *Fleet) Asker(now time.Time) bool {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -237,6 +237,30 @@
 	}
 }
 
+// While it is being registered, a starting router asks for the registrations alone.
+func TestRegisteringRouterLeavesTheStore(t *testing.T) {
+	a := asker()
+	a.Members = "k"
+	put(a.Mirror, 5, time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(5*time.Duration(startPoll), cancel)
+	if a.Turn(ctx, "config") {
+		t.Error("not registered yet: got the store's turn, want it to wait")
+	}
+	if !a.Turn(context.Background(), "k") {
+		t.Error("registrations: got false, want the store's turn")
+	}
+	a.Fleet.Put(Peer{Name: "self"})
+	if !a.Turn(context.Background(), "config") {
+		t.Error("registered, the first: got false, want the store's turn")
+	}
+	a.Fleet.Remove("self")
+	a.registersUntil = time.Now()
+	if !a.Turn(context.Background(), "config") {
+		t.Error("not registered in time: got false, want the store's turn")
+	}
+}
+
 // In a large fleet neither the routers that ask the store nor the notes grow with
 // it for each router.
 func TestLargeFleet(t *testing.T) {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -82,7 +82,7 @@
 
 // toldLeast is the expected time to the head, in seconds, from which on the other
 // routers are told: shorter ones hold up nobody for long, and are many.
-const toldLeast = 0.08
+const toldLeast = 0.15
 
 // prefixSaves is the part of the time to the head that a prefix in memory saves;
 // two thirds of the users' shared parts are found kept.
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -45,6 +45,9 @@
 		e.Log.Info("relay: A roll-out has moved.", zap.String("service", t.Service), zap.String("version", t.Version),
 			zap.String("state", string(t.State)), zap.Int("step", t.Step), zap.Float64("share", t.Share()), zap.Int64("revision", t.Revision))
 	}
+	if t.Step != r.trial.Step || t.State != r.trial.State {
+		r.notBefore = time.Time{}
+	}
 	r.trial = t
 }
 
@@ -57,9 +60,20 @@
 	}
 }
 
-// moveSpread spreads the routers' writes of the same step; a write takes a few
-// milliseconds, so most find that another one was first.
-const moveSpread = 250 * time.Millisecond
+const (
+	// moveSpread is the time over which the routers' writes of the same step are
+	// spread, for each router, and moveLeast and moveMost bound it: it takes a
+	// write some tens of milliseconds to be known to all, so most routers find
+	// that another one was first.
+	moveSpread = 40 * time.Millisecond
+	moveLeast  = 250 * time.Millisecond
+	moveMost   = time.Second
+)
+
+// moveWithin returns the time over which the routers' writes are spread.
+func (e *Engine) moveWithin() time.Duration {
+	return min(max(time.Duration(e.Routers())*moveSpread, moveLeast), moveMost)
+}
 
 // moveRolls writes the next step of each trial that has one.
 func (e *Engine) moveRolls(ctx context.Context) {
@@ -82,7 +96,7 @@
 			continue
 		}
 		if r.notBefore.IsZero() {
-			r.notBefore = now.Add(spread(e.draw(), moveSpread))
+			r.notBefore = now.Add(spread(e.draw(), e.moveWithin()))
 			if next.State == roll.Rejected {
 				r.notBefore = now
 			}
@@ -106,7 +120,7 @@
 	}
 	r.writing, r.notBefore = false, time.Time{}
 	if err != nil {
-		r.notBefore = e.Now().Add(moveSpread)
+		r.notBefore = e.Now().Add(moveLeast)
 	}
 	e.Log.Info("relay: A step of a roll-out was written.", zap.String("service", next.Service), zap.String("version", next.Version),
 		zap.String("state", string(next.State)), zap.Int("step", next.Step), zap.Float64("evidence", r.judge.Sum()),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,6 +78,7 @@
 	r.fleet = peers.NewFleet(s.VM)
 	r.self = peers.Peer{Name: s.VM, Addr: s.Peers, Token: proc.NewID() + proc.NewID()}
 	r.asker = peers.NewAsker(log, r.fleet, r.mirror, w.ConfigKind, w.ConfigKind, w.TrialKind, w.EndpointKind, w.RouterKind)
+	r.asker.Members = w.RouterKind
 	r.Engine.Proven = func() time.Time { return r.mirror.Proven(w.ConfigKind) }
 	r.Engine.Listed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
 	r.Engine.Routers = r.fleet.Len
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -66,7 +66,7 @@
 	// be over the mean before another is taken, in shares of its slots.
 	overload = 0.15
 	// farZone is what another availability zone counts, in shares of the slots.
-	farZone = 0.02
+	farZone = 0.06
 )
 
 // Pick returns an endpoint for a request, and why; nil if there is none.
