Add an emulator of model endpoints and an experiment tool

Policies of placement and cascade are played side by side against emulated endpoints in simulated time (batches in steps, prompts read in pieces, parts kept by use, models of several sizes): settings file in, table out, the same for the same seeds. Baselines: random, round robin, least load, two choices, smallest, largest. Tests: the table as a golden file; that a long prompt holds up what runs beside it, slots, drops, parts.

--- a/cmd/tdfake/main.go
+++ b/cmd/tdfake/main.go
@@ -58,13 +58,14 @@
 }
 
 type args struct {
-	Objects *objectsArgs `arg:"subcommand:objects" help:"object API and VM list"`
-	Engine  *engineArgs  `arg:"subcommand:engine" help:"model engine"`
-	Plain   *plainArgs   `arg:"subcommand:plain" help:"plain service"`
-	Measure *measureArgs `arg:"subcommand:measure" help:"start fleets on loopback and measure them"`
-	Load    *loadArgs    `arg:"subcommand:load" help:"send chat requests at a rate and measure them"`
-	Soak    *soakArgs    `arg:"subcommand:soak" help:"run a fleet under randomised faults and check what must hold"`
-	Demo    *demoArgs    `arg:"subcommand:demo" help:"send the demo's requests and check the answers"`
+	Objects    *objectsArgs    `arg:"subcommand:objects" help:"object API and VM list"`
+	Engine     *engineArgs     `arg:"subcommand:engine" help:"model engine"`
+	Plain      *plainArgs      `arg:"subcommand:plain" help:"plain service"`
+	Measure    *measureArgs    `arg:"subcommand:measure" help:"start fleets on loopback and measure them"`
+	Load       *loadArgs       `arg:"subcommand:load" help:"send chat requests at a rate and measure them"`
+	Soak       *soakArgs       `arg:"subcommand:soak" help:"run a fleet under randomised faults and check what must hold"`
+	Experiment *experimentArgs `arg:"subcommand:experiment" help:"play policies against emulated endpoints and print a table"`
+	Demo       *demoArgs       `arg:"subcommand:demo" help:"send the demo's requests and check the answers"`
 }
 
 // Description is shown by --help.
@@ -97,6 +98,8 @@
 		return a.Load.run()
 	case a.Soak != nil:
 		return a.Soak.run()
+	case a.Experiment != nil:
+		return a.Experiment.run()
 	case a.Measure != nil:
 		return a.Measure.run()
 	default:
--- /dev/null
+++ b/internal/emul/emul_test.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package emul
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+var update = flag.Bool("update", false, "write the golden file anew")
+
+// TestTable plays the example for two simulated seconds with one seed.
+func TestTable(t *testing.T) {
+	var x Experiment
+	if err := proc.Load("../../examples/experiments/cascade.yaml", &x); err != nil {
+		t.Fatal(err)
+	}
+	x.Seeds, x.For = []uint64{1}, config.Span(2*time.Second)
+	var got bytes.Buffer
+	if err := Table(&got, &x); err != nil {
+		t.Fatal(err)
+	}
+	const golden = "testdata/table.golden"
+	if *update {
+		if err := os.WriteFile(golden, got.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got.Bytes(), want) {
+		t.Errorf("table: got\n%s\nwant\n%s", got.Bytes(), want)
+	}
+}
+
+func TestWrongExperiment(t *testing.T) {
+	x := Experiment{Models: []Model{{}}, Sorts: []Sort{{}}, Policies: []Policy{{Place: "nearest", Start: 1}}}
+	var got []string
+	x.Check(func(key, _ string) { got = append(got, key) })
+	want := []string{
+		"seeds", "for", "perSecond", "routers", "endpoints", "engine.slots", "engine.step", "engine.tokensPerMs", "engine.piece",
+		"sorts[0]", "policies[0].place", "policies[0]",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("keys: got %v, want %v", got, want)
+	}
+}
+
+// steps runs an endpoint until it has nothing to do and returns how long it took.
+func steps(p *endpoint) (took time.Duration) {
+	for {
+		d, read, ok := p.step()
+		if !ok {
+			return took
+		}
+		took += d
+		p.end(read)
+	}
+}
+
+func newEndpoint() *endpoint {
+	return &endpoint{
+		engine: &Engine{Slots: 2, Step: config.Span(4 * time.Millisecond), TokensPerMs: 100, Piece: 1000, Kept: 250},
+		models: []Model{{Pace: 0.5}, {Pace: 3}},
+	}
+}
+
+func newJob(model, unread, left int) *job {
+	return &job{model: model, unread: unread, left: left, head: func() {}, token: func() {}}
+}
+
+func TestLongPromptHoldsUpRunsBeside(t *testing.T) {
+	alone := newEndpoint()
+	alone.waiting = append(alone.waiting, newJob(0, 100, 10))
+	// One step reads 100 tokens in 0.5 ms and makes the first token, nine more
+	// make the others.
+	if got, want := steps(alone), 40500*time.Microsecond; got != want {
+		t.Errorf("alone: got %v, want %v", got, want)
+	}
+	p := newEndpoint()
+	var ended, now time.Duration
+	short := newJob(0, 100, 10)
+	short.token = func() {
+		if short.left == 0 {
+			ended = now
+		}
+	}
+	p.waiting = append(p.waiting, short, newJob(1, 4000, 1))
+	for {
+		d, read, ok := p.step()
+		if !ok {
+			break
+		}
+		now += d
+		p.end(read)
+	}
+	// Four of its steps read 1,000 tokens of the long prompt in 30 ms each.
+	if want := 40500*time.Microsecond + 4*30*time.Millisecond; ended != want {
+		t.Errorf("beside a long prompt: got %v, want %v", ended, want)
+	}
+}
+
+func TestSlotsAndDrops(t *testing.T) {
+	p := newEndpoint()
+	for range 3 {
+		p.waiting = append(p.waiting, newJob(0, 10, 5))
+	}
+	p.step()
+	if got := p.runs(); got != 2 || len(p.waiting) != 1 {
+		t.Errorf("runs: got %d with %d waiting, want 2 and 1", got, len(p.waiting))
+	}
+	dropped := newJob(0, 10, 5)
+	dropped.head = func() { dropped.dropped = true }
+	q := newEndpoint()
+	q.waiting = append(q.waiting, dropped)
+	if got, want := steps(q), 4050*time.Microsecond; got != want {
+		t.Errorf("dropped at its head: got %v, want %v", got, want)
+	}
+}
+
+func TestPartsAreKeptByUse(t *testing.T) {
+	p := newEndpoint()
+	a, b, c := partKey{thing: 1}, partKey{thing: 2}, partKey{thing: 3}
+	for _, k := range []struct {
+		key  partKey
+		want int
+	}{{a, 0}, {b, 0}, {a, 100}, {c, 0}, {b, 0}, {a, 0}} {
+		if got := p.tokensKept(k.key, 100); got != k.want {
+			t.Errorf("part %d: got %d tokens, want %d", k.key.thing, got, k.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emul/result.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package emul
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Result is what came of a policy. Results of several seeds are added.
+type Result struct {
+	// Requests counts those that arrived, Late those whose answer came late,
+	// Weak those whose model was not good enough, Dropped the answers given up
+	// for a larger model's.
+	Requests, Late, Weak, Dropped int
+	// Read and Kept count tokens of prompts that were read, and that were in
+	// memory.
+	Read, Kept int
+	// owed is the value of all requests, earned that of the answers, cost what
+	// the models cost.
+	owed, earned, cost float64
+	heads, streams     []time.Duration
+}
+
+// Worth returns the earned part of the value, less the models' cost.
+func (r *Result) Worth() float64 { return (r.earned - r.cost) / max(r.owed, 1) }
+
+func (r *Result) add(o Result) {
+	r.Requests += o.Requests
+	r.Late += o.Late
+	r.Weak += o.Weak
+	r.Dropped += o.Dropped
+	r.Read += o.Read
+	r.Kept += o.Kept
+	r.owed += o.owed
+	r.earned += o.earned
+	r.cost += o.cost
+	r.heads = append(r.heads, o.heads...)
+	r.streams = append(r.streams, o.streams...)
+}
+
+// Table plays all policies with all seeds and writes a table of them.
+func Table(w io.Writer, x *Experiment) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	head := "policy\tworth\trequests\tlate\tweak\tdropped\tread\tkept\thead p50\tp99\tstream p50\tp99\t\n"
+	if _, err := io.WriteString(t, head); err != nil {
+		return errors.Wrap(err, "emul")
+	}
+	for i := range x.Policies {
+		var sum Result
+		for _, seed := range x.Seeds {
+			sum.add(Play(x, &x.Policies[i], seed))
+		}
+		if _, err := fmt.Fprintf(t, "%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\t\n", x.Policies[i].Name, sum.Worth(), sum.Requests, sum.Late, sum.Weak, sum.Dropped,
+			sum.Read, sum.Kept, quantile(sum.heads, 50), quantile(sum.heads, 99), quantile(sum.streams, 50), quantile(sum.streams, 99)); err != nil {
+			return errors.Wrap(err, "emul")
+		}
+	}
+	return errors.Wrap(t.Flush(), "emul")
+}
+
+// quantile returns the value under which so many hundredths of a list lie.
+func quantile(list []time.Duration, hundredths int) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[min(len(list)*hundredths/100, len(list)-1)].Round(time.Millisecond)
+}
