Ask a lost store without waiting for a change

Cause: routers are bound by their configuration and endpoints three seconds after the store is back. A watch that was sent just before waited for 0.7 s and 1.5 s more, and the pause after it takes up to 0.8 s, so word of the return could come after 3 s, and entries that lapsed in the outage counted as gone after 5 s. Test: TestLostStoreIsAskedWithoutWaiting fails without the change.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -110,6 +110,10 @@
 		return f.list(ctx, sent)
 	}
 	until := f.Wait.After(sent)
+	if !f.lostAt.IsZero() {
+		// Word that the store is back should not wait for a change.
+		until = sent
+	}
 	ctx, cancel := context.WithDeadline(ctx, until.Add(callWithin))
 	defer cancel()
 	changes, revision, err := f.Source.Watch(ctx, f.Kind, since, until)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -172,6 +172,33 @@
 	}
 }
 
+func TestLostStoreIsAskedWithoutWaiting(t *testing.T) {
+	const wait = 700 * time.Millisecond
+	var waits []time.Duration
+	f := Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k", Wait: config.Span(wait), Source: Source{
+		List: func(context.Context, string) ([]Object, int64, error) { return nil, 1, nil },
+		Watch: func(_ context.Context, _ string, _ int64, until time.Time) ([]Change, int64, error) {
+			waits = append(waits, time.Until(until))
+			return nil, 1, nil
+		},
+	}}
+	ctx := context.Background()
+	step := func() {
+		if err := f.step(ctx, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step()
+	step()
+	f.lost(time.Now(), errDown)
+	step()
+	f.back(time.Now())
+	step()
+	if len(waits) != 3 || waits[0] < wait/2 || waits[1] > 0 || waits[2] < wait/2 {
+		t.Errorf("waits: got %v, want about %v, none while the store is lost, and %v again", waits, wait, wait)
+	}
+}
+
 func TestShortTroubleLetsNothingLapse(t *testing.T) {
 	f := Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k"}
 	now := time.Now()
