--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -21,6 +21,8 @@
 	ranked []Peer
 	// shunned holds until when a peer that did not answer well is not asked.
 	shunned map[string]time.Time
+	// leaving says that this router stops and leaves the store to the others.
+	leaving bool
 	// silent holds since when a peer gives no answer at all.
 	silent map[string]time.Time
 }
@@ -85,7 +87,7 @@
 }
 
 // Asker reports whether this router is one of those that ask the store for all.
-// One that is not registered asks for itself.
+// One that is not registered asks for itself, unless it leaves and others are there.
 func (f *Fleet) Asker(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,7 +100,14 @@
 			rank++
 		}
 	}
-	return true
+	return !f.leaving || rank == 0
+}
+
+// Leave notes that this router stops.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
 }
 
 // Next returns the peer to ask: one of the first that answered well; draw spreads
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// A router that stops has no registration any more and is up for seconds.
+func TestLeavingRouterLeavesTheStore(t *testing.T) {
+	f := NewFleet("self")
+	now := time.Now()
+	f.Put(Peer{Name: "self"})
+	f.Put(Peer{Name: "a"})
+	f.Leave()
+	f.Remove("self")
+	if f.Asker(now) {
+		t.Error("leaving, with another one there: got true, want the store left to it")
+	}
+	f.Shun("a", now)
+	if !f.Asker(now) {
+		t.Error("leaving, with none that answers: got false, want it to ask the store")
+	}
+}
+
 func TestSilentPeerIsGoneLater(t *testing.T) {
 	f := NewFleet("self")
 	f.Put(Peer{Name: "a"})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -214,6 +214,7 @@
 // connection, all answered; what is left at the end is broken off.
 func (r *Router) stop(kill context.Context) {
 	r.stopping.Store(true)
+	r.fleet.Leave()
 	r.Engine.Stop((r.settings.StopWithin - stopMargin).After(time.Now()))
 	r.Log.Info("router: Stopping.", zap.Int64("underWay", r.Engine.Under()))
 	if err := r.wire.Unregister(kill, r.self); err != nil {
