--- a/cmd/traildrift/ask.go
+++ b/cmd/traildrift/ask.go
@@ -12,6 +12,8 @@
 	"os"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/traildrift/traildrift/internal/desk"
 	"github.com/traildrift/traildrift/pkg/trail"
 )
@@ -39,9 +41,13 @@
 	Platform netip.AddrPort `arg:"--platform,env:TRAILDRIFT_PLATFORM" help:"the object API, for requests of the past"`
 	Request  string         `arg:"positional,required" help:"request ID, from the header Traildrift-Request"`
 	JSON     bool           `arg:"--json" help:"write JSON"`
+	Logs     []string       `arg:"--logs" help:"logs of routers to look in, instead of asking"`
 }
 
 func (a *explainArgs) run(ctx context.Context) error {
+	if len(a.Logs) > 0 {
+		return a.fromLogs()
+	}
 	r, err := a.find(ctx)
 	if err != nil {
 		return err
@@ -54,6 +60,27 @@
 	return desk.Explain(os.Stdout, r)
 }
 
+// fromLogs tells a request's story from the logs of routers.
+func (a *explainArgs) fromLogs() error {
+	any := false
+	for _, name := range a.Logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "explain")
+		}
+		found, err := desk.Story(os.Stdout, name, f, a.Request)
+		_ = f.Close()
+		if err != nil {
+			return err
+		}
+		any = any || found
+	}
+	if !any {
+		return errors.Newf("explain: no log tells of request %s", a.Request)
+	}
+	return nil
+}
+
 // find asks the process if one is named, and the platform otherwise or if the
 // process does not know.
 func (a *explainArgs) find(ctx context.Context) (trail.Record, error) {
--- /dev/null
+++ b/internal/desk/story.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package desk
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// logLine is what a story needs of a router's line.
+type logLine struct {
+	Msg      string `json:"msg"`
+	Request  string `json:"request"`
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	Kind     string `json:"kind"`
+	// text is the whole line from its first brace on.
+	text string
+}
+
+// The lines that end a request, tell of an attempt, and begin a process's life.
+const (
+	msgEnded   = "relay: A request has ended."
+	msgAttempt = "relay: An attempt has ended."
+	msgStarted = "router: Started."
+)
+
+// lineMost bounds a line of a log, in bytes.
+const lineMost = 1 << 20
+
+// topic names what a line changes the process's mind about; empty for nothing.
+func (l *logLine) topic() string {
+	switch {
+	case l.Msg == msgEnded || l.Msg == msgAttempt:
+		return ""
+	case strings.HasPrefix(l.Msg, "mirror: "):
+		return "store, " + l.Kind
+	case strings.HasPrefix(l.Msg, "peers: "):
+		return "peers"
+	case l.Endpoint != "":
+		return "endpoint " + l.Endpoint
+	case l.Service != "":
+		return "roll-out of " + l.Service
+	case strings.Contains(l.Msg, "configuration"):
+		return "configuration"
+	case strings.Contains(l.Msg, "readiness"):
+		return "readiness"
+	case strings.HasPrefix(l.Msg, "router: "):
+		return "process"
+	default:
+		return ""
+	}
+}
+
+// Story reads a router's log and writes what it tells of a request: its attempts,
+// its end, and what the router believed then, by the lines that came before in the
+// same log, so that no clocks are compared. It reports whether the request was
+// found; one that came twice is told twice.
+func Story(w io.Writer, name string, log io.Reader, request string) (found bool, err error) {
+	p := &printer{w: w}
+	beliefs := make(map[string]string)
+	var attempts []logLine
+	scan := bufio.NewScanner(log)
+	scan.Buffer(nil, lineMost)
+	for scan.Scan() {
+		l, ok := parseLine(scan.Bytes())
+		if !ok {
+			continue
+		}
+		switch {
+		case l.Msg == msgStarted:
+			// A new life of the process knows nothing of the one before.
+			clear(beliefs)
+			beliefs["process"] = l.text
+		case l.topic() != "":
+			beliefs[l.topic()] = l.text
+		case l.Request != request:
+		case l.Msg == msgAttempt:
+			attempts = append(attempts, l)
+		default:
+			p.story(name, attempts, l, beliefs)
+			found, attempts = true, nil
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return found, errors.Wrap(err, name)
+	}
+	return found, p.err
+}
+
+// parseLine reads a line, which may have something before its first brace.
+func parseLine(b []byte) (l logLine, ok bool) {
+	i := bytes.IndexByte(b, '{')
+	if i < 0 || json.Unmarshal(b[i:], &l) != nil {
+		return logLine{}, false
+	}
+	l.text = string(b[i:])
+	return l, true
+}
+
+// story writes one request's story.
+func (p *printer) story(name string, attempts []logLine, end logLine, beliefs map[string]string) {
+	p.line("%s", name)
+	for _, a := range attempts {
+		p.line("  attempt  %s", a.text)
+	}
+	p.line("  end      %s", end.text)
+	p.line("  believed then")
+	for _, topic := range slices.Sorted(maps.Keys(beliefs)) {
+		if id, ok := strings.CutPrefix(topic, "endpoint "); ok && !slices.ContainsFunc(attempts, func(a logLine) bool { return a.Endpoint == id }) {
+			continue
+		}
+		p.line("    %s: %s", topic, beliefs[topic])
+	}
+}
--- /dev/null
+++ b/internal/desk/story_test.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package desk
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the golden file anew")
+
+func TestStory(t *testing.T) {
+	log, err := os.ReadFile("testdata/router.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bytes.Buffer
+	found, err := Story(&got, "router.log", bytes.NewReader(log), "r1")
+	if err != nil || !found {
+		t.Fatalf("got %v, %v; want the request found", found, err)
+	}
+	const golden = "testdata/story.golden"
+	if *update {
+		if err := os.WriteFile(golden, got.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got.Bytes(), want) {
+		t.Errorf("story: got\n%s\nwant\n%s", got.Bytes(), want)
+	}
+}
+
+func TestStoryOfAnotherRequest(t *testing.T) {
+	var got bytes.Buffer
+	found, err := Story(&got, "x", strings.NewReader("no line of ours\n{broken\n"), "r1")
+	if found || err != nil || got.Len() > 0 {
+		t.Errorf("got %v, %v and %q; want nothing", found, err, got.String())
+	}
+}
--- a/internal/drive/caller.go
+++ b/internal/drive/caller.go
@@ -192,9 +192,7 @@
 	if i < 0 {
 		return nil
 	}
-	var e struct {
-		Error *fault.Error `json:"error"`
-	}
+	var e fault.Body
 	if json.NewDecoder(bytes.NewReader(body[i:])).Decode(&e) != nil {
 		return nil
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -16,14 +16,9 @@
 	"github.com/traildrift/traildrift/pkg/stream"
 )
 
-// errorBody is the body of every failure.
-type errorBody struct {
-	Error *fault.Error `json:"error"`
-}
-
 // refuse answers a failure before any byte of an answer.
 func (e *Entry) refuse(ctx *fasthttp.RequestCtx, err *fault.Error) {
-	body, _ := json.Marshal(errorBody{err})
+	body, _ := json.Marshal(fault.Body{Error: err})
 	ctx.SetStatusCode(err.Kind.Answer().Status)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
@@ -121,7 +116,7 @@
 	}
 	a.end = end
 	if end.Err != nil {
-		body, _ := json.Marshal(errorBody{end.Err})
+		body, _ := json.Marshal(fault.Body{Error: end.Err})
 		a.last = append(append([]byte("data: "), body...), "\n\n"...)
 	}
 	if n > 0 {
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -82,19 +82,19 @@
 	if err := x.write(body); err != nil {
 		return err
 	}
-	buf := make([]byte, copyBuffer)
-	for {
-		n, err := reply.Body.Read(buf)
-		if werr := x.write(buf[:n]); werr != nil {
-			return werr
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	_, err = io.CopyBuffer(callerWriter{x}, struct{ io.Reader }{reply.Body}, make([]byte, copyBuffer))
+	return err
+}
+
+// callerWriter writes to the caller; its errors say that the caller left.
+type callerWriter struct{ x *run }
+
+// Write writes to the caller.
+func (w callerWriter) Write(b []byte) (int, error) {
+	if err := w.x.write(b); err != nil {
+		return 0, err
 	}
+	return len(b), nil
 }
 
 // copyBuffer is the size of the pieces in which answers are passed on, in bytes.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -142,9 +142,7 @@
 	h := x.w.Header()
 	clear(h)
 	code := status(err)
-	body, _ := json.Marshal(struct {
-		Error *fault.Error `json:"error"`
-	}{err})
+	body, _ := json.Marshal(fault.Body{Error: err})
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if err.Run == fault.NotRun && !err.RetryAt.IsZero() {
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -32,6 +32,11 @@
 	RetryAt time.Time `json:"retryAt,omitzero"`
 }
 
+// Body is the body of every answer that tells a failure.
+type Body struct {
+	Error *Error `json:"error"`
+}
+
 // New returns an Error of the given kind and run state with a formatted
 // message.
 func New(k Kind, run Run, format string, args ...any) *Error {
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/traildrift/traildrift/pkg/mixer"
 )
 
 // Entry is an endpoint as it is listed.
@@ -85,7 +87,7 @@
 }
 
 func (b *Book) insert(p *Endpoint) {
-	p.hash = mix(Hash(p.ID))
+	p.hash = mixer.Mix(Hash(p.ID))
 	b.byHash[p.hash] = p
 	list := b.byService[p.Service]
 	i, _ := slices.BinarySearchFunc(list, p.hash, func(q *Endpoint, h uint64) int { return cmp.Compare(q.hash, h) })
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/traildrift/traildrift/pkg/mixer"
 )
 
 // Want is what a request asks of an endpoint.
@@ -112,7 +114,7 @@
 // least returns the endpoint of the least cost; the search begins at random, so
 // that equal ones share the load.
 func least(list []*Endpoint, now time.Time, w *Want) *Endpoint {
-	begin := int(mix(w.Draw) % uint64(len(list)))
+	begin := int(mixer.Mix(w.Draw) % uint64(len(list)))
 	best, cost := list[begin], list[begin].cost(now, w.Zone)
 	for i := 1; i < len(list); i++ {
 		p := list[(begin+i)%len(list)]
@@ -158,7 +160,7 @@
 	var first, second *Endpoint
 	var most, next uint64
 	for _, p := range list {
-		h := mix(w.Affinity ^ p.hash)
+		h := mixer.Mix(w.Affinity ^ p.hash)
 		switch {
 		case first == nil || h > most:
 			second, next = first, most
@@ -178,9 +180,9 @@
 
 // two returns the less loaded of two endpoints drawn at random.
 func two(open []*Endpoint, now time.Time, w *Want) *Endpoint {
-	d := mix(w.Draw)
+	d := mixer.Mix(w.Draw)
 	a := open[d%uint64(len(open))]
-	d = mix(d)
+	d = mixer.Mix(d)
 	b := open[d%uint64(len(open))]
 	if b.cost(now, w.Zone) < a.cost(now, w.Zone) {
 		return b
@@ -200,11 +202,3 @@
 
 // Hash returns the same number for a text in every process.
 func Hash(s string) uint64 { return xxhash.Sum64String(s) }
-
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-func mix(z uint64) uint64 {
-	z += 0x9e3779b97f4a7c15
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -3,7 +3,11 @@
 
 package route
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/traildrift/traildrift/pkg/mixer"
+)
 
 // Endpoint is what an entry knows of one endpoint when it decides.
 type Endpoint struct {
@@ -85,8 +89,8 @@
 		return -1
 	}
 	rnd := req.Seed
-	a := v.nth(pool, version, req.Avoid, int(next(&rnd)%uint64(n)))
-	b := v.nth(pool, version, req.Avoid, int(next(&rnd)%uint64(n)))
+	a := v.nth(pool, version, req.Avoid, int(mixer.Next(&rnd)%uint64(n)))
+	b := v.nth(pool, version, req.Avoid, int(mixer.Next(&rnd)%uint64(n)))
 	if v.cost(b, req) < v.cost(a, req) {
 		return b
 	}
@@ -120,17 +124,8 @@
 	return c
 }
 
-// next is one step of SplitMix64 (Steele, Lea and Flood, 2014).
-func next(x *uint64) uint64 {
-	*x += 0x9e3779b97f4a7c15
-	z := *x
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
-
 // Uniform returns a number in [0, 1) that seed determines.
 func Uniform(seed uint64) float64 {
 	const bits = 53
-	return float64(next(&seed)>>(64-bits)) / (1 << bits)
+	return float64(mixer.Next(&seed)>>(64-bits)) / (1 << bits)
 }
