--- a/internal/desk/story_test.go
+++ b/internal/desk/story_test.go
@@ -5,13 +5,12 @@
 
 import (
 	"bytes"
-	"flag"
 	"os"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "write the golden file anew")
+	"github.com/traildrift/traildrift/internal/golden"
+)
 
 func TestStory(t *testing.T) {
 	log, err := os.ReadFile("testdata/router.log")
@@ -23,19 +22,7 @@
 	if err != nil || !found {
 		t.Fatalf("got %v, %v; want the request found", found, err)
 	}
-	const golden = "testdata/story.golden"
-	if *update {
-		if err := os.WriteFile(golden, got.Bytes(), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Errorf("story: got\n%s\nwant\n%s", got.Bytes(), want)
-	}
+	golden.Check(t, "story.golden", got.Bytes())
 }
 
 func TestStoryOfAnotherRequest(t *testing.T) {
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -5,18 +5,15 @@
 
 import (
 	"bytes"
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/traildrift/traildrift/internal/golden"
 	"github.com/traildrift/traildrift/internal/proc"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
-var update = flag.Bool("update", false, "write the golden file anew")
-
 // TestTable plays the example for two simulated seconds with one seed.
 func TestTable(t *testing.T) {
 	var x Experiment
@@ -28,19 +25,7 @@
 	if err := Table(&got, &x); err != nil {
 		t.Fatal(err)
 	}
-	const golden = "testdata/table.golden"
-	if *update {
-		if err := os.WriteFile(golden, got.Bytes(), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Errorf("table: got\n%s\nwant\n%s", got.Bytes(), want)
-	}
+	golden.Check(t, "table.golden", got.Bytes())
 }
 
 func TestWrongExperiment(t *testing.T) {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -4,7 +4,6 @@
 package rig
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
@@ -15,8 +14,6 @@
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 func TestMain(m *testing.M) {
 	Main()
 	assert.SetFatal()
--- a/internal/rig/session_test.go
+++ b/internal/rig/session_test.go
@@ -6,13 +6,12 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
-	"path/filepath"
 	"regexp"
 	"testing"
 
 	"github.com/traildrift/traildrift/internal/desk"
 	"github.com/traildrift/traildrift/internal/drive"
+	"github.com/traildrift/traildrift/internal/golden"
 )
 
 // changing are the parts of an answer that differ from run to run.
@@ -32,24 +31,6 @@
 	return text
 }
 
-// checkGolden compares got with the named golden file.
-func checkGolden(t *testing.T, name, got string) {
-	t.Helper()
-	file := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
-	}
-}
-
 // TestSession holds a whole session through real processes against its golden
 // file: chats, a session, a service, refusals, explanation and bills.
 func TestSession(t *testing.T) {
@@ -87,7 +68,7 @@
 	if err := desk.Explain(&out, rec); err != nil {
 		t.Fatal(err)
 	}
-	checkGolden(t, "session.golden", normalise(out.String()))
+	golden.Check(t, "session.golden", []byte(normalise(out.String())))
 	for _, n := range f.Nodes() {
 		if err := n.Stop(soon()); err != nil {
 			t.Errorf("planned stop of %s: got %v, want nil", n.VM.Name, err)
--- a/pkg/roll/trial_test.go
+++ b/pkg/roll/trial_test.go
@@ -4,11 +4,34 @@
 package roll
 
 import (
+	"bytes"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/traildrift/traildrift/internal/golden"
 )
 
+// TestTrialOverTime prints every change of a trial of a good version, and of one
+// that is found bad after 14 of 20 seconds.
+func TestTrialOverTime(t *testing.T) {
+	var got bytes.Buffer
+	t0 := time.Unix(0, 0)
+	for _, badFrom := range []time.Duration{time.Hour, 14 * time.Second} {
+		fmt.Fprintf(&got, "found bad after %v\n", badFrom)
+		tr := Trial{State: Ordered, Begun: t0, Ends: t0.Add(20 * time.Second)}
+		for at := time.Duration(0); at <= 20*time.Second; at += 100 * time.Millisecond {
+			next, changed := tr.Next(t0.Add(at), at >= badFrom)
+			if changed {
+				fmt.Fprintf(&got, "  %6v  %-8s step %d  share %.2f\n", at, next.State, next.Step, next.Share())
+			}
+			tr = next
+		}
+	}
+	golden.Check(t, "trial.golden", got.Bytes())
+}
+
 func TestTrialStepsAndEnds(t *testing.T) {
 	t0 := time.Unix(0, 0)
 	tr := Trial{State: Trying, Begun: t0, Ends: t0.Add(20 * time.Second)}
