--- a/cmd/traildrift/ask.go
+++ b/cmd/traildrift/ask.go
@@ -62,7 +62,7 @@
 
 // fromLogs tells a request's story from the logs of routers.
 func (a *explainArgs) fromLogs() error {
-	any := false
+	told := false
 	for _, name := range a.Logs {
 		f, err := os.Open(name)
 		if err != nil {
@@ -73,9 +73,9 @@
 		if err != nil {
 			return err
 		}
-		any = any || found
+		told = told || found
 	}
-	if !any {
+	if !told {
 		return errors.Newf("explain: no log tells of request %s", a.Request)
 	}
 	return nil
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -76,29 +76,14 @@
 func (b *Book) Pick(now time.Time, w *Want) (*Endpoint, Reason) {
 	var buf, homeBuf [scanMost]*Endpoint
 	list := b.byService[w.Service]
-	trusted := (*Endpoint).sound
-	var open []*Endpoint
-	if w.Once {
-		open = fitting(buf[:0], list, now, w, trusted)
-	}
-	if len(open) == 0 {
-		trusted = (*Endpoint).open
-		open = fitting(buf[:0], list, now, w, trusted)
-	}
-	if len(open) == 0 {
-		open = fitting(open, list, now, w, nil)
-		if len(open) == 0 {
-			return nil, ""
-		}
+	open, trust := trusted(buf[:0], list, now, w)
+	switch {
+	case len(open) == 0:
+		return nil, ""
+	case trust == nil:
 		return two(open, now, w), ByDespair
 	}
-	home := w.Home.of(open)
-	if len(list) > scanMost {
-		at := Want{Fit: w.Fit, Avoid: w.Avoid, Draw: w.Draw}
-		if home = fitting(homeBuf[:0], w.Home.of(list), now, &at, trusted); len(home) == 0 {
-			home = open
-		}
-	}
+	home := w.homeOf(homeBuf[:0], list, open, now, trust)
 	// The mean of all says how much more than elsewhere an endpoint has.
 	limit := meanCost(open, now, w.Zone) + overload
 	best := least(home, now, w)
@@ -107,12 +92,52 @@
 			return p, ByAffinity
 		}
 	}
-	if (len(list) > scanMost && w.Home.To > w.Home.From || len(home) < len(open)) && best.cost(now, w.Zone) <= limit {
+	if w.apart(list, home, open) && best.cost(now, w.Zone) <= limit {
 		return best, ByHome
 	}
 	return two(open, now, w), ByLoad
 }
 
+// trusted appends the endpoints of a list that may serve a request and are trusted
+// with it, as far as there are any, and returns the test that they passed; nil for
+// none.
+func trusted(dst, list []*Endpoint, now time.Time, w *Want) ([]*Endpoint, trustTest) {
+	tests := []trustTest{(*Endpoint).open, nil}
+	if w.Once {
+		tests = []trustTest{(*Endpoint).sound, (*Endpoint).open, nil}
+	}
+	for _, test := range tests {
+		if open := fitting(dst, list, now, w, test); len(open) > 0 {
+			return open, test
+		}
+	}
+	return nil, nil
+}
+
+// trustTest reports whether an endpoint is trusted with a request.
+type trustTest func(p *Endpoint, now time.Time) bool
+
+// homeOf returns the endpoints that requests of this sort go to first, out of all
+// of a service and those of them that are open; it never returns none.
+func (w *Want) homeOf(dst, list, open []*Endpoint, now time.Time, test trustTest) []*Endpoint {
+	if len(list) <= scanMost {
+		return w.Home.of(open)
+	}
+	at := Want{Fit: w.Fit, Avoid: w.Avoid, Draw: w.Draw}
+	if home := fitting(dst, w.Home.of(list), now, &at, test); len(home) > 0 {
+		return home
+	}
+	return open
+}
+
+// apart reports whether the home is a part of what is open.
+func (w *Want) apart(list, home, open []*Endpoint) bool {
+	if len(list) > scanMost {
+		return w.Home.To > w.Home.From
+	}
+	return len(home) < len(open)
+}
+
 func meanCost(list []*Endpoint, now time.Time, zone string) float64 {
 	sum := 0.0
 	for _, p := range list {
@@ -149,7 +174,7 @@
 
 // fitting appends the endpoints of a list that may serve a request and that pass a
 // test of trust; nil lets all pass.
-func fitting(dst, list []*Endpoint, now time.Time, w *Want, trusted func(*Endpoint, time.Time) bool) []*Endpoint {
+func fitting(dst, list []*Endpoint, now time.Time, w *Want, test trustTest) []*Endpoint {
 	from := 0
 	if len(list) > scanMost {
 		from = w.position(list)
@@ -162,7 +187,7 @@
 		if !p.usable(now) || w.Fit != nil && !w.Fit(p.Version) || slices.Contains(w.Avoid, p.ID) {
 			continue
 		}
-		if trusted != nil && !trusted(p, now) {
+		if test != nil && !test(p, now) {
 			continue
 		}
 		dst = append(dst, p)
