--- a/internal/emul/place.go
+++ b/internal/emul/place.go
@@ -25,8 +25,8 @@
 // place returns the index of the endpoint for a request.
 func (p *player) place(r *request, model int) int {
 	n := p.x.Endpoints
-	book := p.books[r.router]
-	sent := func(i int) int { return book.Get(endpointID(i)).Load.Sent }
+	view := p.views[r.router]
+	sent := func(i int) int { return view[i].Load.Sent }
 	switch p.policy.Place {
 	case Random:
 		return p.choice.IntN(n)
@@ -48,23 +48,17 @@
 		}
 		return a
 	default:
-		return p.byPrefix(book, r, model)
+		return p.byPrefix(r, model)
 	}
 }
 
-// heldValue is what a token of a shared part in memory is worth, in seconds of
-// waiting: as in the router.
-const heldValue = 0.1 / 1000
-
 // byPrefix returns what the router's own choice gives.
-func (p *player) byPrefix(book *pool.Book, r *request, model int) int {
+func (p *player) byPrefix(r *request, model int) int {
 	w := pool.Want{Service: service, Zone: service, Draw: p.choice.Uint64()}
 	if r.shared > 0 {
 		w.Affinity = pool.Hash(fmt.Sprint(model, "/", r.index, "/", r.thing))
-		w.Bonus = heldValue * float64(r.shared)
+		w.Bonus = pool.HeldValue * float64(r.shared)
 	}
-	picked, _ := book.Pick(p.now, &w)
-	var i int
-	_, _ = fmt.Sscanf(picked.ID, "e%d", &i)
-	return i
+	picked, _ := p.books[r.router].Pick(p.now, &w)
+	return p.index[picked.ID]
 }
--- a/internal/emul/play.go
+++ b/internal/emul/play.go
@@ -78,8 +78,12 @@
 	made         int
 	endpoints    []*endpoint
 	books        []*pool.Book
-	turns        []int
-	result       Result
+	// views holds, for each router, what its book knows of each endpoint, and
+	// index where an endpoint stands by its ID.
+	views  [][]*pool.Endpoint
+	index  map[string]int
+	turns  []int
+	result Result
 }
 
 // start is when simulated time begins.
@@ -87,16 +91,19 @@
 
 // Play plays a policy with a seed.
 func Play(x *Experiment, policy *Policy, seed uint64) Result {
-	p := &player{x: x, policy: policy, load: rand.New(rand.NewPCG(seed, 0)), choice: rand.New(rand.NewPCG(seed, 1)), now: start, turns: make([]int, x.Routers)}
-	for range x.Endpoints {
+	p := &player{x: x, policy: policy, load: rand.New(rand.NewPCG(seed, 0)), choice: rand.New(rand.NewPCG(seed, 1)), now: start, turns: make([]int, x.Routers), index: make(map[string]int)}
+	for i := range x.Endpoints {
 		p.endpoints = append(p.endpoints, &endpoint{engine: &x.Engine, models: x.Models})
+		p.index[endpointID(i)] = i
 	}
 	for range x.Routers {
 		b := pool.NewBook()
+		view := make([]*pool.Endpoint, x.Endpoints)
 		for i := range x.Endpoints {
 			b.Put(pool.Entry{ID: endpointID(i), Service: service, Addr: netip.AddrPort{}, Zone: service, Version: service, Slots: x.Engine.Slots, Revision: 1})
+			view[i] = b.Get(endpointID(i))
 		}
-		p.books = append(p.books, b)
+		p.books, p.views = append(p.books, b), append(p.views, view)
 	}
 	p.arrive()
 	for len(p.queue) > 0 {
@@ -165,7 +172,7 @@
 // send sends a request to an endpoint, with the model of an index.
 func (p *player) send(r *request, model int) {
 	i := p.place(r, model)
-	e, book := p.endpoints[i], p.books[r.router]
+	e := p.endpoints[i]
 	kept := 0
 	if r.shared > 0 {
 		kept = e.tokensKept(partKey{r.index, r.thing, model}, r.shared)
@@ -175,7 +182,7 @@
 	p.result.Kept += kept
 	p.result.cost += p.x.Models[model].Cost * float64(r.shared+r.own) / 4 / 1000
 	reading := p.readingTime(j)
-	load := &book.Get(endpointID(i)).Load
+	load := &p.views[r.router][i].Load
 	load.Sent++
 	load.Reading += reading
 	j.head = func() { p.head(load, j, reading) }
--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -54,20 +54,13 @@
 // answer still gives way to one that comes before the caller gives up. The
 // engine's mu is held.
 func (x *run) affordable(size, confidence int, now time.Time) int {
-	inAim := x.begins(size, now, x.route.Aim.After(x.asked).Sub(now))
-	if inAim == x.size && confidence >= hopeless {
-		return x.size
-	}
-	size = max(inAim, x.size+1)
-	stream := time.Duration(x.e.streams[x.route.Name].expect(0) * float64(time.Second))
-	return x.begins(size, now, x.deadline.Sub(now)-stream)
-}
-
-// begins returns the largest model up to size whose answer is expected to begin
-// within a time; the present one if there is none. The engine's mu is held.
-func (x *run) begins(size int, now time.Time, within time.Duration) int {
+	aim := x.route.Aim.After(x.asked).Sub(now).Seconds()
+	left := x.deadline.Sub(now).Seconds() - x.e.streams[x.route.Name].expect(0)
+	inAim := false
 	for ; size > x.size; size-- {
-		if x.expectedOf(size, now) <= within.Seconds() {
+		head := x.expectedOf(size, now)
+		inAim = inAim || head <= aim
+		if (inAim || size == x.size+1 && confidence < hopeless) && head <= left {
 			break
 		}
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -71,7 +71,7 @@
 	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
 		// The last part is the request's own, so what others may have left is
 		// named by the one before it.
-		w.Bonus = prefixSaves*x.reading(x.r.TokensIn) + heldValue*float64(x.shared())
+		w.Bonus = prefixSaves*x.reading(x.r.TokensIn) + pool.HeldValue*float64(x.shared())
 		w.Affinity = pool.Hash(x.model() + "/" + x.r.Prefix[max(n-2, 0)])
 		if h, ok := x.e.homes[x.service]; ok {
 			w.Home = h.of(sortOf(x.route, x.model()))
@@ -80,19 +80,14 @@
 	return w
 }
 
-// toldLeast is the expected time to the head, in seconds, from which on the other
-// routers are told: shorter ones hold up nobody for long, and are many.
+// toldLeast is the expected reading time, in seconds, from which on the other routers
+// are told: shorter ones hold up nobody for long, and are many.
 const toldLeast = 0.15
 
-// prefixSaves is the part of the time to the head that a prefix in memory saves;
+// prefixSaves is the part of the reading time that a prefix in memory saves;
 // two thirds of the users' shared parts are found kept.
 const prefixSaves = 0.4
 
-// heldValue is what a token of a shared part in memory is worth beyond the time to
-// read it, in seconds of waiting: reading it again is priced. Of 0, 30 and 100 ms
-// a thousand tokens, the last served best on 2026-12-02.
-const heldValue = 0.1 / 1000
-
 // shared returns how many tokens of the prompt other requests may share, by the
 // caller's word; at most the whole prompt.
 func (x *run) shared() int {
@@ -122,7 +117,7 @@
 // taken to be dearer than the next smaller one.
 func (x *run) readingOf(size, tokens int) float64 {
 	if x.model() == "" {
-		return x.e.reads[sortOf(x.route, "")].at(float64(tokens))
+		return x.e.reads[readKey(x.route, "")].at(float64(tokens))
 	}
 	times := 1.0
 	for ; size >= 0; size-- {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -262,11 +262,7 @@
 // budget returns the retry budget of a service; mu is held.
 func (e *Engine) budget(service string) *budget.Window {
 	l := e.limits.Load()
-	w, ok := e.budgets[service]
-	if !ok {
-		w = &budget.Window{}
-		e.budgets[service] = w
-	}
+	w := entryOf(e.budgets, service)
 	w.Set(time.Duration(l.RetryWindow), l.RetryRatio*ratioKept, l.RetrySlack*slackKept/float64(max(e.Routers(), 1)))
 	return w
 }
--- /dev/null
+++ b/internal/relay/entry.go
@@ -0,0 +1,14 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+// entryOf returns what a map holds under a key; a new zero value if there is none.
+func entryOf[T any](in map[string]*T, key string) *T {
+	v, ok := in[key]
+	if !ok {
+		v = new(T)
+		in[key] = v
+	}
+	return v
+}
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -26,42 +26,31 @@
 }
 
 // answered notes an answer that may be passed on.
-func (e *Engine) answered(a *Attempt, route *Route, head time.Duration) {
+func (e *Engine) answered(a *Attempt, route *Route, head time.Duration, now time.Time) {
 	e.counts.time("head", route.Name, head)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	key := sortOf(route, a.Model)
 	e.evidence(&a.Endpoint, key, false, head)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
-		p.Trust.OK(e.Now())
-		p.Load.Answered(e.Now(), a.busyThen)
+		p.Trust.OK(now)
+		p.Load.Answered(now, a.busyThen)
 	}
-	meanOf(e.heads, key).add(head, a.Request.TokensIn)
+	entryOf(e.heads, key).add(head, a.Request.TokensIn)
 	// What the believed wait does not explain is the reading; wrong beliefs may
 	// not make it nothing.
 	reading := max(head-time.Duration(a.wait*float64(time.Second)), head/readingLeast)
-	l, ok := e.reads[readKey(route, a.Model)]
-	if !ok {
-		l = &line{}
-		e.reads[readKey(route, a.Model)] = l
+	entryOf(e.reads, readKey(route, a.Model)).add(float64(a.unread), reading.Seconds())
+	if route.Affinity {
+		entryOf(e.homes, a.Endpoint.Service).add(key, head, now)
 	}
-	l.add(float64(a.unread), reading.Seconds())
-	if !route.Affinity {
-		return
-	}
-	h, ok := e.homes[a.Endpoint.Service]
-	if !ok {
-		h = &homes{}
-		e.homes[a.Endpoint.Service] = h
-	}
-	h.add(key, head, e.Now())
 }
 
 // ended notes how long an answer that was passed on went on after its head.
 func (e *Engine) ended(route *Route, d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	meanOf(e.streams, route.Name).add(d, 0)
+	entryOf(e.streams, route.Name).add(d, 0)
 }
 
 // readingLeast is the inverse of the part of the time to the head that counts as
--- a/internal/relay/mean.go
+++ b/internal/relay/mean.go
@@ -20,16 +20,6 @@
 	tokensLeast, tokensMost = 0.5, 6
 )
 
-// meanOf returns the mean of a name in a map, a new one if there is none.
-func meanOf(in map[string]*mean, name string) *mean {
-	m, ok := in[name]
-	if !ok {
-		m = &mean{}
-		in[name] = m
-	}
-	return m
-}
-
 func (m *mean) add(d time.Duration, tokens int) {
 	m.n++
 	w := max(meanWeight, 1/float64(m.n))
--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -52,10 +52,6 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p, ok := e.patiences[route.Name]
-	if !ok {
-		p = &patience{}
-		e.patiences[route.Name] = p
-	}
+	p := entryOf(e.patiences, route.Name)
 	return r.Arrived.Add(-p.waited(r.Deadline.Sub(r.Arrived), route.Within))
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -113,7 +113,7 @@
 		x.end(ctx, err)
 		return false
 	}
-	x.e.answered(a, x.route, now.Sub(t.At))
+	x.e.answered(a, x.route, now.Sub(t.At), now)
 	if x.larger(reply.Confidence, now) {
 		t.Outcome = "dropped for a larger model"
 		return true
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -122,9 +122,6 @@
 }
 
 func (r *Router) takeRouter(c mirror.Change) error {
-	if c.Name == r.settings.VM {
-		r.registered.Store(!c.Gone)
-	}
 	if c.Gone {
 		r.fleet.Remove(c.Name)
 		return nil
@@ -134,7 +131,8 @@
 		return err
 	}
 	if c.Name == r.settings.VM && p.Token != r.self.Token {
-		r.registered.Store(false)
+		// An earlier life of this router left it behind.
+		r.fleet.Remove(c.Name)
 		return nil
 	}
 	r.fleet.Put(p)
@@ -153,7 +151,7 @@
 // have been silent for long.
 func (r *Router) register(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if r.stopping.Load() || r.registered.Load() {
+		if r.stopping.Load() || r.fleet.Registered() {
 			r.removeGone(ctx)
 			tasks.Pause(ctx, registerAgain.After(time.Now()))
 			continue
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,10 +44,8 @@
 	asker    *peers.Asker
 	notes    *peers.Notes
 	bodies   *bodies
-	// self is this router's registration; registered says that the store has
-	// it.
-	self       peers.Peer
-	registered atomic.Bool
+	// self is this router's registration.
+	self peers.Peer
 	// stopping says that a planned stop was asked for; it never goes back.
 	stopping atomic.Bool
 	// wasReady is what the balancer was told last.
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -26,7 +26,7 @@
 	Avoid []string
 	// Affinity names what an endpoint may still hold in memory; 0 for nothing.
 	Affinity uint64
-	// Bonus is what a held prefix saves, in seconds.
+	// Bonus is what a held prefix saves, in seconds; see HeldValue.
 	Bonus float64
 	// Home is the part of the endpoints, in the order of their hashes, that
 	// requests of this sort go to first; the zero value is all of them.
@@ -38,6 +38,11 @@
 	Draw uint64
 }
 
+// HeldValue is what a token of a shared part in memory is worth beyond the time to
+// read it, in seconds of waiting: reading it again is priced. Of 0, 30 and 100 ms
+// a thousand tokens, the last served best on 2026-12-02.
+const HeldValue = 0.1 / 1000
+
 // Range is a part of a list, from 0 to 1.
 type Range struct{ From, To float64 }
 
@@ -102,9 +107,9 @@
 // with it, as far as there are any, and returns the test that they passed; nil for
 // none.
 func trusted(dst, list []*Endpoint, now time.Time, w *Want) ([]*Endpoint, trustTest) {
-	tests := []trustTest{(*Endpoint).open, nil}
-	if w.Once {
-		tests = []trustTest{(*Endpoint).sound, (*Endpoint).open, nil}
+	tests := []trustTest{(*Endpoint).sound, (*Endpoint).open, nil}
+	if !w.Once {
+		tests = tests[1:]
 	}
 	for _, test := range tests {
 		if open := fitting(dst, list, now, w, test); len(open) > 0 {
@@ -162,8 +167,7 @@
 
 // Any reports whether a service has an endpoint that may get new work.
 func (b *Book) Any(now time.Time, w *Want) bool {
-	var buf [scanMost]*Endpoint
-	return len(fitting(buf[:0], b.byService[w.Service], now, w, nil)) > 0
+	return slices.ContainsFunc(b.byService[w.Service], func(p *Endpoint) bool { return p.fits(now, w) })
 }
 
 // scanMost is how many endpoints of a service are looked at for one request. Where
@@ -184,17 +188,18 @@
 		if len(dst) >= scanMost {
 			break
 		}
-		if !p.usable(now) || w.Fit != nil && !w.Fit(p.Version) || slices.Contains(w.Avoid, p.ID) {
-			continue
-		}
-		if test != nil && !test(p, now) {
-			continue
+		if p.fits(now, w) && (test == nil || test(p, now)) {
+			dst = append(dst, p)
 		}
-		dst = append(dst, p)
 	}
 	return dst
 }
 
+// fits reports whether an endpoint may serve a request, trusted or not.
+func (p *Endpoint) fits(now time.Time, w *Want) bool {
+	return p.usable(now) && (w.Fit == nil || w.Fit(p.Version)) && !slices.Contains(w.Avoid, p.ID)
+}
+
 // position returns where on the ring of a service's endpoints a request looks.
 func (w *Want) position(list []*Endpoint) int {
 	if w.Affinity == 0 {
--- a/pkg/pool/trust.go
+++ b/pkg/pool/trust.go
@@ -77,16 +77,19 @@
 // Told notes that another process, known by its address, told of a failure. It
 // reports whether the endpoint rests because of that.
 func (t *Trust) Told(now time.Time, by netip.Addr) bool {
-	oldest := &t.told[0]
+	// The teller's own place, else the one of the oldest telling.
+	place := &t.told[0]
 	for i := range t.told {
-		if p := &t.told[i]; p.by == by {
-			oldest = p
+		p := &t.told[i]
+		if p.by == by {
+			place = p
 			break
-		} else if p.at.Before(oldest.at) {
-			oldest = p
+		}
+		if p.at.Before(place.at) {
+			place = p
 		}
 	}
-	*oldest = telling{by, now}
+	*place = telling{by, now}
 	if t.tellers(now) < toldMost || now.Sub(t.okAt) <= okHolds || now.Before(t.shutUntil) {
 		return false
 	}
