Let a refused caller finish sending before its connection closes

Finding: rig.TestDoor failed once in three runs of rig beside the platform's tests ("large header: got noAnswer, want tooLarge"). Cause: the entry refused a request whose head is too long and closed the connection with bytes of it unread, which resets it; a caller that was still sending met a broken pipe and never read its answer. A fault of the product's edge, older than this change. The router is not concerned: net/http lingers itself. Test: TestRefusedCallerMayFinishSending failed three times of three without the change, passes five of five with it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,9 +131,13 @@
 
 // listen opens the callers' listener, with TLS if the settings name files.
 func listen(s Settings) (net.Listener, error) {
-	ln, err := net.Listen("tcp", s.Listen.String())
-	if err != nil || !s.TLS.Set() {
-		return ln, err
+	plain, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	ln := lingering{plain}
+	if !s.TLS.Set() {
+		return ln, nil
 	}
 	source, err := secure.NewSource(s.TLS)
 	if err != nil {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -37,6 +37,7 @@
 // handleBroken answers requests that could not be read.
 func (e *Entry) handleBroken(ctx *fasthttp.RequestCtx, err error) {
 	ctx.SetConnectionClose()
+	linger(ctx.Conn())
 	switch {
 	case strings.Contains(err.Error(), "body size exceeds"):
 		e.refuse(ctx, fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", e.settings.MaxBody))
--- a/internal/rig/door_test.go
+++ b/internal/rig/door_test.go
@@ -252,3 +252,27 @@
 		}
 	}
 }
+
+// TestRefusedCallerMayFinishSending sends the rest of a request after its refusal:
+// a reset would break callers that are still sending, and lose them the answer.
+func TestRefusedCallerMayFinishSending(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1), Entry: "maxHeader: 2000\n"})
+	c, err := net.Dial("tcp", f.Entries[0].Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(soon())
+	if _, err := io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Large: "+strings.Repeat("x", 3000)); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if err != nil || !bytes.Contains(got, []byte("tooLarge")) {
+		t.Errorf("answer: got %q, %v; want tooLarge and an orderly end", got, err)
+	}
+	for range 2 {
+		if _, err := io.WriteString(c, strings.Repeat("x", 1000)); err != nil {
+			t.Errorf("rest of the request: got %v, want it taken", err)
+		}
+	}
+}
