Leave routers that were cut off from the store within 1.5 s

Cause: both routers that ask the store were cut off as keys were taken away. The others asked them on until their copies were 1.8 s old, then asked random peers that were as ill informed; each held the question for half a second. Change: an ill informed router asks without waiting; a held question ends when the copy grows old; old is 1.5 s, the configuration's watch 0.5 s; an ill informed peer rests 1 s, a silent one 3 s as before. Tests: both new ones failed without the change.

--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -51,8 +51,10 @@
 	// askWithin bounds a question beyond that.
 	askWithin = 400 * time.Millisecond
 	// agedAfter is how old a peer's copy may be for it to count as well
-	// informed: a peer that asks the store has one of at most 1.4 s.
-	agedAfter = 1800 * time.Millisecond
+	// informed: a peer that asks the store has one of at most 1 s, and a
+	// configuration has to be in force 2 s after it was accepted, also where
+	// those that ask were just cut off.
+	agedAfter = config.Span(1500 * time.Millisecond)
 	// unheardAfter is how old the proof of the watched kind may be for the
 	// others to be asked for as well.
 	unheardAfter = 2500 * time.Millisecond
@@ -121,7 +123,7 @@
 			tasks.Pause(ctx, startPoll.After(now))
 			continue
 		}
-		informed := now.Sub(a.Mirror.Proven(a.Watched)) <= agedAfter
+		informed := now.Sub(a.Mirror.Proven(a.Watched)) <= time.Duration(agedAfter)
 		if a.Fleet.Asker(now) && informed {
 			tasks.Pause(ctx, idle.After(now))
 			continue
@@ -138,7 +140,7 @@
 	if !ok || !informed {
 		p, ok = a.Fleet.Next(now, rand.Uint64(), true)
 	}
-	if ok && a.ask(ctx, p) {
+	if ok && a.ask(ctx, p, informed) {
 		a.set(false, p.Name)
 		return
 	}
@@ -166,10 +168,16 @@
 	a.Log.Info("peers: A peer is asked instead of the store.", zap.String("peer", peer), zap.Int("routers", a.Fleet.Len()))
 }
 
-// ask asks one peer and reports whether it was well informed.
-func (a *Asker) ask(ctx context.Context, p Peer) bool {
+// ask asks one peer and reports whether it was well informed. The peer may hold the
+// question until it knows something new, unless this router is ill informed itself:
+// then it should not wait at one ill informed peer after the other.
+func (a *Asker) ask(ctx context.Context, p Peer, hold bool) bool {
 	sent := time.Now()
-	got, err := a.call(ctx, p, sent)
+	until := sent
+	if hold {
+		until = askWait.After(sent)
+	}
+	got, err := a.call(ctx, p, sent, until)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.Fleet.Fail(p.Name, time.Now())
@@ -200,7 +208,7 @@
 	}
 	a.Fleet.Heard(p.Name)
 	w, ok := got.Kinds[a.Watched]
-	if !ok || time.Duration(w.AgeMs)*time.Millisecond > agedAfter {
+	if !ok || time.Duration(w.AgeMs)*time.Millisecond > time.Duration(agedAfter) {
 		a.Fleet.Shun(p.Name, now)
 		return false
 	}
@@ -215,8 +223,9 @@
 	return list
 }
 
-func (a *Asker) call(ctx context.Context, p Peer, now time.Time) (*answer, error) {
-	q := question{Have: make(map[string]int64), WaitMs: askWait.After(now).Sub(now).Milliseconds()}
+// call asks one peer, which may hold the question until a time.
+func (a *Asker) call(ctx context.Context, p Peer, now, until time.Time) (*answer, error) {
+	q := question{Have: make(map[string]int64), WaitMs: until.Sub(now).Milliseconds()}
 	for _, k := range a.Kinds {
 		q.Have[k] = a.Mirror.Revision(k)
 	}
@@ -224,7 +233,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	ctx, cancel := context.WithDeadline(ctx, askWait.After(now).Add(askWithin))
+	ctx, cancel := context.WithDeadline(ctx, until.Add(askWithin))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr.String()+path, bytes.NewReader(text))
 	if err != nil {
--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -40,8 +40,13 @@
 // askers returns how many of n routers ask the store.
 func askers(n int) int { return max(askersLeast, n/askedBy) }
 
-// shunFor is how long a peer that did not answer well is not asked.
-const shunFor = 3 * time.Second
+const (
+	// shunFor is how long a peer that gave no answer is not asked, illFor one that
+	// was ill informed: it may be well informed soon, as one that begins to ask the
+	// store.
+	shunFor = 3 * time.Second
+	illFor  = time.Second
+)
 
 // NewFleet returns a fleet of one.
 func NewFleet(self string) *Fleet {
@@ -130,18 +135,18 @@
 	return open[draw%uint64(len(open))], true
 }
 
-// Shun leaves a peer alone for a while.
+// Shun leaves a peer alone for a while that was ill informed.
 func (f *Fleet) Shun(name string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.shunned[name] = now.Add(shunFor)
+	f.shunned[name] = now.Add(illFor)
 }
 
 // Fail notes that a peer gave no answer; it is left alone for a while.
 func (f *Fleet) Fail(name string, now time.Time) {
-	f.Shun(name, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.shunned[name] = now.Add(shunFor)
 	if f.silent[name].IsZero() {
 		f.silent[name] = now
 	}
--- a/internal/peers/pack_test.go
+++ b/internal/peers/pack_test.go
@@ -50,7 +50,7 @@
 			got = c.Object
 		}
 	}
-	if !a.ask(context.Background(), p.Peer) {
+	if !a.ask(context.Background(), p.Peer, true) {
 		t.Fatal("ask: got false, want true")
 	}
 	if string(got.Spec) != string(spec) {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/mirror"
+	"github.com/traildrift/traildrift/internal/tasks"
 )
 
 // patience bounds the waits of tests.
@@ -31,7 +32,7 @@
 func serve(t *testing.T, name string) *served {
 	m := mirror.New("config", "k")
 	p := &served{mirror: m, Peer: Peer{Name: name, Token: "token-of-" + name + "-0123456789"}}
-	p.srv = httptest.NewServer(NewServer(zap.NewNop(), m, p.Token))
+	p.srv = httptest.NewServer(NewServer(zap.NewNop(), m, "config", p.Token))
 	t.Cleanup(p.srv.Close)
 	p.Addr = p.srv.Listener.Addr().(*net.TCPAddr).AddrPort()
 	return p
@@ -56,7 +57,7 @@
 	a := asker(p)
 	proven := time.Now().Add(-time.Second)
 	put(p.mirror, 5, proven)
-	if !a.ask(context.Background(), p.Peer) {
+	if !a.ask(context.Background(), p.Peer, true) {
 		t.Fatal("ask: got false, want true")
 	}
 	if got := a.Mirror.Revision("k"); got != 5 {
@@ -72,9 +73,9 @@
 	p := serve(t, "p")
 	a := asker(p)
 	put(p.mirror, 5, time.Now())
-	a.ask(context.Background(), p.Peer)
+	a.ask(context.Background(), p.Peer, true)
 	got := make(chan bool)
-	go func() { got <- a.ask(context.Background(), p.Peer) }()
+	go func() { got <- a.ask(context.Background(), p.Peer, true) }()
 	put(p.mirror, 6, time.Now())
 	if !<-got || a.Mirror.Revision("k") != 6 {
 		t.Errorf("revision: got %d, want 6", a.Mirror.Revision("k"))
@@ -87,7 +88,7 @@
 	a := asker(p)
 	thief := p.Peer
 	thief.Token = "guessed"
-	if a.ask(context.Background(), thief) || a.Mirror.Revision("k") != -1 {
+	if a.ask(context.Background(), thief, true) || a.Mirror.Revision("k") != -1 {
 		t.Error("an asker without the token got an answer")
 	}
 }
@@ -96,7 +97,7 @@
 	p := serve(t, "p")
 	put(p.mirror, 5, time.Now().Add(-time.Minute))
 	a := asker(p)
-	if a.ask(context.Background(), p.Peer) {
+	if a.ask(context.Background(), p.Peer, true) {
 		t.Error("ask: got true of a peer that heard nothing for a minute")
 	}
 	if _, ok := a.Fleet.Next(time.Now(), 0, true); ok {
@@ -112,12 +113,12 @@
 	p := serve(t, "p")
 	a := asker(p)
 	put(p.mirror, 5, time.Now())
-	a.ask(context.Background(), p.Peer)
+	a.ask(context.Background(), p.Peer, true)
 	lapsesAt := time.Now().Add(time.Hour)
 	p.mirror.List("k", nil, 6, time.Now(), lapsesAt)
 	var got mirror.Change
 	a.Mirror.OnChange = func(_ string, c mirror.Change) { got = c }
-	a.ask(context.Background(), p.Peer)
+	a.ask(context.Background(), p.Peer, true)
 	if !got.Gone || got.LapsesAt.Before(lapsesAt.Add(-patience)) || got.LapsesAt.After(lapsesAt.Add(patience)) {
 		t.Errorf("change: got %+v, want gone, lapsing at about %v", got, lapsesAt)
 	}
@@ -323,3 +324,46 @@
 		t.Error("another kind after the store was heard of: got false, want its turn")
 	}
 }
+
+// TestUninformedRouterFindsTheInformedPeerAtOnce has both routers that ask the store
+// cut off from it: those that asked them must not wait at one uninformed peer after
+// the other.
+func TestUninformedRouterFindsTheInformedPeerAtOnce(t *testing.T) {
+	var list []*served
+	for i := range 8 {
+		p := serve(t, fmt.Sprint("p", i))
+		put(p.mirror, 5, time.Now().Add(-time.Minute))
+		list = append(list, p)
+	}
+	put(list[5].mirror, 9, time.Now())
+	a := asker(list...)
+	a.Fleet.Put(Peer{Name: "self"})
+	put(a.Mirror, 5, time.Now().Add(-time.Minute))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	began := time.Now()
+	for a.Mirror.Revision("config") < 9 && time.Since(began) < patience {
+		tasks.Pause(ctx, time.Now().Add(time.Millisecond))
+	}
+	if took := time.Since(began); took > time.Duration(askWait) {
+		t.Errorf("the change was known after %v, want less than one held question (%v)", took, time.Duration(askWait))
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("asker: %v", err)
+	}
+}
+
+// A peer whose copy grows too old answers at once, so that it is left.
+func TestHeldQuestionEndsWhenTheCopyIsOld(t *testing.T) {
+	p := serve(t, "p")
+	a := asker(p)
+	put(p.mirror, 5, time.Now().Add(-time.Duration(agedAfter)+50*time.Millisecond))
+	put(a.Mirror, 5, time.Now())
+	began := time.Now()
+	a.ask(context.Background(), p.Peer, true)
+	if took := time.Since(began); took > time.Duration(askWait)/2 {
+		t.Errorf("answer after %v, want about 50 ms", took)
+	}
+}
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -20,6 +20,8 @@
 	Mirror *mirror.Mirror
 	Token  string
 	packs  packs
+	// Watched is the kind whose age says how well this router is informed.
+	Watched string
 	// slots bounds the questions that are held.
 	slots chan struct{}
 }
@@ -35,8 +37,8 @@
 )
 
 // NewServer returns a server that answers those who show the token.
-func NewServer(log *zap.Logger, m *mirror.Mirror, token string) *Server {
-	return &Server{Log: log, Mirror: m, Token: token, slots: make(chan struct{}, heldMost)}
+func NewServer(log *zap.Logger, m *mirror.Mirror, watched, token string) *Server {
+	return &Server{Log: log, Mirror: m, Watched: watched, Token: token, slots: make(chan struct{}, heldMost)}
 }
 
 // ServeHTTP answers one question.
@@ -64,7 +66,12 @@
 	}
 	asked := time.Now()
 	wait := min(time.Duration(q.WaitMs)*time.Millisecond, waitMost)
-	s.Mirror.Await(r.Context(), q.Have, asked.Add(wait))
+	until := asked.Add(wait)
+	if aged := agedAfter.After(s.Mirror.Proven(s.Watched)); aged.Before(until) {
+		// An asker should learn at once that this copy is old.
+		until = aged
+	}
+	s.Mirror.Await(r.Context(), q.Have, until)
 	now := time.Now()
 	a := answer{Kinds: make(map[string]kindAnswer), HeldMs: now.Sub(asked).Milliseconds()}
 	for kind, revision := range q.Have {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -17,9 +17,9 @@
 
 const (
 	// configWait is how long a watch of the configuration waits. Its answers
-	// prove that the table is current: at this wait the proof is at most 1.4 s
+	// prove that the table is current: at this wait the proof is at most 1 s
 	// old at a router that asks the store.
-	configWait = config.Span(700 * time.Millisecond)
+	configWait = config.Span(500 * time.Millisecond)
 	// endpointWait and trialWait are as long as a lost connection to the store
 	// may go unnoticed: bounds hold again 3 s after a cut has healed.
 	endpointWait = config.Span(2500 * time.Millisecond)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,7 +146,7 @@
 	r.tasks.Go(ctx, "notes", r.notes.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
-	shared := &http.Server{Handler: peers.NewServer(r.Log, r.mirror, r.self.Token), ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
+	shared := &http.Server{Handler: peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, r.self.Token), ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
 	r.tasks.Go(ctx, "answers to peers", func(context.Context) error { return shared.Serve(r.peer) })
 	readiness := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady}
 	r.tasks.Go(ctx, "readiness", func(context.Context) error { return readiness.Serve(r.ready) })
