--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/pkg/roll"
 )
 
 // Note is what a router tells of an endpoint.
@@ -37,16 +38,24 @@
 	fleet *Fleet
 	conn  *net.UDPConn
 	token [tokenBytes]byte
-	// OnNote is called for each note that is heard, by one goroutine.
-	OnNote func(n Note)
+	// OnNote and OnReport are called for each note and each report on a trial that
+	// is heard, by one goroutine; set OnReport before Run.
+	OnNote   func(n Note)
+	OnReport func(r roll.Report)
 }
 
 const (
 	// tokenBytes is how much of the hearer's token a note begins with.
 	tokenBytes = 16
-	// A note is the token, the endpoint, the milliseconds that it is busy, and
-	// a byte of flags.
-	flagsAt   = tokenBytes + 8 + 4
+	// kindAt is where a byte tells what follows the token.
+	kindAt   = tokenBytes
+	bodyAt   = kindAt + 1
+	kindNote = 1
+	// kindReport is followed by a report; see encodeReport.
+	kindReport = 2
+	// A note is the endpoint, the milliseconds that it is busy, and a byte of
+	// flags.
+	flagsAt   = bodyAt + 8 + 4
 	noteBytes = flagsAt + 1
 	// flagFailed is the flag of a failure.
 	flagFailed = 1
@@ -60,7 +69,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	n := &Notes{Log: log, fleet: f, conn: conn, OnNote: onNote}
+	n := &Notes{Log: log, fleet: f, conn: conn, OnNote: onNote, OnReport: func(roll.Report) {}}
 	copy(n.token[:], self.Token)
 	return n, nil
 }
@@ -69,7 +78,7 @@
 func (n *Notes) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
 	defer stop()
-	buf := make([]byte, 2*noteBytes)
+	buf := make([]byte, datagramMost)
 	for {
 		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -78,27 +87,60 @@
 		if err != nil {
 			return errors.Wrap(err, "peers")
 		}
-		if size != noteBytes || [tokenBytes]byte(buf) != n.token {
+		if size < bodyAt || [tokenBytes]byte(buf) != n.token {
 			continue
 		}
-		ms := binary.BigEndian.Uint32(buf[tokenBytes+8:])
+		n.hear(buf[:size], from.Addr().Unmap())
+	}
+}
+
+// hear decodes a datagram with the right token.
+func (n *Notes) hear(b []byte, from netip.Addr) {
+	switch {
+	case b[kindAt] == kindNote && len(b) == noteBytes:
+		ms := binary.BigEndian.Uint32(b[bodyAt+8:])
 		busy := min(time.Duration(ms)*time.Millisecond, busyMost)
-		failed := buf[flagsAt]&flagFailed != 0
-		n.OnNote(Note{From: from.Addr().Unmap(), Endpoint: binary.BigEndian.Uint64(buf[tokenBytes:]), Busy: busy, Failed: failed})
+		failed := b[flagsAt]&flagFailed != 0
+		n.OnNote(Note{From: from, Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: busy, Failed: failed})
+	case b[kindAt] == kindReport:
+		r, err := decodeReport(b[bodyAt:])
+		if err != nil {
+			n.Log.Warn("peers: A report could not be decoded.", zap.Stringer("from", from), logs.Err(err))
+			return
+		}
+		n.OnReport(r)
 	}
 }
 
 // Send tells all other routers.
 func (n *Notes) Send(note Note) {
 	var buf [noteBytes]byte
-	binary.BigEndian.PutUint64(buf[tokenBytes:], note.Endpoint)
-	binary.BigEndian.PutUint32(buf[tokenBytes+8:], uint32(note.Busy.Milliseconds()))
+	buf[kindAt] = kindNote
+	binary.BigEndian.PutUint64(buf[bodyAt:], note.Endpoint)
+	binary.BigEndian.PutUint32(buf[bodyAt+8:], uint32(note.Busy.Milliseconds()))
 	if note.Failed {
 		buf[flagsAt] = flagFailed
 	}
+	n.send(buf[:])
+}
+
+// SendReport tells all other routers what this one saw of a trial.
+func (n *Notes) SendReport(r roll.Report) {
+	buf := make([]byte, bodyAt, datagramMost)
+	buf[kindAt] = kindReport
+	buf, err := encodeReport(buf, r)
+	if err != nil {
+		n.Log.Error("peers: A report could not be encoded.", logs.Err(err))
+		return
+	}
+	n.send(buf)
+}
+
+// send sends a datagram, which begins with room for the hearer's token.
+func (n *Notes) send(buf []byte) {
 	n.fleet.each(func(p Peer) {
 		copy(buf[:tokenBytes], p.Token)
-		if _, err := n.conn.WriteToUDPAddrPort(buf[:], p.Addr); err != nil {
+		if _, err := n.conn.WriteToUDPAddrPort(buf, p.Addr); err != nil {
 			n.Log.Debug("peers: A note was not sent.", zap.String("peer", p.Name), logs.Err(err))
 		}
 	})
--- /dev/null
+++ b/internal/peers/report_test.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/traildrift/traildrift/pkg/roll"
+)
+
+// fullReport returns a report with as many entries as one may have.
+func fullReport() roll.Report {
+	r := roll.Report{Trial: 1 << 60, Teller: 77, Requests: 90000, Exposed: 4000}
+	for i := range uint32(roll.RoutesMost) {
+		r.Routes = append(r.Routes, roll.RouteCounts{Route: i, OldGood: 100 * i, OldBad: i, Good: 7, Light: 8})
+	}
+	for i := range uint32(roll.FaultsMost) {
+		r.Faults = append(r.Faults, roll.Fault{Route: i, Endpoint: 1 << 31, Loaded: 3, Light: i})
+	}
+	return r
+}
+
+func TestReportsFitIntoADatagram(t *testing.T) {
+	want := fullReport()
+	b, err := encodeReport(make([]byte, bodyAt), want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > datagramMost {
+		t.Errorf("encoded: got %d bytes, want at most %d", len(b), datagramMost)
+	}
+	got, err := decodeReport(b[bodyAt:])
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded: got %+v and %v, want %+v", got, err, want)
+	}
+}
+
+func TestBrokenReportsAreRefused(t *testing.T) {
+	b, err := encodeReport(nil, fullReport())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range b {
+		if _, err := decodeReport(b[:n]); err == nil {
+			t.Fatalf("%d bytes of %d: got no error, want one", n, len(b))
+		}
+	}
+	if _, err := decodeReport(append(b, 0)); err == nil {
+		t.Error("a byte too many: got no error, want one")
+	}
+	tooMany := fullReport()
+	tooMany.Routes = append(tooMany.Routes, roll.RouteCounts{})
+	if _, err := encodeReport(nil, tooMany); err == nil {
+		t.Error("a route too many: got no error, want one")
+	}
+}
+
+// FuzzReport decodes any bytes without a panic, and what it decodes encodes to the same.
+func FuzzReport(f *testing.F) {
+	b, err := encodeReport(nil, fullReport())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r, err := decodeReport(in)
+		if err != nil {
+			return
+		}
+		out, err := encodeReport(nil, r)
+		if err != nil || string(out) != string(in) {
+			t.Errorf("got %x and %v, want %x", out, err, in)
+		}
+	})
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -26,6 +26,7 @@
 	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn), wait: p.Load.Wait(now), busyThen: p.Load.BusyUntil()}
 	a.unread = x.unread(why)
 	a.reading = x.reading(a.unread)
+	x.sent(a, now)
 	p.Load.Sent++
 	p.Load.Reading += a.reading
 	x.made++
@@ -57,8 +58,8 @@
 	if p != nil {
 		return p, why
 	}
-	if _, spare := e.fit(x.service, x.draw); spare != nil {
-		want.Fit = spare
+	if f := e.fit(x.service, x.draw); f.spare != nil {
+		want.Fit, want.One = f.spare, false
 		return e.book.Pick(now, &want)
 	}
 	return nil, ""
@@ -66,8 +67,8 @@
 
 // want is what the request asks of an endpoint; the engine's mu is held.
 func (x *run) want() pool.Want {
-	fit, _ := x.e.fit(x.service, x.draw)
-	w := pool.Want{Service: x.service, Fit: fit, Zone: x.e.limits.Load().Zone, Avoid: x.tried, Once: !x.route.repeatable(), Draw: x.e.draw()}
+	f := x.e.fit(x.service, x.draw)
+	w := pool.Want{Service: x.service, Fit: f.version, One: f.one, Zone: x.e.limits.Load().Zone, Avoid: x.tried, Once: !x.route.repeatable(), Draw: x.e.draw()}
 	if n := len(x.r.Prefix); x.route.Affinity && n > 0 {
 		// The last part is the request's own, so what others may have left is
 		// named by the one before it.
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -21,7 +21,7 @@
 	var broke error
 	began := x.e.Now()
 	if x.route.Kind == Stream && reply.Status < 300 {
-		broke = x.deliverStream(reply, t, s)
+		broke = x.deliverStream(a, reply, t, s)
 	} else {
 		broke = x.deliverWhole(reply, s)
 	}
@@ -114,7 +114,7 @@
 var errLongEvent = errors.New("relay: an event is too long")
 
 // deliverStream passes on whole events as they come.
-func (x *run) deliverStream(reply *Reply, t *try, s *silence) error {
+func (x *run) deliverStream(a *Attempt, reply *Reply, t *try, s *silence) error {
 	if !x.begun {
 		x.head(reply, -1)
 	}
@@ -122,10 +122,14 @@
 	ev := events{last: x.lastEvent}
 	buf := make([]byte, eventBuffer)
 	heard := x.e.Now()
+	var p pace
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
 			now := x.e.Now()
+			if p.add(now.Sub(heard)) {
+				x.e.paced(a, p.usual())
+			}
 			t.Pause = max(t.Pause, now.Sub(heard).Milliseconds())
 			heard = now
 			s.heardNow()
@@ -133,10 +137,8 @@
 			if werr := x.write(out); werr != nil {
 				return werr
 			}
-			if len(out) > 0 {
-				if ferr := flush.Flush(); ferr != nil {
-					return leftError{ferr}
-				}
+			if ferr := flushed(flush, out); ferr != nil {
+				return ferr
 			}
 			x.lastEvent, t.Events = ev.last, ev.n
 		}
@@ -155,6 +157,17 @@
 	}
 }
 
+// flushed sends what was written to the caller, if it was anything.
+func flushed(flush *http.ResponseController, out []byte) error {
+	if len(out) == 0 {
+		return nil
+	}
+	if err := flush.Flush(); err != nil {
+		return leftError{err}
+	}
+	return nil
+}
+
 // eventBuffer is the size of one read of a stream, in bytes; events of the
 // users' runners have about a hundred.
 const eventBuffer = 4 << 10
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 	// in force: what is missing in a table that was the newest less long ago
 	// does not exist.
 	ConfigWithin config.Span
+	// ExposeShare and ExposeSlack bound the requests to a version that may be bad:
+	// a part of all requests to its service, and some more.
+	ExposeShare, ExposeSlack float64
 	// Cascade chooses among models of several sizes.
 	Cascade sizes.Policy
 }
@@ -64,8 +68,10 @@
 	// WriteTrial stores the next step of a roll-out, unless the stored one has
 	// another revision.
 	WriteTrial func(ctx context.Context, t roll.Trial) error
-	// Tell tells the other routers of an endpoint.
-	Tell func(w Word)
+	// Tell tells the other routers of an endpoint, TellReport what this one saw of
+	// a trial.
+	Tell       func(w Word)
+	TellReport func(r roll.Report)
 	// Proven returns when the table in force was the newest, for sure.
 	Proven func() time.Time
 	// Listed reports whether the endpoints are known.
@@ -76,6 +82,8 @@
 	limits   atomic.Pointer[Limits]
 	table    atomic.Pointer[Table]
 	stopping atomic.Bool
+	// life names this life of the router.
+	life uint64
 	// startedAt is when the router began, and known says that it knew all it
 	// needs to serve since; it never goes back.
 	startedAt time.Time
@@ -100,7 +108,10 @@
 	reads map[string]*line
 	homes map[string]*homes
 	// streams holds how long the streams of a route go on after their head.
-	streams   map[string]*mean
+	streams map[string]*mean
+	// paces holds the times between the events of streams by model, of versions
+	// that are not on trial.
+	paces     map[string]*usualPace
 	patiences map[string]*patience
 	rolls     map[string]*rollout
 }
@@ -108,22 +119,25 @@
 // New returns an engine that knows no configuration yet.
 func New(log *zap.Logger, scope tally.Scope, l Limits) *Engine {
 	e := &Engine{
-		Log:       log,
-		Now:       time.Now,
-		Tell:      func(Word) {},
-		Proven:    func() time.Time { return time.Time{} },
-		Listed:    func() bool { return false },
-		Routers:   func() int { return 1 },
-		failures:  rate.NewLimiter(failuresPerSecond, failuresPerSecond),
-		book:      pool.NewBook(),
-		budgets:   make(map[string]*budget.Window),
-		heads:     make(map[string]*mean),
-		reads:     make(map[string]*line),
-		homes:     make(map[string]*homes),
-		streams:   make(map[string]*mean),
-		patiences: make(map[string]*patience),
-		rolls:     make(map[string]*rollout),
-		counts:    newCounts(scope),
+		Log:        log,
+		Now:        time.Now,
+		Tell:       func(Word) {},
+		TellReport: func(roll.Report) {},
+		life:       rand.Uint64(),
+		Proven:     func() time.Time { return time.Time{} },
+		Listed:     func() bool { return false },
+		Routers:    func() int { return 1 },
+		failures:   rate.NewLimiter(failuresPerSecond, failuresPerSecond),
+		book:       pool.NewBook(),
+		budgets:    make(map[string]*budget.Window),
+		heads:      make(map[string]*mean),
+		reads:      make(map[string]*line),
+		homes:      make(map[string]*homes),
+		streams:    make(map[string]*mean),
+		paces:      make(map[string]*usualPace),
+		patiences:  make(map[string]*patience),
+		rolls:      make(map[string]*rollout),
+		counts:     newCounts(scope),
 	}
 	e.lines.init()
 	e.startedAt = time.Now()
@@ -227,6 +241,9 @@
 		case <-t.C:
 			e.expire()
 			e.moveRolls(ctx)
+			for _, r := range e.dueReports(e.Now()) {
+				e.TellReport(r)
+			}
 			e.gauge()
 		case <-ctx.Done():
 			return nil
--- /dev/null
+++ b/internal/relay/evidence.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/roll"
+)
+
+// onTrial returns the trial under way of a service, and nil if there is none; mu is
+// held.
+func (e *Engine) onTrial(service string) *rollout {
+	r := e.rolls[service]
+	if r == nil || r.trial.State != roll.Trying {
+		return nil
+	}
+	return r
+}
+
+// isNew reports whether an endpoint has the version on trial.
+func (r *rollout) isNew(p *pool.Entry) bool { return r.hasVersion(p.Version) }
+
+func (r *rollout) hasVersion(v string) bool { return v == r.trial.Version }
+
+// sent notes an attempt for the trial of its service; mu is held.
+func (x *run) sent(a *Attempt, now time.Time) {
+	if r := x.e.onTrial(a.Endpoint.Service); r != nil {
+		r.judge.Sent(r.isNew(&a.Endpoint))
+		a.loaded = x.loaded(r, now)
+	}
+}
+
+// loaded reports whether the endpoint of the version on trial that serves this session
+// bears the load that the old version's usually do: its share of the sessions says so once
+// the step has lasted as long as a run does. mu is held.
+func (x *run) loaded(r *rollout, now time.Time) bool {
+	lasts := time.Duration(x.e.streams[x.route.Name].expect(0) * float64(time.Second))
+	return now.Sub(r.stepAt) >= lasts && (r.trial.Share() == 1 || x.e.loads(r, x.draw))
+}
+
+// evidence notes what the head of an answer, or a failure in its place, says about a new
+// version; mu is held. How long the head of a stream took depends on what its endpoint
+// holds in memory and on what it reads, so that only its pace tells a slow version.
+func (e *Engine) evidence(a *Attempt, route *Route, failed bool, head time.Duration) {
+	r := e.onTrial(a.Endpoint.Service)
+	if r == nil {
+		return
+	}
+	slow := route.Kind != Stream && roll.Slow(head, time.Duration(a.expected*float64(time.Second)))
+	e.addEvidence(r, a, route.Name, failed, slow)
+}
+
+// paced notes the pace of a stream: its usual time between events.
+func (e *Engine) paced(a *Attempt, gap time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.onTrial(a.Endpoint.Service)
+	if r == nil {
+		return
+	}
+	usual := entryOf(e.paces, a.Model)
+	e.addEvidence(r, a, "pace of streams", false, roll.Slow(gap, usual.gap()))
+	if !r.isNew(&a.Endpoint) {
+		usual.add(gap)
+	}
+}
+
+// addEvidence adds an answer to the evidence of a route, or of what else is compared
+// between the versions.
+func (e *Engine) addEvidence(r *rollout, a *Attempt, of string, failed, slow bool) {
+	was := r.judge.Verdict()
+	r.judge.Endpoints = e.book.Count(r.trial.Service, r.hasVersion)
+	r.judge.Add(roll.Answer{Route: uint32(pool.Hash(of)), Endpoint: uint32(a.hash), New: r.isNew(&a.Endpoint), Bad: failed || slow, Loaded: a.loaded})
+	if was != roll.Bad && r.judge.Verdict() == roll.Bad {
+		e.foundBad(r, of)
+	}
+}
+
+func (e *Engine) foundBad(r *rollout, by string) {
+	n, of := r.judge.Exposed()
+	e.Log.Warn("relay: A new version was found bad.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
+		zap.String("by", by), zap.Float64("evidence", r.judge.Sum()), zap.Int("exposed", n), zap.Int("requests", of))
+}
+
+const (
+	// reportEvery is how often a router tells the others what it saw of a trial, and
+	// reportEveryOf how many routers lengthen that by as much again, so that the bytes
+	// grow with the routers, not with their square: at 32 routers a report of 200
+	// bytes takes 5 KB/s of each.
+	reportEvery   = 300 * time.Millisecond
+	reportEveryOf = 8
+)
+
+// dueReports returns the reports on trials that the other routers should hear now.
+func (e *Engine) dueReports(now time.Time) (due []roll.Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	every := reportEvery * time.Duration(1+e.Routers()/reportEveryOf)
+	for _, r := range e.rolls {
+		if r.trial.State != roll.Trying || r.trial.Step == 0 || now.Sub(r.toldAt) < every {
+			continue
+		}
+		own := r.judge.Own()
+		if own.Requests == r.told {
+			continue
+		}
+		r.toldAt, r.told = now, own.Requests
+		own = own.Copy()
+		own.Trial, own.Teller = r.hash(), e.life
+		due = append(due, own)
+	}
+	return due
+}
+
+// hash names the trial the same in every process.
+func (r *rollout) hash() uint64 { return pool.Hash(r.trial.Service + "/" + r.trial.Version) }
+
+// HeardReport takes over what another router saw of a trial.
+func (e *Engine) HeardReport(report roll.Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.rolls {
+		if r.trial.State != roll.Trying || r.hash() != report.Trial || report.Teller == e.life {
+			continue
+		}
+		was := r.judge.Verdict()
+		r.judge.Endpoints = e.book.Count(r.trial.Service, r.hasVersion)
+		r.judge.Hear(report)
+		if was != roll.Bad && r.judge.Verdict() == roll.Bad {
+			e.foundBad(r, "reports")
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/evidence_test.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/roll"
+)
+
+// onTrial returns an engine with a trial of version v2 at a step, and its old and new
+// endpoints.
+func onTrial(step int) (e *Engine, route *Route, old, latest []pool.Entry) {
+	route = &Route{Name: "r", Kind: Stream, Resume: true, Backends: []Backend{{Service: "s", Weight: 1}}}
+	e = engine(*route, nil)
+	now := time.Now()
+	e.TakeTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Trying, Step: step, Begun: now.Add(-15 * time.Second), Ends: now.Add(9 * time.Second), Revision: 1})
+	for i := range 8 {
+		o := pool.Entry{ID: fmt.Sprint("old", i), Service: "s", Version: "v1", Slots: 8, Revision: 1}
+		n := pool.Entry{ID: fmt.Sprint("new", i), Service: "s", Version: "v2", Slots: 8, Revision: 1}
+		e.TakeEndpoint(o)
+		e.TakeEndpoint(n)
+		old, latest = append(old, o), append(latest, n)
+	}
+	return e, route, old, latest
+}
+
+func attemptAt(p pool.Entry) *Attempt {
+	return &Attempt{Request: &Request{}, Endpoint: p, Model: "m", hash: pool.Hash(p.ID)}
+}
+
+// A version whose streams are slower is found bad by their pace, though their heads come
+// as fast as the old version's; one that is as fast is not.
+func TestSlowStreamsConvict(t *testing.T) {
+	for _, c := range []struct {
+		times int
+		want  bool
+	}{{1, false}, {3, true}} {
+		e, _, old, latest := onTrial(2)
+		for i := range 200 {
+			gap := time.Duration(15+i%10) * time.Millisecond
+			e.paced(attemptAt(old[i%len(old)]), gap)
+			if i%4 == 0 {
+				e.paced(attemptAt(latest[i/4%len(latest)]), gap*time.Duration(c.times))
+			}
+		}
+		if got := e.rolls["s"].judge.Verdict() == roll.Bad; got != c.want {
+			t.Errorf("streams %d times as slow: found bad: got %v, want %v", c.times, got, c.want)
+		}
+	}
+}
+
+// A long head of a stream, as on an endpoint that holds nothing yet, is no evidence.
+func TestLongHeadsDoNotConvict(t *testing.T) {
+	e, route, old, latest := onTrial(2)
+	for i := range 200 {
+		a := attemptAt(old[i%len(old)])
+		e.mu.Lock()
+		e.evidence(a, route, false, 50*time.Millisecond)
+		a = attemptAt(latest[i%len(latest)])
+		a.expected = 0.05
+		e.evidence(a, route, false, 2*time.Second)
+		e.mu.Unlock()
+	}
+	if got := e.rolls["s"].judge.Verdict(); got == roll.Bad {
+		t.Errorf("verdict: got %v, want another one", got)
+	}
+}
+
+// What other routers saw convicts a version at a router that saw nothing of it.
+func TestReportsConvict(t *testing.T) {
+	teller, route, old, latest := onTrial(2)
+	hearer, _, _, _ := onTrial(2)
+	for i := range 60 {
+		teller.mu.Lock()
+		teller.evidence(attemptAt(old[i%len(old)]), route, false, time.Millisecond)
+		teller.evidence(attemptAt(latest[i%len(latest)]), route, i%2 == 0, time.Millisecond)
+		teller.rolls["s"].judge.Sent(true)
+		teller.mu.Unlock()
+	}
+	due := teller.dueReports(time.Now())
+	if len(due) != 1 {
+		t.Fatalf("reports: got %d, want 1", len(due))
+	}
+	hearer.HeardReport(due[0])
+	if got := hearer.rolls["s"].judge.Verdict(); got != roll.Bad {
+		t.Errorf("verdict of the hearer: got %v, want %v", got, roll.Bad)
+	}
+	if again := teller.dueReports(time.Now()); len(again) != 0 {
+		t.Errorf("reports at once after: got %d, want none", len(again))
+	}
+}
+
+// Some sessions go to one endpoint of the version on trial, the others of its share to all.
+func TestOneEndpointBearsTheOldLoad(t *testing.T) {
+	e, route, _, _ := onTrial(2)
+	loaded, all := make(map[string]int), make(map[string]int)
+	for i := range 4000 {
+		x := &run{e: e, r: &Request{ID: fmt.Sprint(i)}, route: route}
+		x.begin()
+		e.mu.Lock()
+		p, _ := x.pick(e.Now())
+		one := e.loads(e.rolls["s"], x.draw)
+		e.mu.Unlock()
+		switch {
+		case p.Version != "v2":
+		case one:
+			loaded[p.ID]++
+		default:
+			all[p.ID]++
+		}
+	}
+	if len(loaded) != 1 || len(all) != 8 {
+		t.Errorf("endpoints: got %d loaded and %d others, want 1 and 8", len(loaded), len(all))
+	}
+	for id, n := range loaded {
+		if n < 250 || n > 450 {
+			t.Errorf("sessions at %s: got %d of 4000, want about 360", id, n)
+		}
+	}
+}
+
+func TestPaceLeavesOutPauses(t *testing.T) {
+	var p pace
+	for i, ms := range []int{900, 20, 21, 300, 19, 22, 400, 23, 5000} {
+		done := p.add(time.Duration(ms) * time.Millisecond)
+		if done != (i == paceGaps) {
+			t.Errorf("piece %d: done: got %v", i, done)
+		}
+	}
+	if got, want := p.usual(), 20*time.Millisecond; got != want {
+		t.Errorf("pace: got %v, want %v", got, want)
+	}
+}
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -31,19 +31,27 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	key := sortOf(route, a.Model)
-	e.evidence(&a.Endpoint, key, false, head)
+	e.evidence(a, route, false, head)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		p.Trust.OK(now)
 		p.Load.Answered(now, a.busyThen)
 	}
-	entryOf(e.heads, key).add(head, a.Request.TokensIn)
+	// What is expected of a version on trial is what the old one needs.
+	if r := e.onTrial(a.Endpoint.Service); r == nil || !r.isNew(&a.Endpoint) {
+		e.learn(a, route, head)
+	}
+	if route.Affinity {
+		entryOf(e.homes, a.Endpoint.Service).add(key, head, now)
+	}
+}
+
+// learn takes in how long a head took; mu is held.
+func (e *Engine) learn(a *Attempt, route *Route, head time.Duration) {
+	entryOf(e.heads, sortOf(route, a.Model)).add(head, a.Request.TokensIn)
 	// What the believed wait does not explain is the reading; wrong beliefs may
 	// not make it nothing.
 	reading := max(head-time.Duration(a.wait*float64(time.Second)), head/readingLeast)
 	entryOf(e.reads, readKey(route, a.Model)).add(float64(a.unread), reading.Seconds())
-	if route.Affinity {
-		entryOf(e.homes, a.Endpoint.Service).add(key, head, now)
-	}
 }
 
 // ended notes how long an answer that was passed on went on after its head.
@@ -66,7 +74,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err.Run == fault.Ran {
-		e.evidence(&a.Endpoint, sortOf(route, a.Model), true, now.Sub(t.At))
+		e.evidence(a, route, true, now.Sub(t.At))
 	}
 	p := e.book.Get(a.Endpoint.ID)
 	if p == nil || err.Kind == fault.CallerGone || err.Kind == fault.Overloaded || err.Kind == fault.DeadlinePassed {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -68,6 +68,8 @@
 	// busyThen is until when the endpoint was believed to be busy with what other
 	// routers sent, as the attempt was sent.
 	busyThen time.Time
+	// loaded says that the endpoint bears the load that its service's usually do.
+	loaded bool
 	// unread is how many tokens of the prompt are expected to be read.
 	unread int
 }
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -11,14 +11,20 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/pkg/fault"
-	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/roll"
 )
 
-// rollout is a trial with this router's own evidence.
+// rollout is a trial with the evidence that this router has and hears of.
 type rollout struct {
 	trial roll.Trial
 	judge roll.Judge
+	// stepAt is when this router heard of the present step.
+	stepAt time.Time
+	// toldAt is when the last report was sent, and told how many requests it held.
+	toldAt time.Time
+	told   uint32
+	// verdict is what was logged last.
+	verdict roll.Verdict
 	// writing says that a step is being written; mu of the engine guards it.
 	writing bool
 	// notBefore is when the next step is tried, so that routers do not all
@@ -36,7 +42,7 @@
 		return
 	}
 	if !ok || r.trial.Version != t.Version || t.State == roll.Ordered && r.trial.State != roll.Ordered {
-		r = &rollout{}
+		r = &rollout{stepAt: e.Now()}
 		e.rolls[t.Service] = r
 	} else {
 		t.Begun, t.Ends = r.trial.Begun, r.trial.Ends
@@ -46,7 +52,7 @@
 			zap.String("state", string(t.State)), zap.Int("step", t.Step), zap.Float64("share", t.Share()), zap.Int64("revision", t.Revision))
 	}
 	if t.Step != r.trial.Step || t.State != r.trial.State {
-		r.notBefore = time.Time{}
+		r.notBefore, r.stepAt = time.Time{}, e.Now()
 	}
 	r.trial = t
 }
@@ -91,7 +97,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, r := range e.rolls {
-		next, changed := r.trial.Next(now, r.judge.Bad())
+		next, changed := r.trial.Next(now, e.findings(r))
 		if !changed || r.writing {
 			continue
 		}
@@ -123,48 +129,61 @@
 		r.notBefore = e.Now().Add(moveLeast)
 	}
 	e.Log.Info("relay: A step of a roll-out was written.", zap.String("service", next.Service), zap.String("version", next.Version),
-		zap.String("state", string(next.State)), zap.Int("step", next.Step), zap.Float64("evidence", r.judge.Sum()),
-		zap.Int64("onRevision", next.Revision), logs.Err(err))
+		zap.String("state", string(next.State)), zap.Int("step", next.Step), zap.Stringer("verdict", r.judge.Verdict()),
+		zap.Float64("evidence", r.judge.Sum()), zap.Int64("onRevision", next.Revision), logs.Err(err))
 }
 
-// fit returns which versions of a service may serve a session, nil for all; mu is
-// held. A version that this router found bad gets nothing more, whatever is
-// stored. spare says which versions may serve where none that fits is left; nil
-// for none: a session may go back from a version on trial, never on to it.
-func (e *Engine) fit(service string, draw float64) (fit, spare func(version string) bool) {
+// findings returns what is known of a trial; mu is held.
+func (e *Engine) findings(r *rollout) roll.Findings {
+	l := e.limits.Load()
+	n, of := r.judge.Exposed()
+	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: float64(n) > l.ExposeShare*float64(of)+l.ExposeSlack*exposeKept}
+	if f.Verdict != r.verdict {
+		r.verdict = f.Verdict
+		e.Log.Info("relay: What is known of a new version has changed.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
+			zap.Stringer("verdict", f.Verdict), zap.Float64("evidence", r.judge.Sum()), zap.Int("exposed", n), zap.Int("requests", of))
+	}
+	return f
+}
+
+// exposeKept is the part of the users' slack that is used up: requests are under way
+// when the last of them is told.
+const exposeKept = 0.5
+
+// fit is which endpoints of a service may serve a session.
+type fit struct {
+	// version reports whether a version may; nil for all.
+	version func(version string) bool
+	// one says that only the first of them does, in the order of their hashes.
+	one bool
+	// spare says which versions may where none that fits is left; nil for none: a
+	// session may go back from a version on trial, never on to it.
+	spare func(version string) bool
+}
+
+// fit returns which endpoints of a service may serve a session; mu is held. A version
+// that this router found bad gets nothing more, whatever is stored.
+func (e *Engine) fit(service string, draw float64) fit {
 	r, ok := e.rolls[service]
 	if !ok {
-		return nil, nil
+		return fit{}
 	}
-	version := r.trial.Version
-	isNew := func(v string) bool { return v == version }
-	isOld := func(v string) bool { return v != version }
+	isNew := r.hasVersion
+	isOld := func(v string) bool { return !isNew(v) }
 	switch {
 	case r.trial.State == roll.Proven:
-		return isNew, nil
-	case r.trial.New(draw) && !r.judge.Bad():
-		return isNew, isOld
+		return fit{version: isNew}
+	case r.trial.New(draw) && r.judge.Verdict() != roll.Bad:
+		return fit{version: isNew, spare: isOld, one: e.loads(r, draw)}
 	default:
-		return isOld, nil
+		return fit{version: isOld}
 	}
 }
 
-// evidence notes what an answer says about a new version; mu is held.
-func (e *Engine) evidence(p *pool.Entry, route string, failed bool, head time.Duration) {
-	r, ok := e.rolls[p.Service]
-	if !ok || r.trial.State == roll.Proven || r.trial.State == roll.Rejected {
-		return
-	}
-	if p.Version != r.trial.Version {
-		r.judge.Old(route, failed, head)
-		return
-	}
-	was := r.judge.Bad()
-	r.judge.New(route, failed, head)
-	if !was && r.judge.Bad() {
-		e.Log.Warn("relay: A new version was found bad.", zap.String("service", p.Service), zap.String("version", p.Version),
-			zap.String("route", route), zap.Float64("evidence", r.judge.Sum()))
-	}
+// loads reports whether a session is one of those that load one endpoint of the version
+// on trial as the old version's are; mu is held.
+func (e *Engine) loads(r *rollout, draw float64) bool {
+	return draw < r.trial.Loaded(e.book.Count(r.trial.Service, r.hasVersion))
 }
 
 // failedAnswer reports whether a status is a failure of the endpoint itself.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,6 +90,7 @@
 		return nil, err
 	}
 	r.notes = notes
+	notes.OnReport, r.Engine.TellReport = r.Engine.HeardReport, notes.SendReport
 	r.Engine.Tell = func(w relay.Word) { notes.Send(peers.Note{Endpoint: w.Endpoint, Busy: w.Busy, Failed: w.Failed}) }
 	return r, nil
 }
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -27,6 +27,8 @@
 	RetrySlack       float64        `yaml:"retrySlack,omitempty" doc:"Extra attempts allowed beyond that, over all routers."`
 	RetryWindow      config.Span    `yaml:"retryWindow,omitempty" doc:"The time over which extra attempts are counted; 10s if left out."`
 	RevokeWithin     config.Span    `yaml:"revokeWithin,omitempty" doc:"How long after its removal a key may be served; not bounded if left out."`
+	ExposeShare      float64        `yaml:"exposeShare,omitempty" doc:"Part of a service's requests that a new version which turns out bad may get; 0.15 if left out."`
+	ExposeSlack      float64        `yaml:"exposeSlack,omitempty" doc:"Requests that it may get beyond that; 30 if left out."`
 	ConfigWithin     config.Span    `yaml:"configWithin,omitempty" doc:"How long after its acceptance a configuration has to be in force; 2s if left out."`
 	MemoryMB         int            `yaml:"memoryMB,omitempty" doc:"Memory that the process may use; not bounded if left out."`
 	Straight         int            `yaml:"straight,omitempty" doc:"Confidence under which an answer gives way to the largest model; 40 if left out."`
@@ -39,6 +41,9 @@
 	// 2026-12-02: see docs/design/platform.md.
 	defaultStraight = 40
 	defaultStep     = 60
+	// defaultExposeShare and defaultExposeSlack are the users'.
+	defaultExposeShare = 0.15
+	defaultExposeSlack = 30
 	// defaultConfigWithin is the users'.
 	defaultConfigWithin = config.Span(2 * time.Second)
 	// defaultRetryWindow is the users'.
@@ -84,6 +89,9 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		report("retryRatio", "retryRatio and retrySlack are 0 or more")
 	}
+	if s.ExposeShare < 0 || s.ExposeShare > 1 || s.ExposeSlack < 0 {
+		report("exposeShare", "exposeShare is 0 to 1, exposeSlack 0 or more")
+	}
 	if s.Straight < 0 || s.Step > 100 || s.Straight > s.Step {
 		report("straight", "straight is 0 or more and at most step, which is at most 100")
 	}
@@ -94,6 +102,12 @@
 	if s.Straight == 0 && s.Step == 0 {
 		s.Straight, s.Step = defaultStraight, defaultStep
 	}
+	if s.ExposeShare == 0 {
+		s.ExposeShare = defaultExposeShare
+	}
+	if s.ExposeSlack == 0 {
+		s.ExposeSlack = defaultExposeSlack
+	}
 	if s.ConfigWithin == 0 {
 		s.ConfigWithin = defaultConfigWithin
 	}
@@ -111,6 +125,8 @@
 		RetryWindow:  s.RetryWindow,
 		RevokeWithin: s.RevokeWithin,
 		ConfigWithin: s.ConfigWithin,
+		ExposeShare:  s.ExposeShare,
+		ExposeSlack:  s.ExposeSlack,
 		Cascade:      sizes.Policy{Straight: s.Straight, Step: s.Step},
 	}
 }
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -143,6 +143,16 @@
 // Hash returns what other processes know the endpoint by.
 func (p *Endpoint) Hash() uint64 { return p.hash }
 
+// Count returns how many endpoints of a service have software of a version that fits.
+func (b *Book) Count(service string, fit func(version string) bool) (n int) {
+	for _, p := range b.byService[service] {
+		if fit(p.Version) {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns how many endpoints are known.
 func (b *Book) Len() int { return len(b.byID) }
 
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -20,6 +20,11 @@
 	// Fit reports whether a version of the endpoints' software may serve the
 	// request; nil allows all.
 	Fit func(version string) bool
+	// One says that the request goes to the first of the endpoints that fit, in the
+	// order of their hashes, as long as it is trusted.
+	One bool
+	// one is its hash; 0 for all.
+	one uint64
 	// Zone is where the asking process runs.
 	Zone string
 	// Avoid holds the IDs that were tried already.
@@ -81,7 +86,12 @@
 func (b *Book) Pick(now time.Time, w *Want) (*Endpoint, Reason) {
 	var buf, homeBuf [scanMost]*Endpoint
 	list := b.byService[w.Service]
+	w.one = w.first(list, now)
 	open, trust := trusted(buf[:0], list, now, w)
+	if w.one > 0 && trust == nil {
+		w.one = 0
+		open, trust = trusted(buf[:0], list, now, w)
+	}
 	switch {
 	case len(open) == 0:
 		return nil, ""
@@ -103,6 +113,16 @@
 	return two(open, now, w), ByLoad
 }
 
+// first returns the hash of the endpoint that One asks for; 0 for none.
+func (w *Want) first(list []*Endpoint, now time.Time) uint64 {
+	for _, p := range list {
+		if w.One && p.usable(now) && (w.Fit == nil || w.Fit(p.Version)) {
+			return p.hash
+		}
+	}
+	return 0
+}
+
 // trusted appends the endpoints of a list that may serve a request and are trusted
 // with it, as far as there are any, and returns the test that they passed; nil for
 // none.
@@ -197,7 +217,7 @@
 
 // fits reports whether an endpoint may serve a request, trusted or not.
 func (p *Endpoint) fits(now time.Time, w *Want) bool {
-	return p.usable(now) && (w.Fit == nil || w.Fit(p.Version)) && !slices.Contains(w.Avoid, p.ID)
+	return p.usable(now) && (w.one == 0 || p.hash == w.one) && (w.Fit == nil || w.Fit(p.Version)) && !slices.Contains(w.Avoid, p.ID)
 }
 
 // position returns where on the ring of a service's endpoints a request looks.
--- /dev/null
+++ b/pkg/roll/judge_test.go
@@ -0,0 +1,147 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package roll
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// case of a version: the shares of bad answers of the old and the new version, the
+// endpoints that give the new one's bad answers, and whether these bear the old load.
+type version struct {
+	oldBad, newBad float64
+	endpoints      int
+	loaded         bool
+}
+
+// judged lets routers see 300 answers of the old and 100 of the new version, all told
+// each other, and returns the last verdict and after how many answers of the new version
+// it was found bad.
+func judged(seed uint64, v version, routers int) (verdict Verdict, after int) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	js := make([]Judge, routers)
+	add := func(a Answer) {
+		j := &js[rnd.IntN(routers)]
+		j.Sent(a.New)
+		j.Add(a)
+	}
+	route := func() uint32 { return uint32(rnd.IntN(2)) }
+	for range 200 {
+		add(Answer{Route: route(), Bad: rnd.Float64() < v.oldBad})
+	}
+	for n := 1; n <= 100; n++ {
+		add(Answer{Route: route(), Bad: rnd.Float64() < v.oldBad})
+		endpoint := uint32(rnd.IntN(4))
+		bad := rnd.Float64() < v.newBad && endpoint < uint32(v.endpoints)
+		add(Answer{Route: route(), Endpoint: endpoint, New: true, Bad: bad, Loaded: v.loaded})
+		for i := range js {
+			r := js[i].own.Copy()
+			r.Teller = uint64(i)
+			for k := range js {
+				if k != i {
+					js[k].Hear(r)
+				}
+			}
+		}
+		if js[0].Verdict() == Bad {
+			return Bad, n
+		}
+	}
+	return js[0].Verdict(), 0
+}
+
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		version
+		// most is after how many answers a bad version is found at the latest, wrong
+		// how many verdicts of 100 may be others at that moment.
+		most, wrong int
+		want        Verdict
+	}{
+		{"errors", version{0, 0.4, 4, true}, 45, 3, Bad},
+		{"a fifth fails", version{0.03, 0.25, 4, true}, 100, 5, Bad},
+		{"good", version{0.005, 0.005, 4, true}, 0, 2, Good},
+		{"good under a lighter load", version{0.005, 0.005, 4, false}, 0, 2, Fair},
+		{"as bad as the old one", version{0.14, 0.14, 4, true}, 0, 35, Good},
+		{"worse than a bad old one", version{0.14, 0.6, 4, true}, 60, 3, Bad},
+		{"one endpoint fails", version{0.03, 0.9, 1, false}, 0, 3, Fair},
+	} {
+		for _, routers := range []int{1, 5} {
+			wrong, convicted := 0, 0
+			for seed := range uint64(100) {
+				got, n := judged(seed, c.version, routers)
+				if got != c.want || n > c.most {
+					wrong++
+				}
+				if got == Bad {
+					convicted++
+				}
+			}
+			if wrong > c.wrong {
+				t.Errorf("%s, %d routers: got %d verdicts of 100 that are not %v, want at most %d", c.name, routers, wrong, c.want, c.wrong)
+			}
+			if c.want != Bad && convicted > 2 {
+				t.Errorf("%s, %d routers: got %d convictions of 100, want at most 2", c.name, routers, convicted)
+			}
+		}
+	}
+}
+
+// Old answers alone, and too few of a new version, prove nothing.
+func TestJudgeWithoutEvidence(t *testing.T) {
+	var j Judge
+	for range 100 {
+		j.Add(Answer{})
+	}
+	for range 10 {
+		j.Add(Answer{New: true})
+	}
+	if got := j.Verdict(); got != Unknown {
+		t.Errorf("after 10 good answers: got %v, want %v", got, Unknown)
+	}
+}
+
+// TestReportsMayBeLostAndComeTwice lets a judge hear reports in a drawn order, some of
+// them not at all and some again, and the last one: it knows what the teller knows.
+func TestReportsMayBeLostAndComeTwice(t *testing.T) {
+	for seed := range uint64(50) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		var teller, hearer Judge
+		var reports []Report
+		for range 120 {
+			isNew := rnd.IntN(3) == 0
+			endpoint := uint32(rnd.IntN(5))
+			teller.Sent(isNew)
+			teller.Add(Answer{Route: uint32(rnd.IntN(3)), Endpoint: endpoint, New: isNew, Bad: rnd.IntN(10) == 0})
+			r := teller.Own()
+			reports = append(reports, r.Copy())
+		}
+		for range 60 {
+			hearer.Hear(reports[rnd.IntN(len(reports))])
+		}
+		hearer.Hear(reports[len(reports)-1])
+		n, of := hearer.Exposed()
+		wantN, want := teller.Exposed()
+		if n != wantN || of != want {
+			t.Fatalf("seed %d: exposed: got %d of %d, want %d of %d", seed, n, of, wantN, want)
+		}
+		if got, want := hearer.all.oldSeen, teller.all.oldSeen; got != want {
+			t.Fatalf("seed %d: old answers: got %d, want %d", seed, got, want)
+		}
+	}
+}
+
+// A report that holds more than one may is left out.
+func TestReportIsBounded(t *testing.T) {
+	var j Judge
+	for i := range uint32(100) {
+		j.Add(Answer{Route: i, New: true, Bad: true, Endpoint: i})
+	}
+	r := j.Own()
+	if len(r.Routes) != RoutesMost || len(r.Faults) > FaultsMost {
+		t.Errorf("own report: got %d routes and %d faults, want at most %d and %d", len(r.Routes), len(r.Faults), RoutesMost, FaultsMost)
+	}
+}
