--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -128,7 +128,7 @@
 		if n > 0 {
 			now := x.e.Now()
 			if p.add(now.Sub(heard)) {
-				x.e.paced(a, p.usual())
+				x.e.paced(a, p.least)
 			}
 			t.Pause = max(t.Pause, now.Sub(heard).Milliseconds())
 			heard = now
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -55,12 +55,13 @@
 	e.addEvidence(r, a, route.Name, failed, slow)
 }
 
-// paced notes the pace of a stream: its usual time between events.
+// paced notes the pace of a stream. The endpoint that has the old load before the others
+// holds little yet and reads much, so that its pace is left out.
 func (e *Engine) paced(a *Attempt, gap time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.onTrial(a.Endpoint.Service)
-	if r == nil {
+	if r == nil || a.loaded {
 		return
 	}
 	usual := entryOf(e.paces, a.Model)
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -5,23 +5,18 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
-const (
-	// paceGaps is how many of the first times between the events of a stream tell its
-	// pace; two thirds of the users' streams have as many events.
-	paceGaps = 7
-	// paceRank is which of them, from the shortest on, is the pace: an endpoint that
-	// reads others' prompts in between makes all but a few longer.
-	paceRank = 1
-)
+// paceGaps is how many of the first times between the events of a stream are looked at;
+// two thirds of the users' streams have as many events. The shortest of them is the pace:
+// an endpoint that reads others' prompts in between makes the others longer.
+const paceGaps = 7
 
-// pace gathers the first times between the events of a stream.
+// pace finds the shortest of the first times between the events of a stream.
 type pace struct {
-	gaps [paceGaps]time.Duration
-	n    int
+	least time.Duration
+	n     int
 }
 
 // add notes the time before a piece of a stream, the first of which is no gap, and reports
@@ -31,17 +26,12 @@
 	if p.n < 2 || p.n > paceGaps+1 {
 		return false
 	}
-	p.gaps[p.n-2] = gap
+	if p.n == 2 || gap < p.least {
+		p.least = gap
+	}
 	return p.n == paceGaps+1
 }
 
-// usual returns the time between events while the endpoint does little else.
-func (p *pace) usual() time.Duration {
-	sorted := p.gaps
-	slices.Sort(sorted[:])
-	return sorted[paceRank]
-}
-
 // usualPace is the decayed geometric mean of the paces of streams, so that some slow ones
 // weigh little. The zero value is empty.
 type usualPace struct {
