--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -74,15 +74,19 @@
 // addEvidence adds an answer to the evidence of a route, or of what else is compared
 // between the versions.
 func (e *Engine) addEvidence(r *rollout, a *Attempt, of string, failed, slow bool) {
-	was := r.judge.Verdict()
-	r.judge.Endpoints = e.book.Count(r.trial.Service, r.hasVersion)
-	r.judge.Add(roll.Answer{Route: uint32(pool.Hash(of)), Endpoint: uint32(a.hash), New: r.isNew(&a.Endpoint), Bad: failed || slow, Loaded: a.loaded})
-	if was != roll.Bad && r.judge.Verdict() == roll.Bad {
-		e.foundBad(r, of)
-	}
+	e.weigh(r, of, func(j *roll.Judge) {
+		j.Add(roll.Answer{Route: uint32(pool.Hash(of)), Endpoint: uint32(a.hash), New: r.isNew(&a.Endpoint), Bad: failed || slow, Loaded: a.loaded})
+	})
 }
 
-func (e *Engine) foundBad(r *rollout, by string) {
+// weigh lets the judge of a trial take something in, and logs if that finds the version bad.
+func (e *Engine) weigh(r *rollout, by string, add func(j *roll.Judge)) {
+	was := r.judge.Bad()
+	r.judge.Endpoints = e.book.Count(r.trial.Service, r.hasVersion)
+	add(&r.judge)
+	if was || !r.judge.Bad() {
+		return
+	}
 	n, of := r.judge.Exposed()
 	e.Log.Warn("relay: A new version was found bad.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
 		zap.String("by", by), zap.Float64("evidence", r.judge.Sum()), zap.Int("exposed", n), zap.Int("requests", of))
@@ -129,11 +133,6 @@
 		if r.trial.State != roll.Trying || r.hash() != report.Trial || report.Teller == e.life {
 			continue
 		}
-		was := r.judge.Verdict()
-		r.judge.Endpoints = e.book.Count(r.trial.Service, r.hasVersion)
-		r.judge.Hear(report)
-		if was != roll.Bad && r.judge.Verdict() == roll.Bad {
-			e.foundBad(r, "reports")
-		}
+		e.weigh(r, "reports", func(j *roll.Judge) { j.Hear(report) })
 	}
 }
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -173,7 +173,7 @@
 	switch {
 	case r.trial.State == roll.Proven:
 		return fit{version: isNew}
-	case r.trial.New(draw) && r.judge.Verdict() != roll.Bad:
+	case r.trial.New(draw) && !r.judge.Bad():
 		return fit{version: isNew, spare: isOld, one: e.loads(r, draw)}
 	default:
 		return fit{version: isOld}
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -115,8 +115,11 @@
 
 // first returns the hash of the endpoint that One asks for; 0 for none.
 func (w *Want) first(list []*Endpoint, now time.Time) uint64 {
+	if !w.One {
+		return 0
+	}
 	for _, p := range list {
-		if w.One && p.usable(now) && (w.Fit == nil || w.Fit(p.Version)) {
+		if p.allowed(now, w) {
 			return p.hash
 		}
 	}
@@ -217,7 +220,12 @@
 
 // fits reports whether an endpoint may serve a request, trusted or not.
 func (p *Endpoint) fits(now time.Time, w *Want) bool {
-	return p.usable(now) && (w.one == 0 || p.hash == w.one) && (w.Fit == nil || w.Fit(p.Version)) && !slices.Contains(w.Avoid, p.ID)
+	return (w.one == 0 || p.hash == w.one) && p.allowed(now, w) && !slices.Contains(w.Avoid, p.ID)
+}
+
+// allowed reports whether an endpoint takes new work and has a version that may serve.
+func (p *Endpoint) allowed(now time.Time, w *Want) bool {
+	return p.usable(now) && (w.Fit == nil || w.Fit(p.Version))
 }
 
 // position returns where on the ring of a service's endpoints a request looks.
--- a/pkg/roll/evidence.go
+++ b/pkg/roll/evidence.go
@@ -3,11 +3,7 @@
 
 package roll
 
-import (
-	"maps"
-	"math"
-	"slices"
-)
+import "math"
 
 // evidence holds the tests of one route, or of all, for a share of bad answers that
 // is higher than the old version's by excess.
@@ -130,8 +126,9 @@
 // oneSided returns by how much the endpoint with the most bad answers makes more of the
 // sum than one endpoint may.
 func (e *evidence) oneSided() float64 {
-	if len(e.by) == 0 {
-		return 0
+	most := 0.0
+	for _, ratio := range e.by {
+		most = max(most, ratio)
 	}
-	return max(slices.Max(slices.Collect(maps.Values(e.by)))-oneMost, 0)
+	return max(most-oneMost, 0)
 }
--- a/pkg/roll/judge.go
+++ b/pkg/roll/judge.go
@@ -159,6 +159,9 @@
 // conclude finds the version bad if the evidence suffices.
 func (j *Judge) conclude() { j.bad = j.bad || j.Sum() >= convincing }
 
+// Bad reports whether the version was found bad; it never goes back.
+func (j *Judge) Bad() bool { return j.bad }
+
 // Sum returns the strongest evidence against the version.
 func (j *Judge) Sum() float64 {
 	most := j.guilt(&j.all)
