Mend the two tests that failed once: a run taken over after it was orphaned, an entry that falls silent while followed

Cause: when a slot came free, a queued run whose link had broken got it, and only its own goroutine found the link gone. An entry that asked for the run first became its owner, and it ran. Ruled out: the link's end seen late (the test waits for it). Change: the guard closes such a run as it hands out the slot, under the same lock, and the slot goes on. TestOrphanAdopted failed every time before (the orphan is queued), passes now (20 runs).

Cause: a stopped process may still say that it has the run before it freezes. From then on the repeat's entry waited until the caller's deadline: only the first word was bounded. Ruled out: the claim log, the dial and the pool, which all have bounds. Change: an entry that follows a run asks the other each second whether it still answers, and tells its caller "may have run" after 2 s of silence. TestEntryFrozenWhileFollowed failed before (no answer within 20 s, as in the failed run), passes now (10 s for both kinds of key).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,8 @@
 	runs *ants.Pool
 	// under counts the requests under way.
 	under atomic.Int64
+	// followers counts the other entries that follow a run of this one.
+	followers atomic.Int64
 	// seq numbers the requests of this incarnation.
 	seq atomic.Uint64
 	// stopping says that the balancer should send no more; it never goes
@@ -126,6 +128,7 @@
 	link.Inline(p.Local.Mux, wire.MethodLoad, e.handleLoad)
 	link.On(p.Local.Mux, wire.MethodJoin, e.handleJoin)
 	link.On(p.Local.Mux, wire.MethodClaim, e.handleClaim)
+	link.On(p.Local.Mux, wire.MethodAlive, e.handleAlive)
 	return e, nil
 }
 
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -10,16 +10,25 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/link"
+	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
-// joinWithin is how long another entry may take to say that it has a run.
-const joinWithin = config.Span(2 * time.Second)
+const (
+	// joinWithin is how long another entry may take to say that it has a run, and
+	// aliveWithin how long it may take later to say that it still runs: a caller
+	// should hear at once, which is within 8 s, that its run's entry is silent.
+	joinWithin  = config.Span(2 * time.Second)
+	aliveWithin = joinWithin
+	// aliveEvery is how often an entry that is followed is asked.
+	aliveEvery = config.Span(time.Second)
+)
 
 // entryLinks keeps one link to each process that was spoken to on demand:
 // entries, and guards that are not among the peers.
@@ -116,8 +125,13 @@
 	defer e.sinks.remove(j.Stream)
 	ctx, cancel := context.WithDeadline(e.kill, r.call.Deadline.Add(replyGrace))
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	var watch tasks.Group
+	watch.Go(ctx, "alive", func(ctx context.Context) error { return e.watchRemote(ctx, c, giveUp) })
 	var reply wire.RunReply
 	err := c.Call(ctx, wire.MethodJoin, j, &reply)
+	giveUp(nil)
+	watch.Wait(nil)
 	var f *fault.Error
 	switch {
 	case err != nil && !errors.As(err, &f):
@@ -133,6 +147,34 @@
 	first <- nil
 }
 
+// watchRemote asks an entry that is followed whether it still answers, until ctx is
+// done. One that is frozen or cut off says nothing and ends no connection, so its
+// silence ends the wait with an error that tells the caller.
+func (e *Entry) watchRemote(ctx context.Context, c *link.Conn, giveUp context.CancelCauseFunc) error {
+	for {
+		tasks.Pause(ctx, aliveEvery.After(time.Now()))
+		if ctx.Err() != nil {
+			return nil
+		}
+		call, cancel := context.WithDeadline(ctx, aliveWithin.After(time.Now()))
+		err := c.Call(call, wire.MethodAlive, wire.Alive{Stamp: e.Stamp()}, &wire.Empty{})
+		cancel()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, link.ErrBroken) {
+			e.Log.Warn("entry: An entry that is followed has fallen silent.", zap.String("vm", c.Peer.VM), logs.Err(err))
+			giveUp(e.unsettled("The entry that holds the key has fallen silent."))
+			return nil
+		}
+	}
+}
+
+// handleAlive answers an entry that asks whether this one still runs.
+func (e *Entry) handleAlive(context.Context, *link.Conn, wire.Alive) (wire.Empty, error) {
+	return wire.Empty{Stamp: e.Stamp()}, nil
+}
+
 // handleJoin answers another entry that holds a caller's repeat, or brings the
 // request of a ticket that only this entry may start.
 func (e *Entry) handleJoin(ctx context.Context, c *link.Conn, j wire.Join) (wire.RunReply, error) {
@@ -143,6 +185,8 @@
 	if err := c.Notify(ctx, wire.MethodChunk, wire.Chunk{Stamp: e.Stamp(), Key: j.Stream}); err != nil {
 		return wire.RunReply{}, err
 	}
+	e.followers.Add(1)
+	defer e.followers.Add(-1)
 	link.Follow(ctx, c, j.Stream, r.buf, 0)
 	select {
 	case <-r.done:
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -26,6 +26,7 @@
 // dumped is what the dump shows of an entry.
 type dumped struct {
 	UnderWay  int64        `json:"underWay"`
+	Followers int64        `json:"followers"`
 	Stopping  bool         `json:"stopping"`
 	Watching  bool         `json:"watching"`
 	Endpoints []dumpedPeer `json:"endpoints"`
@@ -50,7 +51,7 @@
 }
 
 func (e *Entry) state() any {
-	d := dumped{UnderWay: e.under.Load(), Stopping: e.stopping.Load(), Watching: e.peers.watching()}
+	d := dumped{UnderWay: e.under.Load(), Followers: e.followers.Load(), Stopping: e.stopping.Load(), Watching: e.peers.watching()}
 	d.BillsHeld, d.BillsLost = e.bills.Held()
 	d.TrailHeld, d.TrailLost = e.trail.Held()
 	d.Keys, d.KeysBytes = e.keyed.count()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -286,10 +286,21 @@
 	return nil
 }
 
-// admitNext gives slots to items that the queue has started; g.mu is held.
+// admitNext gives slots to items that the queue has started; g.mu is held. An item
+// whose link has ended is closed here, and its slot goes to the next one: were that
+// left to its own goroutine, an entry that asks for the run first would take it over
+// after it had been orphaned.
 func (g *Guard) admitNext(items []admit.Item) {
-	for _, it := range items {
-		if r := g.byQueueID(it.ID); assert.That(r != nil, "admittedRunIsQueued") {
+	for len(items) > 0 {
+		it := items[0]
+		items = items[1:]
+		r := g.byQueueID(it.ID)
+		switch {
+		case !assert.That(r != nil, "admittedRunIsQueued"):
+		case tasks.IsDone(r.owner.Done()):
+			g.tombstone(r, g.refusal(fault.EndpointLost, "Nobody follows the run any more."))
+			items = g.queue.Done(g.Now(), it.ID, items)
+		default:
 			close(r.admitted)
 		}
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -204,17 +204,21 @@
 // run asks for a run of version 1 under the given revision.
 func (b *bench) run(t *testing.T, c *link.Conn, id string, revision int64) wire.RunReply {
 	t.Helper()
-	p := wire.Run{
+	var reply wire.RunReply
+	if err := c.Call(context.Background(), wire.MethodRun, b.wanted(id, revision), &reply); err != nil {
+		reply.Err = fault.From(err, fault.MayHaveRun)
+	}
+	return reply
+}
+
+// wanted is a run of version 1 under the given revision.
+func (b *bench) wanted(id string, revision int64) *wire.Run {
+	return &wire.Run{
 		Stamp: wire.Stamp{Revision: revision},
 		Key:   wire.RunKey{RunID: id, Attempt: 1},
 		Guard: b.g.Identity.Incarnation,
 		Work:  wire.Work{Call: wire.Call{Workspace: "w", Workload: "l", Model: "m", Deadline: time.Now().Add(20 * time.Second)}, Version: "1", Repeatable: true},
 	}
-	var reply wire.RunReply
-	if err := c.Call(context.Background(), wire.MethodRun, p, &reply); err != nil {
-		reply.Err = fault.From(err, fault.MayHaveRun)
-	}
-	return reply
 }
 
 // later runs in the background.
@@ -359,6 +363,51 @@
 	}
 }
 
+// guardLink returns the guard's side of the link of an incarnation.
+func (b *bench) guardLink(incarnation string) *link.Conn {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	return b.g.links[incarnation].conn
+}
+
+// TestOrphanAdopted holds that a run whose link broke while it waited is closed as
+// soon as its slot comes free: an entry that asks for it at that moment finds it
+// closed, and does not bring it back to life.
+func TestOrphanAdopted(t *testing.T) {
+	b := startBench(t)
+	first := b.later(t, b.dial(t), "first")
+	b.engine.started(t)
+	b.local = b.localWith(t, keyHex, "entry-2")
+	lose := b.dial(t)
+	owner := b.guardLink("entry-2")
+	orphan := b.enter(t, owner, "orphan")
+	lose.Close()
+	<-owner.Done()
+	close(b.engine.release)
+	check(t, "the first", <-first, "", "")
+	b.dial(t)
+	adopted, _ := b.g.lookUp(b.guardLink("entry-2"), &wire.Ask{Key: orphan.key, Guard: b.g.Identity.Incarnation})
+	if adopted != orphan {
+		t.Fatalf("record found: got %v, want the orphan's", adopted)
+	}
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	if orphan.phase != phaseTombstone {
+		t.Fatalf("the orphan is %s, want it closed when its slot came free", orphan.phase)
+	}
+	check(t, "the orphan", orphan.reply, fault.EndpointLost, fault.NotRun)
+}
+
+// enter offers a run to the guard without anyone who waits for it.
+func (b *bench) enter(t *testing.T, c *link.Conn, id string) *record {
+	t.Helper()
+	r, refused := b.g.enter(c, b.wanted(id, b.holder.Revision()))
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	return r
+}
+
 // TestWithdrawn holds that a withdrawn version gets no new work, whether the
 // entry or the guard hears of it first, and that running work may finish.
 func TestWithdrawn(t *testing.T) {
--- a/internal/rig/once_test.go
+++ b/internal/rig/once_test.go
@@ -192,6 +192,41 @@
 	}
 }
 
+// TestEntryFrozenWhileFollowed freezes the entry that runs a request after another
+// entry began to follow the run there: the repeat's caller hears at once that it may
+// have run, as if the entry had been frozen before.
+func TestEntryFrozenWhileFollowed(t *testing.T) {
+	f := startFleet(t, Options{Entries: 2, Pools: slowRegister("5s")})
+	for _, kind := range keyKinds {
+		key := keyOf(t, f, kind, 0)
+		lost := send(f, 0, note(key, kind))
+		lodged(t, f, kind)
+		repeat := send(f, 1, note(key, kind))
+		followed(t, f.Entries[0])
+		f.Entries[0].Freeze()
+		got := <-repeat
+		f.Entries[0].Thaw()
+		expect(t, kind+" while the entry is frozen", got, "keyUnsettled/mayHaveRun")
+		if got.took > promptly {
+			t.Errorf("%s: got an answer after %v, want one at once", kind, got.took)
+		}
+		expect(t, kind+" after the thaw", <-lost, "whole")
+		expect(t, kind+" again", <-send(f, 1, note(key, kind)), "whole")
+		expectLodged(t, f, kind, 1)
+	}
+}
+
+// followed waits until another entry follows a run of an entry.
+func followed(t *testing.T, n *Node) {
+	t.Helper()
+	for deadline := soon(); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if n.state().Followers > 0 {
+			return
+		}
+	}
+	t.Fatalf("nobody follows a run of %s", n.VM.Name)
+}
+
 // TestGuardKilled kills the guard while the service works: the caller hears that
 // it may have run, and no repeat runs it again.
 func TestGuardKilled(t *testing.T) {
--- a/internal/rig/usage.go
+++ b/internal/rig/usage.go
@@ -35,24 +35,33 @@
 // Dump returns the process's dump.
 func (n *Node) Dump() ([]byte, error) { return desk.Fetch(n.Operators, "", "/debug/state") }
 
-// usable returns how many endpoints an entry may use.
-func (n *Node) usable() int {
+// entryState is what tests read of an entry's dump.
+type entryState struct {
+	Followers int `json:"followers"`
+	Endpoints []struct {
+		Usable bool `json:"usable"`
+	} `json:"endpoints"`
+}
+
+// state returns an entry's state; the zero value if it does not answer.
+func (n *Node) state() entryState {
 	body, err := n.Dump()
 	if err != nil {
-		return 0
+		return entryState{}
 	}
 	var d struct {
-		Role struct {
-			Endpoints []struct {
-				Usable bool `json:"usable"`
-			} `json:"endpoints"`
-		} `json:"role"`
+		Role entryState `json:"role"`
 	}
 	if json.Unmarshal(body, &d) != nil {
-		return 0
+		return entryState{}
 	}
+	return d.Role
+}
+
+// usable returns how many endpoints an entry may use.
+func (n *Node) usable() int {
 	count := 0
-	for _, e := range d.Role.Endpoints {
+	for _, e := range n.state().Endpoints {
 		if e.Usable {
 			count++
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,6 +29,7 @@
 	MethodLoad   = "load"
 	MethodClaim  = "claim"
 	MethodOrder  = "order"
+	MethodAlive  = "alive"
 )
 
 // Stamp is the sender's settings revision.
@@ -233,6 +234,9 @@
 	Start *Call `json:"start,omitempty"`
 }
 
+// Alive asks whether a process still answers.
+type Alive struct{ Stamp }
+
 // Order asks a guard to have its engine load a version.
 type Order struct {
 	Stamp
