Log what decided for each attempt, each call to the store and the bytes between routers; account for them

Cause: the logs told where a request went, not what was foretold of it, so lost time could not be told apart. An attempt's line now has the wait and the reading that were foretold, the tokens believed to be read, the endpoint that was passed over with both costs, the bytes, and whether it crossed zones; a request's line has the route's aims and the time to the head. Each call to the store has a line and a counter, and every 10 s one line tells what went to other routers.

traildrift account LOGS... reads any number of logs, puts clocks that disagree together by when configurations came in force, and writes tables, CSV and plots: causes of lateness, what was waited behind, bytes by what they were, calls to the store, prompts read for want of a holder, foretold against actual times.

--- a/cmd/traildrift/ask.go
+++ b/cmd/traildrift/ask.go
@@ -104,7 +104,7 @@
 	operatorArgs
 }
 
-func (a *dumpArgs) run() error {
+func (a *dumpArgs) run(context.Context) error {
 	body, err := a.fetch("/debug/state")
 	if err != nil {
 		return err
--- a/cmd/traildrift/main.go
+++ b/cmd/traildrift/main.go
@@ -53,21 +53,42 @@
 	return nil
 }
 
-// noArgs are those of a command without any.
-type noArgs struct{}
+// entryArgs start an entry.
+type entryArgs struct{ processArgs }
+
+func (a *entryArgs) run(ctx context.Context) error { return entry.Main(ctx, a.Config) }
+
+// guardArgs start a guard.
+type guardArgs struct{ processArgs }
+
+func (a *guardArgs) run(ctx context.Context) error { return guard.Main(ctx, a.Config) }
+
+// versionArgs are those of a command without any.
+type versionArgs struct{}
+
+func (*versionArgs) run(context.Context) error {
+	fmt.Println("traildrift", version)
+	return nil
+}
+
+// command is one of the program's commands.
+type command interface {
+	run(ctx context.Context) error
+}
 
 // args are the program's commands.
 type args struct {
-	Entry    *processArgs  `arg:"subcommand:entry" help:"run an entry: serve callers"`
-	Guard    *processArgs  `arg:"subcommand:guard" help:"run a guard: serve the endpoint on this VM"`
+	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serve callers"`
+	Guard    *guardArgs    `arg:"subcommand:guard" help:"run a guard: serve the endpoint on this VM"`
 	Router   *routerArgs   `arg:"subcommand:router" help:"run a router on the users' platform"`
 	Settings *settingsArgs `arg:"subcommand:settings" help:"check, show and change fleet settings"`
 	Rollout  *rolloutArgs  `arg:"subcommand:rollout" help:"stage, pause and abort roll-outs of versions"`
 	Status   *statusArgs   `arg:"subcommand:status" help:"show every VM's process, its revision, and the roll-outs"`
 	Explain  *explainArgs  `arg:"subcommand:explain" help:"say why a request went where it went"`
+	Account  *accountArgs  `arg:"subcommand:account" help:"say where the time and the bytes of requests went, from routers' logs"`
 	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of a process"`
 	Bills    *billsArgs    `arg:"subcommand:bills" help:"show folded bills"`
-	Version  *noArgs       `arg:"subcommand:version" help:"show the version"`
+	Version  *versionArgs  `arg:"subcommand:version" help:"show the version"`
 }
 
 // Description is shown by --help.
@@ -75,17 +96,40 @@
 	return "traildrift routes requests to versions of models, and explains every choice."
 }
 
+// chosen returns the command that was named; nil for none.
+func (a *args) chosen() command {
+	for _, c := range []struct {
+		named bool
+		command
+	}{
+		{a.Entry != nil, a.Entry}, {a.Guard != nil, a.Guard}, {a.Router != nil, a.Router},
+		{a.Settings != nil, a.Settings}, {a.Rollout != nil, a.Rollout}, {a.Status != nil, a.Status}, {a.Explain != nil, a.Explain},
+		{a.Account != nil, a.Account}, {a.Dump != nil, a.Dump}, {a.Bills != nil, a.Bills}, {a.Version != nil, a.Version},
+	} {
+		if c.named {
+			return c.command
+		}
+	}
+	return nil
+}
+
+// errUsage says that no command was named.
+var errUsage = errors.New("name a command")
+
 func main() {
 	var a args
 	p := arg.MustParse(&a)
-	err := run(&a)
-	if errors.Is(err, errUsage) {
-		p.WriteHelp(os.Stderr)
-		os.Exit(exitUsage)
+	err := errUsage
+	if c := a.chosen(); c != nil {
+		err = c.run(context.Background())
 	}
 	if err == nil {
 		return
 	}
+	if errors.Is(err, errUsage) {
+		p.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
 	fmt.Fprintln(os.Stderr, err)
 	var ps config.Problems
 	if errors.As(err, &ps) {
@@ -93,35 +137,3 @@
 	}
 	os.Exit(exitFailure)
 }
-
-// errUsage says that no command was named.
-var errUsage = errors.New("name a command")
-
-func run(a *args) error {
-	ctx := context.Background()
-	switch {
-	case a.Entry != nil:
-		return entry.Main(ctx, a.Entry.Config)
-	case a.Guard != nil:
-		return guard.Main(ctx, a.Guard.Config)
-	case a.Router != nil:
-		return a.Router.run(ctx)
-	case a.Settings != nil:
-		return a.Settings.run(ctx)
-	case a.Rollout != nil:
-		return a.Rollout.run(ctx)
-	case a.Status != nil:
-		return a.Status.run(ctx)
-	case a.Explain != nil:
-		return a.Explain.run(ctx)
-	case a.Dump != nil:
-		return a.Dump.run()
-	case a.Bills != nil:
-		return a.Bills.run(ctx)
-	case a.Version != nil:
-		fmt.Println("traildrift", version)
-		return nil
-	default:
-		return errUsage
-	}
-}
--- /dev/null
+++ b/internal/acct/acct_test.go
@@ -0,0 +1,152 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package acct
+
+import (
+	"bytes"
+	"encoding/csv"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/golden"
+)
+
+// recorded reads the logs in testdata: of three routers, the clock of one of which is
+// 90 s ahead.
+func recorded(t *testing.T) *Account {
+	t.Helper()
+	a := New()
+	for _, name := range []string{"a-1.log", "b-1.log", "c-1.log"} {
+		f, err := os.Open(filepath.Join("testdata", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := a.Read(strings.TrimSuffix(name, ".log"), f); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.Finish()
+	return a
+}
+
+func TestTables(t *testing.T) {
+	a := recorded(t)
+	var out bytes.Buffer
+	if err := a.Write(&out, 0); err != nil {
+		t.Fatal(err)
+	}
+	golden.Check(t, "account.golden", out.Bytes())
+}
+
+func TestCSV(t *testing.T) {
+	a, dir := recorded(t), t.TempDir()
+	if err := a.WriteCSV(dir); err != nil {
+		t.Fatal(err)
+	}
+	for _, table := range a.Tables() {
+		text, err := os.ReadFile(filepath.Join(dir, table.Name+".csv"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows, err := csv.NewReader(bytes.NewReader(text)).ReadAll()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := len(rows), len(table.Rows)+1; got != want {
+			t.Errorf("%s: got %d rows, want %d", table.Name, got, want)
+		}
+	}
+}
+
+func TestPlots(t *testing.T) {
+	for _, a := range []*Account{recorded(t), New()} {
+		dir := t.TempDir()
+		a.Finish()
+		if err := a.WritePlots(dir); err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{"heads.svg", "lateness.svg", "load.svg", "calls.svg"} {
+			text, err := os.ReadFile(filepath.Join(dir, name))
+			if err != nil || !bytes.Contains(text, []byte("<svg")) {
+				t.Errorf("%s: got no drawing, error %v", name, err)
+			}
+		}
+	}
+}
+
+// A request's time is divided without a rest.
+func TestDivide(t *testing.T) {
+	end := &line{HeadMs: 1000, WaitedMs: 250}
+	attempts := []line{
+		{HeadMs: 200, Outcome: "failed"},
+		{HeadMs: 100, Outcome: outcomeSilent},
+		{HeadMs: 150, Outcome: outcomeDropped},
+		{HeadMs: 500, Outcome: "delivered", ReadMs: 120, WaitMs: 80},
+	}
+	want := map[Cause]int64{EarlierTry: 250, FailedAttempt: 200, OwnBound: 100, SmallerModel: 150, Reading: 120, Behind: 80, Unforeseen: 300, Router: 50}
+	got := make(map[Cause]int64)
+	for _, p := range divide(attempts, end) {
+		got[p.cause] += p.ms
+	}
+	for c, ms := range want {
+		if got[c] != ms {
+			t.Errorf("%s: got %d ms, want %d", c, got[c], ms)
+		}
+	}
+}
+
+func TestCorrelation(t *testing.T) {
+	a := New()
+	for i := range int64(10) {
+		a.head("r", &line{WaitMs: i, ReadMs: 2 * i, HeadMs: 5 + 6*i})
+	}
+	if got := a.heads[headKey{"r", ""}].Correlation(); math.Abs(got-1) > 1e-9 {
+		t.Errorf("correlation: got %v, want 1", got)
+	}
+	if got := (&Heads{N: 1}).Correlation(); got != 0 {
+		t.Errorf("correlation of one: got %v, want 0", got)
+	}
+}
+
+// Clocks that jump and logs without a common configuration do not stop an account.
+func TestAlign(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	log := func(ahead time.Duration, versions ...string) *source {
+		s := &source{marks: make(map[string]time.Time)}
+		for i, v := range versions {
+			s.marks[v] = t0.Add(time.Duration(i)*time.Second + ahead)
+		}
+		return s
+	}
+	a, b, c, alone := log(0, "1", "2", "3"), log(time.Hour, "1", "2", "3"), log(20*time.Millisecond, "1", "2", "3"), log(time.Hour, "9")
+	align([]*source{a, b, c, alone})
+	if got := b.ahead - a.ahead; got != time.Hour {
+		t.Errorf("the clock that is ahead: got %v, want 1h", got)
+	}
+	if alone.ahead != 0 {
+		t.Errorf("a log that shares nothing: got %v, want 0", alone.ahead)
+	}
+}
+
+func BenchmarkRead(b *testing.B) {
+	text, err := os.ReadFile(filepath.Join("testdata", "a-1.log"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	a := New()
+	for range b.N {
+		if err := a.Read("a-1", bytes.NewReader(text)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/acct/plots.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package acct
+
+import (
+	"maps"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// WritePlots draws the account's plots as SVG files in a folder; Finish comes before.
+func (a *Account) WritePlots(dir string) error {
+	for _, p := range []struct {
+		file, title, x, y string
+		draw              func(p *plot.Plot) error
+	}{
+		{"heads.svg", "Times to the head", "foretold, ms", "actual, ms", a.drawHeads},
+		{"lateness.svg", "Lateness of requests, by when they came", "second", "s late, all together", a.drawLateness},
+		{"load.svg", "Attempts at endpoints, busiest first", "endpoint", "attempts", a.drawLoad},
+		{"calls.svg", "Calls to the store", "second", "calls", a.drawCalls},
+	} {
+		out := plot.New()
+		out.Title.Text, out.X.Label.Text, out.Y.Label.Text = p.title, p.x, p.y
+		if err := p.draw(out); err != nil {
+			return errors.Wrap(err, "account")
+		}
+		if err := out.Save(plotWidth, plotHeight, filepath.Join(dir, p.file)); err != nil {
+			return errors.Wrap(err, "account")
+		}
+	}
+	return nil
+}
+
+func (a *Account) drawHeads(p *plot.Plot) error {
+	xy, most := make(plotter.XYs, len(a.points)), 0.0
+	for i, q := range a.points {
+		xy[i] = plotter.XY{X: q.foretold, Y: q.actual}
+		most = max(most, q.foretold, q.actual)
+	}
+	dots, err := plotter.NewScatter(xy)
+	if err != nil {
+		return err
+	}
+	dots.Radius = vg.Points(1)
+	even, err := plotter.NewLine(plotter.XYs{{}, {X: most, Y: most}})
+	if err != nil {
+		return err
+	}
+	p.Add(plotter.NewGrid(), dots, even)
+	return nil
+}
+
+func (a *Account) drawLateness(p *plot.Plot) error {
+	bySecond := make(map[int]float64)
+	for k, r := range a.rows {
+		if k.main.served() {
+			bySecond[k.second] += float64(r.OverMs) / 1000
+		}
+	}
+	return drawSeconds(p, bySecond)
+}
+
+func (a *Account) drawCalls(p *plot.Plot) error {
+	bySecond := make(map[int]float64)
+	for _, r := range a.calls {
+		for _, s := range r.seconds {
+			bySecond[s]++
+		}
+	}
+	return drawSeconds(p, bySecond)
+}
+
+// drawSeconds draws a sum for each second; seconds without one have none.
+func drawSeconds(p *plot.Plot, sums map[int]float64) error {
+	if len(sums) == 0 {
+		return nil
+	}
+	seconds := slices.Sorted(maps.Keys(sums))
+	xy := plotter.XYs{}
+	for s := seconds[0]; s <= seconds[len(seconds)-1]; s++ {
+		xy = append(xy, plotter.XY{X: float64(s), Y: sums[s]})
+	}
+	line, err := plotter.NewLine(xy)
+	if err != nil {
+		return err
+	}
+	line.StepStyle = plotter.PostStep
+	p.Add(plotter.NewGrid(), line)
+	return nil
+}
+
+func (a *Account) drawLoad(p *plot.Plot) error {
+	counts := slices.Sorted(maps.Values(a.load))
+	slices.Reverse(counts)
+	values := make(plotter.Values, len(counts))
+	for i, n := range counts {
+		values[i] = float64(n)
+	}
+	if len(values) == 0 {
+		return nil
+	}
+	bars, err := plotter.NewBarChart(values, plotWidth/vg.Length(2*len(values)))
+	if err != nil {
+		return err
+	}
+	p.Add(bars)
+	return nil
+}
--- /dev/null
+++ b/internal/acct/write.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package acct
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Write writes the account as text, with at most so many rows of each table; 0 for all.
+func (a *Account) Write(w io.Writer, most int) error {
+	head := fmt.Sprintf("%d requests of %d routers: %d late, %d not served\n", a.Requests, len(a.sources), a.Late, a.Failed)
+	if a.LeftOut > 0 {
+		head += fmt.Sprintf("%d attempts too many to keep: what waited behind them is not told\n", a.LeftOut)
+	}
+	if _, err := io.WriteString(w, head); err != nil {
+		return errors.Wrap(err, "account")
+	}
+	for _, t := range a.Tables() {
+		if err := t.write(w, most); err != nil {
+			return errors.Wrap(err, "account")
+		}
+	}
+	return nil
+}
+
+// write writes a table in columns.
+func (t *Table) write(w io.Writer, most int) error {
+	if _, err := fmt.Fprintf(w, "\n%s\n", t.Title); err != nil {
+		return err
+	}
+	rows := t.Rows
+	if most > 0 {
+		rows = rows[:min(most, len(rows))]
+	}
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{t.Head}, rows...) {
+		if _, err := fmt.Fprintln(tab, "  "+strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	if err := tab.Flush(); err != nil {
+		return err
+	}
+	if left := len(t.Rows) - len(rows); left > 0 {
+		_, err := fmt.Fprintf(w, "  and %d rows more\n", left)
+		return err
+	}
+	return nil
+}
+
+// WriteCSV writes each table to a file of its name in a folder.
+func (a *Account) WriteCSV(dir string) error {
+	for _, t := range a.Tables() {
+		if err := t.writeCSV(filepath.Join(dir, t.Name+".csv")); err != nil {
+			return errors.Wrap(err, "account")
+		}
+	}
+	return nil
+}
+
+func (t *Table) writeCSV(file string) (err error) {
+	f, err := os.Create(filepath.Clean(file))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	w := csv.NewWriter(f)
+	return w.WriteAll(append([][]string{t.Head}, t.Rows...))
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -140,6 +140,8 @@
 	}
 	f.returned(time.Now())
 	f.Mirror.List(f.Kind, objects, revision, sent, f.lapsesAt)
+	f.Log.Info("mirror: All of a kind was read.", zap.String("kind", f.Kind), zap.Int64("revision", revision), zap.Int("objects", len(objects)),
+		zap.Bool("historyLost", f.again), zap.Int64("tookMs", time.Since(sent).Milliseconds()))
 	f.again = false
 	return nil
 }
--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -36,6 +36,8 @@
 	// asked for most often.
 	Watched string
 	HTTP    *http.Client
+	// Traffic counts the questions; set before Run.
+	Traffic *Traffic
 	// Members is the kind of the routers' registrations; empty for none.
 	Members string
 	// registersUntil is until when a starting router waits to be registered,
@@ -80,7 +82,7 @@
 
 // NewAsker returns an asker that has found no peer yet.
 func NewAsker(log *zap.Logger, f *Fleet, m *mirror.Mirror, watched string, kinds ...string) *Asker {
-	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, registersUntil: registerWithin.After(time.Now()), HTTP: &http.Client{Transport: &http.Transport{
+	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, Traffic: &Traffic{}, registersUntil: registerWithin.After(time.Now()), HTTP: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 	}}}
 }
@@ -240,6 +242,7 @@
 		return nil, errors.Wrap(err, "peers")
 	}
 	req.Header.Set("Authorization", "Bearer "+p.Token)
+	a.Traffic.Questions.Add(int64(len(text)))
 	resp, err := a.HTTP.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -42,6 +42,8 @@
 	// is heard, by one goroutine; set OnReport before Run.
 	OnNote   func(n Note)
 	OnReport func(r roll.Report)
+	// Traffic counts the notes and reports; set before the first.
+	Traffic *Traffic
 }
 
 const (
@@ -69,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	n := &Notes{Log: log, fleet: f, conn: conn, OnNote: onNote, OnReport: func(roll.Report) {}}
+	n := &Notes{Log: log, fleet: f, conn: conn, OnNote: onNote, OnReport: func(roll.Report) {}, Traffic: &Traffic{}}
 	copy(n.token[:], self.Token)
 	return n, nil
 }
@@ -121,7 +123,7 @@
 	if note.Failed {
 		buf[flagsAt] = flagFailed
 	}
-	n.send(buf[:])
+	n.Traffic.Notes.Add(n.send(buf[:]))
 }
 
 // SendReport tells all other routers what this one saw of a trial.
@@ -133,17 +135,21 @@
 		n.Log.Error("peers: A report could not be encoded.", logs.Err(err))
 		return
 	}
-	n.send(buf)
+	n.Traffic.Reports.Add(n.send(buf))
 }
 
-// send sends a datagram, which begins with room for the hearer's token.
-func (n *Notes) send(buf []byte) {
+// send sends a datagram, which begins with room for the hearer's token, and returns the
+// bytes that were sent to all.
+func (n *Notes) send(buf []byte) (bytes int64) {
 	n.fleet.each(func(p Peer) {
 		copy(buf[:tokenBytes], p.Token)
 		if _, err := n.conn.WriteToUDPAddrPort(buf, p.Addr); err != nil {
 			n.Log.Debug("peers: A note was not sent.", zap.String("peer", p.Name), logs.Err(err))
+			return
 		}
+		bytes += int64(len(buf))
 	})
+	return bytes
 }
 
 // toldMost bounds the routers that hear one note, so that notes do not grow with
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -22,6 +22,8 @@
 	packs  packs
 	// Watched is the kind whose age says how well this router is informed.
 	Watched string
+	// Traffic counts the answers; set before the first question.
+	Traffic *Traffic
 	// slots bounds the questions that are held.
 	slots chan struct{}
 }
@@ -38,7 +40,7 @@
 
 // NewServer returns a server that answers those who show the token.
 func NewServer(log *zap.Logger, m *mirror.Mirror, watched, token string) *Server {
-	return &Server{Log: log, Mirror: m, Watched: watched, Token: token, slots: make(chan struct{}, heldMost)}
+	return &Server{Log: log, Mirror: m, Watched: watched, Token: token, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
 }
 
 // ServeHTTP answers one question.
@@ -80,7 +82,7 @@
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(a); err != nil {
+	if err := json.NewEncoder(countingWriter{w, &s.Traffic.Answers}).Encode(a); err != nil {
 		s.Log.Debug("peers: A peer left before its answer.", zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/peers/traffic.go
@@ -0,0 +1,48 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/internal/tasks"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+// Traffic counts the bytes that this router sent to others, without what the network
+// adds. The zero value has counted none.
+type Traffic struct {
+	Notes, Reports, Questions, Answers atomic.Int64
+}
+
+// toldEvery is how often the log tells what was sent since the line before.
+const toldEvery = config.Span(10 * time.Second)
+
+// Run tells the log what was sent until ctx is done.
+func (t *Traffic) Run(ctx context.Context, log *zap.Logger) error {
+	for ctx.Err() == nil {
+		tasks.Pause(ctx, toldEvery.After(time.Now()))
+		log.Info("peers: Bytes were sent to other routers.", zap.Int64("notesBytes", t.Notes.Swap(0)), zap.Int64("reportsBytes", t.Reports.Swap(0)),
+			zap.Int64("questionsBytes", t.Questions.Swap(0)), zap.Int64("answersBytes", t.Answers.Swap(0)))
+	}
+	return nil
+}
+
+// countingWriter counts the bytes of an answer.
+type countingWriter struct {
+	http.ResponseWriter
+	n *atomic.Int64
+}
+
+// Write writes and counts.
+func (w countingWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	w.n.Add(int64(n))
+	return n, err
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -26,6 +26,8 @@
 	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expected: x.e.heads[sortOf(x.route, x.model())].expect(x.r.TokensIn), wait: p.Load.Wait(now), busyThen: p.Load.BusyUntil()}
 	a.unread = x.unread(why)
 	a.reading, a.whole = x.reading(a.unread), x.reading(x.r.TokensIn)
+	t := &x.tries[len(x.tries)-1]
+	x.explain(t, a, p, now)
 	x.sent(a, now)
 	p.Load.Sent++
 	p.Load.Reading += a.reading
@@ -35,7 +37,18 @@
 		a.Rank += x.workspace.Rank * ranksOfRoutes
 	}
 	a.Rank = x.urgency(a)
-	return a, &x.tries[len(x.tries)-1], nil
+	return a, t, nil
+}
+
+// explain keeps what decided for an endpoint; the engine's mu is held.
+func (x *run) explain(t *try, a *Attempt, p *pool.Endpoint, now time.Time) {
+	zone := x.e.limits.Load().Zone
+	t.Far = p.Zone != zone
+	t.Unread, t.Wait, t.Reading = a.unread, a.wait, a.reading
+	t.Sent = len(x.r.Body)
+	if x.passed != nil {
+		t.Passed, t.Cost, t.PassedCost = x.passed.ID, p.Cost(now, zone), x.passed.Cost(now, zone)
+	}
 }
 
 // urgency returns the rank at the endpoint: that of workspace and route, but a prompt that
@@ -65,6 +78,7 @@
 func (x *run) pick(now time.Time) (*pool.Endpoint, pool.Reason) {
 	e := x.e
 	want := x.want()
+	defer func() { x.passed = want.Passed }()
 	p, why := e.book.Pick(now, &want)
 	if p == nil && len(x.tried) > 0 {
 		want.Avoid = nil
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -23,7 +23,7 @@
 	if x.route.Kind == Stream && reply.Status < 300 {
 		broke = x.deliverStream(a, reply, t, s)
 	} else {
-		broke = x.deliverWhole(reply, s)
+		broke = x.deliverWhole(reply, t, s)
 	}
 	if broke == nil {
 		t.Outcome = "delivered"
@@ -59,7 +59,7 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.lastOnConnection()
-	x.begun = true
+	x.begun, x.headAt = true, x.e.Now()
 	x.w.WriteHeader(reply.Status)
 }
 
@@ -68,8 +68,9 @@
 const wholeMost = 256 << 10
 
 // deliverWhole passes on an answer that is not a stream.
-func (x *run) deliverWhole(reply *Reply, s *silence) error {
+func (x *run) deliverWhole(reply *Reply, t *try, s *silence) error {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, wholeMost))
+	t.Got = len(body)
 	if err != nil {
 		return err
 	}
@@ -82,7 +83,8 @@
 	if err := x.write(body); err != nil {
 		return err
 	}
-	_, err = io.CopyBuffer(callerWriter{x}, struct{ io.Reader }{reply.Body}, make([]byte, copyBuffer))
+	n, err := io.CopyBuffer(callerWriter{x}, struct{ io.Reader }{reply.Body}, make([]byte, copyBuffer))
+	t.Got += int(n)
 	return err
 }
 
@@ -132,6 +134,7 @@
 			}
 			t.Pause = max(t.Pause, now.Sub(heard).Milliseconds())
 			heard = now
+			t.Got += n
 			s.heardNow()
 			out := ev.take(buf[:n])
 			if werr := x.write(out); werr != nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -117,6 +117,19 @@
 	Err        *fault.Error
 	// Load is the runs the endpoint was believed to have.
 	Load int
+	// Far says that the endpoint is in another availability zone.
+	Far bool
+	// Unread is how many tokens of the prompt it was expected to read, Wait and
+	// Reading how long it was expected to read others' first and then these, in
+	// seconds.
+	Unread        int
+	Wait, Reading float64
+	// Passed names the endpoint that most likely held the prefix where it cost too
+	// much: Cost is that of the one that was picked, PassedCost of that one.
+	Passed           string
+	Cost, PassedCost float64
+	// Sent and Got are the bytes of the body and of the answer.
+	Sent, Got int
 	// Head is how long the head took, in milliseconds.
 	Head int64
 	// Pause is the longest time between two pieces of a stream, in
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -42,10 +42,17 @@
 	begun bool
 	// lastEvent is the last event that the caller was sent.
 	lastEvent string
-	tried     []string
-	tries     []try
+	// headAt is when the caller was sent a head; zero before.
+	headAt time.Time
+	tried  []string
+	tries  []try
+	// passed is the endpoint that the last pick passed over; see pool.Want.
+	passed *pool.Endpoint
 }
 
+// outcomeSilent is the outcome of an attempt that was ended as too silent.
+const outcomeSilent = "silent"
+
 // errSilent ends an attempt whose endpoint says nothing for too long.
 var errSilent = errors.New("relay: the endpoint is silent")
 
@@ -161,6 +168,9 @@
 		err = x.over(ctx)
 	}
 	x.note(a, t, err, now)
+	if errors.Is(context.Cause(ctx), errSilent) {
+		t.Outcome = outcomeSilent
+	}
 	if notSent(err) {
 		x.made--
 		x.giveBack(now)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -181,11 +181,7 @@
 		return
 	}
 	for i := range x.tries {
-		t := &x.tries[i]
-		e.Log.Info("relay: An attempt has ended.", zap.String("request", x.r.ID), zap.Int("attempt", i+1), zap.String("endpoint", t.Endpoint),
-			zap.String("version", t.Version), zap.String("model", t.Model), zap.String("why", string(t.Why)), zap.Int64("load", int64(t.Load)),
-			zap.Time("at", t.At), zap.Int("status", t.Status), zap.Int("confidence", t.Confidence), zap.Int64("headMs", t.Head), zap.Int64("pauseMs", t.Pause), zap.Int("events", t.Events),
-			zap.String("outcome", t.Outcome), faultField(t.Err))
+		e.Log.Info("relay: An attempt has ended.", x.tries[i].fields(x.r.ID, i+1)...)
 	}
 	version := int64(0)
 	if t := e.table.Load(); t != nil {
@@ -195,11 +191,52 @@
 	if x.workspace != nil {
 		workspace = x.workspace.Name
 	}
-	e.Log.Info("relay: A request has ended.", zap.String("request", x.r.ID), zap.String("route", name), zap.String("workspace", workspace),
+	e.Log.Info("relay: A request has ended.", zap.String("request", x.r.ID), zap.String("route", name), zap.Int64("aimMs", x.aim().Milliseconds()), zap.Int64("pauseAimMs", x.pauseAim().Milliseconds()), zap.Int64("headMs", x.headAfter().Milliseconds()), zap.String("workspace", workspace),
 		zap.String("session", x.r.Session), zap.Int("tokensIn", x.r.TokensIn), zap.Int("tokensOut", x.r.TokensOut), zap.Int64("configuration", version), zap.Int64("configurationAgeMs", e.age(now).Milliseconds()),
 		zap.Int("status", code), zap.String("outcome", kind), zap.Int64("waitedMs", x.waited().Milliseconds()), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err))
 }
 
+// fields returns what the log tells of a request's numbered attempt.
+func (t *try) fields(request string, n int) []zap.Field {
+	f := []zap.Field{zap.String("request", request), zap.Int("attempt", n), zap.String("endpoint", t.Endpoint), zap.Bool("far", t.Far),
+		zap.String("version", t.Version), zap.String("model", t.Model), zap.String("why", string(t.Why)), zap.Int64("load", int64(t.Load)),
+		zap.Int("unread", t.Unread), zap.Int64("waitMs", millis(t.Wait)), zap.Int64("readMs", millis(t.Reading)),
+		zap.Time("at", t.At), zap.Int("status", t.Status), zap.Int("confidence", t.Confidence), zap.Int64("headMs", t.Head), zap.Int64("pauseMs", t.Pause), zap.Int("events", t.Events),
+		zap.Int("sentBytes", t.Sent), zap.Int("gotBytes", t.Got), zap.String("outcome", t.Outcome), faultField(t.Err)}
+	if t.Passed == "" {
+		return f
+	}
+	return append(f, zap.String("passed", t.Passed), zap.Int64("costMs", millis(t.Cost)), zap.Int64("passedCostMs", millis(t.PassedCost)))
+}
+
+// millis returns seconds in whole milliseconds.
+func millis(s float64) int64 { return int64(s * 1000) }
+
+// aim returns the time to the head that the route asks for; 0 without a route.
+func (x *run) aim() time.Duration {
+	if x.route == nil {
+		return 0
+	}
+	return time.Duration(x.route.Aim)
+}
+
+// pauseAim returns the longest pause of a stream that the route asks for; 0 for none.
+func (x *run) pauseAim() time.Duration {
+	if x.route == nil {
+		return 0
+	}
+	return time.Duration(x.route.EventAim)
+}
+
+// headAfter returns how long after its arrival here the request's caller was sent a
+// head; -1 ms for never.
+func (x *run) headAfter() time.Duration {
+	if x.headAt.IsZero() {
+		return -time.Millisecond
+	}
+	return x.headAt.Sub(x.r.Arrived)
+}
+
 // waited returns how long the caller had waited when its request arrived.
 func (x *run) waited() time.Duration {
 	if x.asked.IsZero() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	fleet    *peers.Fleet
 	asker    *peers.Asker
 	notes    *peers.Notes
+	traffic  peers.Traffic
 	bodies   *bodies
 	// self is this router's registration.
 	self peers.Peer
@@ -77,6 +79,7 @@
 	r.self = peers.Peer{Name: s.VM, Addr: s.Peers, Token: proc.NewID() + proc.NewID()}
 	r.asker = peers.NewAsker(log, r.fleet, r.mirror, w.ConfigKind, w.ConfigKind, w.TrialKind, w.EndpointKind, w.RouterKind)
 	r.asker.Members = w.RouterKind
+	w.OnStoreCall(r.storeCalled)
 	r.Engine.Proven = func() time.Time { return r.mirror.Proven(w.ConfigKind) }
 	r.Engine.Listed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
 	r.Engine.Routers = r.fleet.Len
@@ -90,6 +93,7 @@
 		return nil, err
 	}
 	r.notes = notes
+	r.notes.Traffic, r.asker.Traffic = &r.traffic, &r.traffic
 	notes.OnReport, r.Engine.TellReport = r.Engine.HeardReport, notes.SendReport
 	r.Engine.Tell = func(w relay.Word) { notes.Send(peers.Note{Endpoint: w.Endpoint, Busy: w.Busy, Failed: w.Failed}) }
 	return r, nil
@@ -114,6 +118,13 @@
 	return nil
 }
 
+// storeCalled tells of a call to the store: each is priced.
+func (r *Router) storeCalled(c StoreCall) {
+	r.Log.Info("store: A call has ended.", zap.String("verb", string(c.Verb)), zap.String("kind", c.Kind), zap.Int("status", c.Status),
+		zap.Int64("tookMs", c.Ended.Sub(c.Sent).Milliseconds()))
+	r.admin.Scope.Tagged(map[string]string{"verb": string(c.Verb), "kind": c.Kind, "status": strconv.Itoa(c.Status)}).Counter("store_calls").Inc(1)
+}
+
 // memoryKept is the part of the memory, in hundredths, from which on the
 // collector works harder; the rest is for what the kernel holds of connections.
 const memoryKept = 70
@@ -147,7 +158,10 @@
 	r.tasks.Go(ctx, "notes", r.notes.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
-	shared := &http.Server{Handler: peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, r.self.Token), ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
+	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, r.self.Token)
+	answers.Traffic = &r.traffic
+	r.tasks.Go(ctx, "traffic", func(ctx context.Context) error { return r.traffic.Run(ctx, r.Log) })
+	shared := &http.Server{Handler: answers, ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
 	r.tasks.Go(ctx, "answers to peers", func(context.Context) error { return shared.Serve(r.peer) })
 	readiness := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady}
 	r.tasks.Go(ctx, "readiness", func(context.Context) error { return readiness.Serve(r.ready) })
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -41,4 +41,28 @@
 	Send relay.Send
 	// ReadyPath is where the balancer asks.
 	ReadyPath string
+	// OnStoreCall sets what is called for each call to the store that has ended.
+	OnStoreCall func(fn func(StoreCall))
 }
+
+// StoreCall is a call to the store that has ended.
+type StoreCall struct {
+	Verb StoreVerb
+	// Kind is the kind of the objects.
+	Kind string
+	// Status is that of the answer; 0 for none.
+	Status      int
+	Sent, Ended time.Time
+}
+
+// StoreVerb is what a call to the store does.
+type StoreVerb string
+
+// The calls. A list takes one call for each page.
+const (
+	StoreList    StoreVerb = "list"
+	StoreWatch   StoreVerb = "watch"
+	StoreCreate  StoreVerb = "create"
+	StoreReplace StoreVerb = "replace"
+	StoreRemove  StoreVerb = "remove"
+)
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -41,6 +41,9 @@
 	Once bool
 	// Draw is a random number.
 	Draw uint64
+	// Passed is set by Pick: the endpoint that most likely holds the prefix, where
+	// it cost too much; nil otherwise.
+	Passed *Endpoint
 }
 
 // HeldValue is what a token of a shared part in memory is worth beyond the time to
@@ -84,6 +87,7 @@
 
 // Pick returns an endpoint for a request, and why; nil if there is none.
 func (b *Book) Pick(now time.Time, w *Want) (*Endpoint, Reason) {
+	w.Passed = nil
 	var buf, homeBuf [scanMost]*Endpoint
 	list := b.byService[w.Service]
 	w.one = w.first(list, now)
@@ -103,9 +107,11 @@
 	limit := meanCost(open, now, w.Zone) + overload
 	best := least(home, now, w)
 	if w.Affinity != 0 {
-		if p := holder(open, now, w, min(limit, best.cost(now, w.Zone))+w.Bonus); p != nil {
+		p, passed := holder(open, now, w, min(limit, best.cost(now, w.Zone))+w.Bonus)
+		if p != nil {
 			return p, ByAffinity
 		}
+		w.Passed = passed
 	}
 	if w.apart(list, home, open) && best.cost(now, w.Zone) <= limit {
 		return best, ByHome
@@ -246,9 +252,9 @@
 }
 
 // holder returns the endpoint that most likely holds the prefix, by rendezvous
-// hash, if its cost is within the limit; else the second one, or nil.
-func holder(list []*Endpoint, now time.Time, w *Want, limit float64) *Endpoint {
-	var first, second *Endpoint
+// hash, if its cost is within the limit; else the second one, or nil with the first.
+func holder(list []*Endpoint, now time.Time, w *Want, limit float64) (p, first *Endpoint) {
+	var second *Endpoint
 	var most, next uint64
 	for _, p := range list {
 		h := mixer.Mix(w.Affinity ^ p.hash)
@@ -261,12 +267,12 @@
 		}
 	}
 	if first.cost(now, w.Zone) <= limit {
-		return first
+		return first, first
 	}
 	if second != nil && second.cost(now, w.Zone) <= limit {
-		return second
+		return second, first
 	}
-	return nil
+	return nil, first
 }
 
 // two returns the less loaded of two endpoints drawn at random.
@@ -281,6 +287,9 @@
 	return a
 }
 
+// Cost says how bad an endpoint is for a request from an availability zone.
+func (p *Endpoint) Cost(now time.Time, zone string) float64 { return p.cost(now, zone) }
+
 // cost says how bad an endpoint is for a request: its load in shares of its
 // slots, a second of expected wait counting as much as all of them.
 func (p *Endpoint) cost(now time.Time, zone string) float64 {
