--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -22,14 +22,22 @@
 
 // Source is where objects are read. Its functions are seams.
 type Source struct {
-	// List returns all objects of a kind as they were at a revision.
-	List func(ctx context.Context, kind string) ([]Object, int64, error)
+	// Page returns the objects of a kind that come after a name, or the first ones, with
+	// the store's revision, and whether there are more.
+	Page func(ctx context.Context, kind, after string) (Page, error)
 	// Watch returns the changes after a revision and the revision they lead
 	// to, as soon as there are any, or none at the time until. The error is
 	// ErrHistory if they are not known any more.
 	Watch func(ctx context.Context, kind string, since int64, until time.Time) ([]Change, int64, error)
 }
 
+// Page is a part of a list.
+type Page struct {
+	Objects  []Object
+	Revision int64
+	More     bool
+}
+
 // Follower keeps the copy of one kind in step with the store. Its fields are set
 // before Run.
 type Follower struct {
@@ -45,7 +53,14 @@
 	// Turn returns when the store should be asked, and false if ctx was done
 	// first; nil for always.
 	Turn func(ctx context.Context) bool
-
+	// Patient reports whether others try a store that is lost more often than this
+	// router and will tell it of its return; nil for no.
+	Patient func() bool
+
+	// read holds the pages of a list that were read so far, and at when the first was
+	// asked for: a page that fails is asked for again, not the whole list.
+	read []Page
+	at   time.Time
 	// again says that the history was lost, so that all is read again.
 	again bool
 	// lostAt is when the store was heard of last before it was lost; zero while
@@ -69,6 +84,13 @@
 	// double.
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
+	// patientFirst and patientMost do so where others try more often: each call is priced
+	// also while the store is down, and the others' word takes less than half a second.
+	patientFirst = 400 * time.Millisecond
+	patientMost  = 4 * time.Second
+	// pagesFor is how long pages that were read are kept: the history that brings them up
+	// to date goes back 20 s on the users' stores, and may be shorter.
+	pagesFor = 10 * time.Second
 )
 
 // Run follows until ctx is done.
@@ -131,21 +153,51 @@
 	return nil
 }
 
+// list reads the pages of a kind that are left. What changes meanwhile comes again with the
+// first watch, as the revision is the first page's.
 func (f *Follower) list(ctx context.Context, sent time.Time) error {
-	ctx, cancel := context.WithDeadline(ctx, sent.Add(callWithin))
-	defer cancel()
-	objects, revision, err := f.Source.List(ctx, f.Kind)
-	if err != nil {
-		return err
+	if f.read == nil || sent.Sub(f.at) > pagesFor {
+		f.read, f.at = nil, sent
+	}
+	for {
+		page, err := f.page(ctx)
+		if err != nil {
+			return err
+		}
+		f.read = append(f.read, page)
+		if !page.More || len(page.Objects) == 0 {
+			break
+		}
+		if !f.again && f.Mirror.Revision(f.Kind) >= 0 {
+			// A peer was quicker.
+			f.read = nil
+			return nil
+		}
 	}
 	f.returned(time.Now())
-	f.Mirror.List(f.Kind, objects, revision, sent, f.lapsesAt)
-	f.Log.Info("mirror: All of a kind was read.", zap.String("kind", f.Kind), zap.Int64("revision", revision), zap.Int("objects", len(objects)),
-		zap.Bool("historyLost", f.again), zap.Int64("tookMs", time.Since(sent).Milliseconds()))
-	f.again = false
+	var objects []Object
+	for _, p := range f.read {
+		objects = append(objects, p.Objects...)
+	}
+	f.Mirror.List(f.Kind, objects, f.read[0].Revision, f.at, f.lapsesAt)
+	f.Log.Info("mirror: All of a kind was read.", zap.String("kind", f.Kind), zap.Int64("revision", f.read[0].Revision), zap.Int("objects", len(objects)),
+		zap.Int("pages", len(f.read)), zap.Bool("historyLost", f.again), zap.Int64("tookMs", time.Since(f.at).Milliseconds()))
+	f.again, f.read = false, nil
 	return nil
 }
 
+// page reads the next page.
+func (f *Follower) page(ctx context.Context) (Page, error) {
+	after := ""
+	if n := len(f.read); n > 0 {
+		last := f.read[n-1].Objects
+		after = last[len(last)-1].Name
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(callWithin))
+	defer cancel()
+	return f.Source.Page(ctx, f.Kind, after)
+}
+
 // returned sets when lapsed entries count as gone, on the first answer after an
 // outage.
 func (f *Follower) returned(now time.Time) {
@@ -175,5 +227,8 @@
 // pause returns the pause after a failed call.
 func (f *Follower) pause() time.Duration {
 	d := min(pauseMost, pauseFirst<<min(f.failures, 8))
+	if f.Patient != nil && f.Patient() {
+		d = min(patientMost, patientFirst<<min(f.failures, 8))
+	}
 	return d/2 + time.Duration(rand.Int64N(int64(d)))/2
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -147,16 +147,22 @@
 
 // advance notes up to where the copy goes; mu is held.
 func (m *Mirror) advance(c *copied, revision int64, at time.Time) {
+	returned := false
 	if at.After(c.provenAt) && revision >= c.revision {
+		returned = at.Sub(c.provenAt) > provenGap
 		c.provenAt = at
 	}
-	if revision > c.revision {
+	if revision > c.revision || returned {
 		c.revision = revision
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
 }
 
+// provenGap is how much newer a proof is that is told at once to those who wait for one: it
+// follows a time without word of the store.
+const provenGap = time.Second
+
 // Delta is what a copy of one kind lacks.
 type Delta struct {
 	Revision int64
@@ -213,6 +219,26 @@
 	}
 }
 
+// AwaitProof returns when the copy of a kind was proven to be the newest after a time, at the
+// time until, or when ctx is done.
+func (m *Mirror) AwaitProof(ctx context.Context, kind string, after, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		changed, proven := m.changed, m.kinds[kind].provenAt.After(after)
+		m.mu.Unlock()
+		if proven {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // lacking reports whether a copy up to a revision lacks a change, not only a
 // newer revision of other kinds.
 func (c *copied) lacking(revision int64) bool {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -153,7 +153,9 @@
 	var got []Change
 	m.OnChange = func(_ string, c Change) { got = append(got, c) }
 	f := Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", Wait: config.Span(time.Millisecond), Source: Source{
-		List: func(context.Context, string) ([]Object, int64, error) { return []Object{object("a", 1)}, 1, nil },
+		Page: func(context.Context, string, string) (Page, error) {
+			return Page{Objects: []Object{object("a", 1)}, Revision: 1}, nil
+		},
 		Watch: func(context.Context, string, int64, time.Time) ([]Change, int64, error) {
 			return []Change{{Object: Object{Name: "a", Revision: 2}, Gone: true}}, 2, nil
 		},
@@ -176,7 +178,7 @@
 	const wait = 700 * time.Millisecond
 	var waits []time.Duration
 	f := Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k", Wait: config.Span(wait), Source: Source{
-		List: func(context.Context, string) ([]Object, int64, error) { return nil, 1, nil },
+		Page: func(context.Context, string, string) (Page, error) { return Page{Revision: 1}, nil },
 		Watch: func(_ context.Context, _ string, _ int64, until time.Time) ([]Change, int64, error) {
 			waits = append(waits, time.Until(until))
 			return nil, 1, nil
@@ -214,11 +216,11 @@
 	lists := 0
 	ctx, cancel := context.WithCancel(context.Background())
 	f := Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", Source: Source{
-		List: func(context.Context, string) ([]Object, int64, error) {
+		Page: func(context.Context, string, string) (Page, error) {
 			if lists++; lists == 2 {
 				cancel()
 			}
-			return nil, int64(lists), nil
+			return Page{Revision: int64(lists)}, nil
 		},
 		Watch: func(context.Context, string, int64, time.Time) ([]Change, int64, error) { return nil, 0, ErrHistory },
 	}}
@@ -226,3 +228,61 @@
 		t.Errorf("got %d lists, %v; want 2", lists, err)
 	}
 }
+
+// A list of many pages under a store that answers two calls in three: each page is asked for
+// until it is there, and none twice.
+func TestListGoesOnWhereItStopped(t *testing.T) {
+	m := New("k")
+	var asked []string
+	calls := 0
+	f := Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", Source: Source{
+		Page: func(_ context.Context, _, after string) (Page, error) {
+			if calls++; calls%3 == 0 {
+				return Page{}, errDown
+			}
+			asked = append(asked, after)
+			n := len(asked)
+			return Page{Objects: []Object{object(fmt.Sprint("o", n), int64(n))}, Revision: int64(10 * n), More: n < 5}, nil
+		},
+	}}
+	steps := 0
+	for m.Revision("k") < 0 && steps < 10 {
+		steps++
+		_ = f.step(context.Background(), time.Now())
+	}
+	if got, want := fmt.Sprint(asked), "[ o1 o2 o3 o4]"; got != want || steps != 3 {
+		t.Errorf("pages: got those after %s in %d steps, want %s in 3", got, steps, want)
+	}
+	d, _ := m.Since("k", -1)
+	if len(d.Changes) != 5 || d.Revision != 10 {
+		t.Errorf("copy: got %d objects at %d, want 5 at the first page's revision, 10", len(d.Changes), d.Revision)
+	}
+}
+
+// While others try a lost store, this router tries seldom.
+func TestPatientRouterTriesSeldom(t *testing.T) {
+	patient := true
+	f := Follower{Patient: func() bool { return patient }, failures: 9}
+	for range 20 {
+		if got := f.pause(); got < patientMost/2 || got > patientMost {
+			t.Fatalf("pause: got %v, want %v to %v", got, patientMost/2, patientMost)
+		}
+	}
+	patient = false
+	if got := f.pause(); got > pauseMost {
+		t.Errorf("pause where nobody else tries: got %v, want at most %v", got, pauseMost)
+	}
+}
+
+// Who waits for word of the store is told when it is back, though nothing has changed.
+func TestAwaitProof(*testing.T) {
+	m := New("k")
+	m.List("k", nil, 1, t0, time.Time{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		m.AwaitProof(context.Background(), "k", t0.Add(time.Second), time.Now().Add(time.Minute))
+	}()
+	m.Apply("k", nil, 1, t0.Add(3*time.Second))
+	<-ended
+}
--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,13 +39,16 @@
 	HTTP    *http.Client
 	// Traffic counts the questions; set before Run.
 	Traffic *Traffic
-	// Members is the kind of the routers' registrations; empty for none.
-	Members string
-	// registersUntil is until when a starting router waits to be registered,
-	// before it asks the store for more than the first lists.
-	registersUntil time.Time
+	// mu guards readsAt, which is when a starting router reads all from the store itself,
+	// if no peer told it until then; it only grows, up to readsBy.
+	mu               sync.Mutex
+	readsAt, readsBy time.Time
+	// introduced says that the store told of some peers; it never goes back.
+	introduced atomic.Bool
 	// direct says that no peer answered well, so that the store is asked.
 	direct atomic.Bool
+	// sweep is how many peers are asked before the store is; see askNext.
+	sweep int
 }
 
 const (
@@ -52,6 +56,9 @@
 	askWait = config.Span(500 * time.Millisecond)
 	// askWithin bounds a question beyond that.
 	askWithin = 400 * time.Millisecond
+	// listWithin does so for a starting router: at 3,000 endpoints a whole list has 200
+	// KB, which the slowest links take 0.2 s for, and an asker sends it to dozens.
+	listWithin = 1500 * time.Millisecond
 	// agedAfter is how old a peer's copy may be for it to count as well
 	// informed: a peer that asks the store has one of at most 1 s, and a
 	// configuration has to be in force 2 s after it was accepted, also where
@@ -65,15 +72,21 @@
 	// again.
 	idle        = config.Span(100 * time.Millisecond)
 	directAgain = config.Span(time.Second)
-	// firstReadWithin is how long a starting router leaves the first read to
-	// the store before it asks peers for all: whole lists are long, and the few
-	// routers that are asked would send them to everybody.
-	firstReadWithin = config.Span(700 * time.Millisecond)
-	// registerWithin bounds how long a starting router waits to be registered: a
-	// slow store takes up to half a second for it.
-	registerWithin = config.Span(1500 * time.Millisecond)
+	// readsAfter is how long a starting router waits for peers to tell it all before it
+	// reads it from the store itself, and readsSpread the time over which routers that
+	// start together do so: few read the store, so that its rate and its link bear a start
+	// of 300 routers before 3,000 endpoints.
+	readsAfter  = config.Span(800 * time.Millisecond)
+	readsSpread = 700 * time.Millisecond
+	// readsWithin is how long it waits for peers that answer but do not know all yet: the
+	// first ones read 3,000 endpoints in pages of 50 in 0.5 s, or 4 s from a slow store.
+	readsWithin = config.Span(5 * time.Second)
 	// startPoll is how often it looks whether all was read.
 	startPoll = config.Span(10 * time.Millisecond)
+	// sweepMost is how many peers an ill informed router asks at once for what they know.
+	// It asks half as many the next time, and waits at the first ones in between: where
+	// all routers lost the store, all would ask all.
+	sweepMost = 8
 	// turnPoll is how often a follower looks whether it is its turn.
 	turnPoll = config.Span(50 * time.Millisecond)
 	// answerMost bounds an answer, in bytes.
@@ -82,75 +95,128 @@
 
 // NewAsker returns an asker that has found no peer yet.
 func NewAsker(log *zap.Logger, f *Fleet, m *mirror.Mirror, watched string, kinds ...string) *Asker {
-	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, Traffic: &Traffic{}, registersUntil: registerWithin.After(time.Now()), HTTP: &http.Client{Transport: &http.Transport{
+	return &Asker{Log: log, Fleet: f, Mirror: m, Kinds: kinds, Watched: watched, Traffic: &Traffic{}, sweep: sweepMost, readsAt: readsAfter.After(time.Now()).Add(rand.N(readsSpread)), readsBy: readsWithin.After(time.Now()), HTTP: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 	}}}
 }
 
-// Turn waits until the store should be asked for a kind; it returns false if ctx
-// was done first. A starting router reads all from the store itself: after all
-// were killed, the registered peers are as new as it is. While the store is not
-// heard of, one kind alone is tried: each call is priced, also to a store that is
-// down. While it is being registered, it asks for the registrations alone.
+// Turn waits until the store should be asked for a kind; it returns false if ctx was
+// done first. While the store is not heard of, one kind alone is tried: each call is
+// priced, also to a store that is down.
 func (a *Asker) Turn(ctx context.Context, kind string) bool {
 	for ctx.Err() == nil {
 		now := time.Now()
-		if a.Mirror.Revision(kind) >= 0 && a.registering(now) && kind != a.Members {
-			tasks.Pause(ctx, startPoll.After(now))
-			continue
-		}
-		heard := kind == a.Watched || now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
-		if heard && (a.Mirror.Revision(kind) < 0 || a.direct.Load() || a.Fleet.Asker(now)) {
+		if a.may(kind, now) {
 			return true
 		}
-		tasks.Pause(ctx, turnPoll.After(now))
+		poll := turnPoll
+		if !a.listed() {
+			poll = startPoll
+		}
+		tasks.Pause(ctx, poll.After(now))
 	}
 	return false
 }
 
-// registering reports whether this router will be registered soon: then it learns
-// from the registrations whether the store is left to others.
-func (a *Asker) registering(now time.Time) bool {
-	return a.Members != "" && now.Before(a.registersUntil) && !a.Fleet.Registered()
+// may reports whether the store should be asked for a kind now. Of routers that start, the
+// first ones of the peers they know of read the store, and the others ask these.
+func (a *Asker) may(kind string, now time.Time) bool {
+	switch {
+	case a.Mirror.Revision(kind) >= 0:
+		heard := kind == a.Watched || now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
+		return heard && (a.direct.Load() || a.Fleet.Asker(now))
+	case a.introduced.Load():
+		return a.Fleet.First() || a.waited(now)
+	default:
+		return kind == a.Watched && a.waited(now)
+	}
+}
+
+// postpone lets a starting router wait longer for peers that answer, though they do not know
+// all yet: they are reading it.
+func (a *Asker) postpone(now time.Time) {
+	if a.listed() {
+		return
+	}
+	at := readsAfter.After(now).Add(rand.N(readsSpread))
+	if at.After(a.readsBy) {
+		at = a.readsBy
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at.After(a.readsAt) {
+		a.readsAt = at
+	}
+}
+
+// waited reports whether a starting router has waited for peers long enough.
+func (a *Asker) waited(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.After(a.readsAt)
 }
 
+// Introduce notes that the store told of the peers that it knows, or of some of them.
+func (a *Asker) Introduce() { a.introduced.Store(true) }
+
+// Patient reports whether others try a store that is lost more often than this router.
+func (a *Asker) Patient() bool { return a.Fleet.Len() > askersLeast && !a.Fleet.First() }
+
 // Run asks peers until ctx is done: always if the store is not asked, and when
 // the store leaves this router without word.
 func (a *Asker) Run(ctx context.Context) error {
 	primary := xxhash.Sum64String(a.Fleet.self)
-	firstRead := firstReadWithin.After(time.Now())
 	for ctx.Err() == nil {
 		now := time.Now()
-		if !a.listed() && now.Before(firstRead) {
-			tasks.Pause(ctx, startPoll.After(now))
-			continue
-		}
 		informed := now.Sub(a.Mirror.Proven(a.Watched)) <= time.Duration(agedAfter)
-		if a.Fleet.Asker(now) && informed {
+		switch {
+		case !a.listed() && (!a.introduced.Load() || a.Fleet.First()):
+			tasks.Pause(ctx, startPoll.After(now))
+		case a.Fleet.Asker(now) && informed:
 			tasks.Pause(ctx, idle.After(now))
-			continue
+		default:
+			a.askNext(ctx, primary, informed)
 		}
-		a.askNext(ctx, primary, informed)
 	}
 	return nil
 }
 
-// askNext asks the next peer, and turns to the store when none is left.
+// askNext asks the first peers. If they are ill informed as well, it asks some others at
+// once, turns to the store, and waits at the first ones for word that it is back.
 func (a *Asker) askNext(ctx context.Context, primary uint64, informed bool) {
-	now := time.Now()
-	p, ok := a.Fleet.Next(now, primary, false)
-	if !ok || !informed {
-		p, ok = a.Fleet.Next(now, rand.Uint64(), true)
-	}
-	if ok && a.ask(ctx, p, informed) {
-		a.set(false, p.Name)
+	if p, ok := a.Fleet.Next(time.Now(), primary, false); ok && a.ask(ctx, p, informed || !a.listed()) {
+		a.informed(p.Name)
 		return
 	}
-	if _, more := a.Fleet.Next(time.Now(), primary, false); ctx.Err() != nil || more && !a.direct.Load() {
+	last := ""
+	for range a.sweep {
+		p, ok := a.Fleet.Next(time.Now(), rand.Uint64(), true)
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		if last = p.Name; a.ask(ctx, p, false) {
+			a.informed(p.Name)
+			return
+		}
+	}
+	a.sweep = max(a.sweep/2, 1)
+	a.set(true, last)
+	until := directAgain.After(time.Now())
+	for time.Now().Before(until) && ctx.Err() == nil {
+		p, ok := a.Fleet.Leader(primary)
+		if !ok || !a.await(ctx, p) {
+			tasks.Pause(ctx, idle.After(time.Now()))
+			continue
+		}
+		a.informed(p.Name)
 		return
 	}
-	a.set(true, p.Name)
-	tasks.Pause(ctx, directAgain.After(time.Now()))
+}
+
+// informed notes that a peer answered well.
+func (a *Asker) informed(peer string) {
+	a.sweep = sweepMost
+	a.set(false, peer)
 }
 
 // listed reports whether every kind was read once.
@@ -179,7 +245,19 @@
 	if hold {
 		until = askWait.After(sent)
 	}
-	got, err := a.call(ctx, p, sent, until)
+	return a.exchange(ctx, p, question{WaitMs: until.Sub(sent).Milliseconds()}, sent)
+}
+
+// await asks a peer that may be ill informed to answer as soon as it is not, and reports
+// whether it is well informed.
+func (a *Asker) await(ctx context.Context, p Peer) bool {
+	sent := time.Now()
+	return a.exchange(ctx, p, question{WaitMs: askWait.After(sent).Sub(sent).Milliseconds(), Proof: true}, sent)
+}
+
+// exchange asks one peer, takes over its answer, and reports whether it was well informed.
+func (a *Asker) exchange(ctx context.Context, p Peer, q question, sent time.Time) bool {
+	got, err := a.call(ctx, p, &q, sent)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.Fleet.Fail(p.Name, time.Now())
@@ -187,6 +265,13 @@
 		}
 		return false
 	}
+	a.postpone(time.Now())
+	return a.take(p, got, sent)
+}
+
+// take takes over a peer's answer to a question that was sent then, and reports whether the
+// peer was well informed.
+func (a *Asker) take(p Peer, got *answer, sent time.Time) bool {
 	now := time.Now()
 	for _, kind := range a.Kinds {
 		k, ok := got.Kinds[kind]
@@ -203,6 +288,7 @@
 		// was sent.
 		at := sent.Add(time.Duration(got.HeldMs-k.AgeMs) * time.Millisecond)
 		if k.Whole {
+			a.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Int64("revision", k.Revision), zap.Int("objects", len(changes)))
 			a.Mirror.List(kind, objects(changes), k.Revision, at, time.Time{})
 		} else {
 			a.Mirror.Apply(kind, changes, k.Revision, at)
@@ -217,6 +303,14 @@
 	return true
 }
 
+// within bounds a question beyond the time that it is held: a whole list takes longer.
+func (a *Asker) within() time.Duration {
+	if a.listed() {
+		return askWithin
+	}
+	return listWithin
+}
+
 func objects(changes []mirror.Change) []mirror.Object {
 	list := make([]mirror.Object, 0, len(changes))
 	for _, c := range changes {
@@ -225,9 +319,9 @@
 	return list
 }
 
-// call asks one peer, which may hold the question until a time.
-func (a *Asker) call(ctx context.Context, p Peer, now, until time.Time) (*answer, error) {
-	q := question{Have: make(map[string]int64), WaitMs: until.Sub(now).Milliseconds()}
+// call asks one peer.
+func (a *Asker) call(ctx context.Context, p Peer, q *question, sent time.Time) (*answer, error) {
+	q.Have, q.Packs = make(map[string]int64), true
 	for _, k := range a.Kinds {
 		q.Have[k] = a.Mirror.Revision(k)
 	}
@@ -235,7 +329,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	ctx, cancel := context.WithDeadline(ctx, until.Add(askWithin))
+	ctx, cancel := context.WithDeadline(ctx, sent.Add(time.Duration(q.WaitMs)*time.Millisecond+a.within()))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr.String()+path, bytes.NewReader(text))
 	if err != nil {
@@ -251,9 +345,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("peers: status %d", resp.StatusCode)
 	}
-	var got answer
-	if err := json.NewDecoder(io.LimitReader(resp.Body, answerMost)).Decode(&got); err != nil {
-		return nil, errors.Wrap(err, "peers")
-	}
-	return &got, nil
+	return readAnswer(io.LimitReader(resp.Body, answerMost))
 }
--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,9 +17,10 @@
 type Fleet struct {
 	self string
 	mu   sync.Mutex
-	// ranked holds the registered routers, this one too, in an order that is
-	// the same everywhere.
-	ranked []Peer
+	// byName holds the registered routers, this one too.
+	byName map[string]Peer
+	// order holds them by rank; nil after a change. See rank.
+	order []Peer
 	// shunned holds until when a peer that did not answer well is not asked.
 	shunned map[string]time.Time
 	// leaving says that this router stops and leaves the store to the others.
@@ -50,18 +52,15 @@
 
 // NewFleet returns a fleet of one.
 func NewFleet(self string) *Fleet {
-	return &Fleet{self: self, shunned: make(map[string]time.Time), silent: make(map[string]time.Time)}
+	return &Fleet{self: self, byName: make(map[string]Peer), shunned: make(map[string]time.Time), silent: make(map[string]time.Time)}
 }
 
 // Put takes over a registered router.
 func (f *Fleet) Put(p Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.remove(p.Name)
-	f.ranked = append(f.ranked, p)
-	slices.SortFunc(f.ranked, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
-	})
+	f.byName[p.Name] = p
+	f.order = nil
 	delete(f.shunned, p.Name)
 	delete(f.silent, p.Name)
 }
@@ -70,25 +69,52 @@
 func (f *Fleet) Remove(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.remove(name)
+	delete(f.byName, name)
+	f.order = nil
 }
 
-func (f *Fleet) remove(name string) {
-	f.ranked = slices.DeleteFunc(f.ranked, func(p Peer) bool { return p.Name == name })
+// ranked returns the routers by rank; mu is held.
+func (f *Fleet) ranked() []Peer {
+	if f.order == nil {
+		f.order = rank(slices.Collect(maps.Values(f.byName)))
+	}
+	return f.order
+}
+
+// rank orders routers, the same way everywhere: first the most able one of each
+// availability zone, then the second of each, so that the few that read the store and
+// answer the others are spread over the zones, on the VMs that bear it best.
+func rank(list []Peer) []Peer {
+	hash := make(map[string]uint64, len(list))
+	for _, p := range list {
+		hash[p.Name] = xxhash.Sum64String(p.Name)
+	}
+	byHash := func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(hash[a.Name], hash[b.Name]), cmp.Compare(a.Name, b.Name))
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Or(cmp.Compare(b.Ability, a.Ability), byHash(a, b)) })
+	inZone, place := make(map[string]int), make(map[string]int, len(list))
+	for _, p := range list {
+		place[p.Name] = inZone[p.Zone]
+		inZone[p.Zone]++
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Or(cmp.Compare(place[a.Name], place[b.Name]), byHash(a, b)) })
+	return list
 }
 
 // Len returns how many routers are registered.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.ranked)
+	return len(f.byName)
 }
 
 // Registered reports whether this router is among the registered ones.
 func (f *Fleet) Registered() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.ranked, func(p Peer) bool { return p.Name == f.self })
+	_, ok := f.byName[f.self]
+	return ok
 }
 
 // Asker reports whether this router is one of those that ask the store for all.
@@ -96,18 +122,38 @@
 func (f *Fleet) Asker(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rank := 0
-	for _, p := range f.ranked {
+	rank, ok := f.rankOf(now)
+	if ok {
+		return rank < askers(len(f.byName))
+	}
+	return !f.leaving || rank == 0
+}
+
+// rankOf returns how many others that are not shunned come before this router, or if it
+// is not registered, how many there are; mu is held.
+func (f *Fleet) rankOf(now time.Time) (rank int, registered bool) {
+	for _, p := range f.ranked() {
 		if p.Name == f.self {
-			return rank < askers(len(f.ranked))
+			return rank, true
 		}
 		if now.After(f.shunned[p.Name]) {
 			rank++
 		}
 	}
-	return !f.leaving || rank == 0
+	return rank, false
+}
+
+// First reports whether this router is one of the first, whatever became of the others.
+func (f *Fleet) First() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rank, ok := f.rankOf(farFuture)
+	return ok && rank < askers(len(f.byName))
 }
 
+// farFuture is when nobody is shunned any more.
+var farFuture = time.Unix(1<<40, 0)
+
 // Leave notes that this router stops.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -115,19 +161,24 @@
 	f.leaving = true
 }
 
-// Next returns the peer to ask: one of the first that answered well; draw spreads
-// the load over them. ok is false if there is none. From all, any peer is meant.
+// Next returns the peer to ask: of the first that answered well one in the own
+// availability zone, if there is one; draw spreads the load over them. ok is false if
+// there is none. From all, any peer is meant.
 func (f *Fleet) Next(now time.Time, draw uint64, all bool) (p Peer, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var open []Peer
-	for _, q := range f.ranked {
+	most := askers(len(f.byName))
+	for _, q := range f.ranked() {
+		if !all && len(open) >= most {
+			break
+		}
 		if q.Name != f.self && now.After(f.shunned[q.Name]) {
 			open = append(open, q)
 		}
 	}
 	if !all {
-		open = open[:min(askers(len(f.ranked)), len(open))]
+		open = f.near(open)
 	}
 	if len(open) == 0 {
 		return Peer{}, false
@@ -135,6 +186,42 @@
 	return open[draw%uint64(len(open))], true
 }
 
+// Leader returns one of the first routers, whatever became of it; draw spreads the load over
+// them. ok is false if there is none but this one.
+func (f *Fleet) Leader(draw uint64) (p Peer, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Peer
+	for _, q := range f.ranked() {
+		if len(list) < askers(len(f.byName)) && q.Name != f.self {
+			list = append(list, q)
+		}
+	}
+	if len(list) == 0 {
+		return Peer{}, false
+	}
+	return list[draw%uint64(len(list))], true
+}
+
+// near returns those of a list that are in this router's availability zone; the whole list
+// if there are none, or if that zone is not known. mu is held.
+func (f *Fleet) near(list []Peer) []Peer {
+	zone := f.byName[f.self].Zone
+	if zone == "" {
+		return list
+	}
+	var near []Peer
+	for _, p := range list {
+		if p.Zone == zone {
+			near = append(near, p)
+		}
+	}
+	if len(near) == 0 {
+		return list
+	}
+	return near
+}
+
 // Shun leaves a peer alone for a while that was ill informed.
 func (f *Fleet) Shun(name string, now time.Time) {
 	f.mu.Lock()
@@ -167,7 +254,7 @@
 func (f *Fleet) Gone(now time.Time) (gone []Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, p := range f.ranked {
+	for _, p := range f.ranked() {
 		if since := f.silent[p.Name]; !since.IsZero() && now.Sub(since) > goneAfter {
 			gone = append(gone, p)
 		}
--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -39,7 +39,8 @@
 	Log   *zap.Logger
 	fleet *Fleet
 	conn  *net.UDPConn
-	token [tokenBytes]byte
+	// secret is what notes to this router begin with.
+	secret *Secret
 	// OnNote and OnReport are called for each note and each report on a trial that
 	// is heard, by one goroutine; set OnReport before Run.
 	OnNote   func(n Note)
@@ -69,14 +70,12 @@
 )
 
 // NewNotes listens for notes where the router answers its peers.
-func NewNotes(log *zap.Logger, f *Fleet, self Peer, onNote func(Note)) (*Notes, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Addr))
+func NewNotes(log *zap.Logger, f *Fleet, addr netip.AddrPort, secret *Secret, onNote func(Note)) (*Notes, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	n := &Notes{Log: log, fleet: f, conn: conn, OnNote: onNote, OnReport: func(roll.Report) {}, Traffic: &Traffic{}}
-	copy(n.token[:], self.Token)
-	return n, nil
+	return &Notes{Log: log, fleet: f, conn: conn, secret: secret, OnNote: onNote, OnReport: func(roll.Report) {}, Traffic: &Traffic{}}, nil
 }
 
 // Run hears notes until ctx is done.
@@ -92,7 +91,7 @@
 		if err != nil {
 			return errors.Wrap(err, "peers")
 		}
-		if size < bodyAt || [tokenBytes]byte(buf) != n.token {
+		if size < bodyAt || !n.secret.begins(buf[:size]) {
 			continue
 		}
 		n.hear(buf[:size], from.Addr().Unmap())
@@ -169,8 +168,8 @@
 func (f *Fleet) each(zone string, do func(Peer)) {
 	now := time.Now()
 	f.mu.Lock()
-	list := make([]Peer, 0, len(f.ranked))
-	for _, p := range f.ranked {
+	list := make([]Peer, 0, len(f.byName))
+	for _, p := range f.ranked() {
 		if p.Name != f.self && now.After(f.shunned[p.Name]) && (zone == "" || p.Zone == "" || p.Zone == zone) {
 			list = append(list, p)
 		}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/mirror"
@@ -33,12 +34,18 @@
 func serve(t *testing.T, name string) *served {
 	m := mirror.New("config", "k")
 	p := &served{mirror: m, Peer: Peer{Name: name, Token: "token-of-" + name + "-0123456789"}}
-	p.srv = httptest.NewServer(NewServer(zap.NewNop(), m, "config", p.Token))
+	p.srv = httptest.NewServer(NewServer(zap.NewNop(), m, "config", secretOf(p.Token)))
 	t.Cleanup(p.srv.Close)
 	p.Addr = p.srv.Listener.Addr().(*net.TCPAddr).AddrPort()
 	return p
 }
 
+func secretOf(token string) *Secret {
+	var s Secret
+	s.Set(token)
+	return &s
+}
+
 func asker(list ...*served) *Asker {
 	f := NewFleet("self")
 	for _, p := range list {
@@ -202,7 +209,7 @@
 		_ = c.Close()
 		all = append(all, Peer{Name: fmt.Sprint(i), Addr: addr, Token: fmt.Sprintf("%016d-and-more", i)})
 		f := NewFleet(all[i].Name)
-		n, err := NewNotes(zap.NewNop(), f, all[i], func(n Note) { heard <- n })
+		n, err := NewNotes(zap.NewNop(), f, addr, secretOf(all[i].Token), func(n Note) { heard <- n })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -234,49 +241,105 @@
 	}
 }
 
-// A starting router does not wait for peers that may be starting too.
-func TestFirstReadIsTheStores(t *testing.T) {
-	f := NewFleet("self")
+// Of routers that start together the first ones read the store; the others wait for these,
+// but not for ever, and after that leave the store to them.
+func TestFirstRoutersReadTheStore(t *testing.T) {
+	names := []string{"self"}
 	for i := range 9 {
-		f.Put(Peer{Name: fmt.Sprint("p", i)})
+		names = append(names, fmt.Sprint("p", i))
 	}
-	f.Put(Peer{Name: "self"})
-	a := NewAsker(zap.NewNop(), f, mirror.New("config", "k"), "config", "config", "k")
-	ctx, cancel := context.WithCancel(context.Background())
-	if f.Asker(time.Now()) {
-		t.Fatal("self is among the first; the test needs another name")
-	}
-	if !a.Turn(ctx, "config") {
-		t.Error("before the first read: got false, want the store's turn")
+	now := time.Now()
+	first := 0
+	for _, self := range names {
+		f := NewFleet(self)
+		for _, name := range names {
+			f.Put(Peer{Name: name})
+		}
+		a := NewAsker(zap.NewNop(), f, mirror.New("config", "k"), "config", "config", "k")
+		a.Introduce()
+		if f.First() {
+			first++
+			if !a.may("k", now) {
+				t.Errorf("%s, one of the first: got false, want the store's turn", self)
+			}
+			continue
+		}
+		if a.may("k", now) {
+			t.Errorf("%s, not one of the first: got the store's turn, want the peers'", self)
+		}
+		if !a.may("k", now.Add(time.Duration(readsAfter)+readsSpread)) {
+			t.Errorf("%s, told nothing by its peers: got false, want the store's turn", self)
+		}
+		put(a.Mirror, 5, now)
+		if a.may("k", now.Add(time.Second)) {
+			t.Errorf("%s, after its first read: got the store's turn, want the peers'", self)
+		}
 	}
-	put(a.Mirror, 5, time.Now())
-	cancel()
-	if a.Turn(ctx, "k") {
-		t.Error("after the first read: got the store's turn, want the peers'")
+	if first != askersLeast {
+		t.Errorf("routers that read the store: got %d, want %d", first, askersLeast)
 	}
 }
 
-// While it is being registered, a starting router asks for the registrations alone.
-func TestRegisteringRouterLeavesTheStore(t *testing.T) {
+// A router that knows no peers yet leaves the store alone until it was registered, or that
+// takes too long: then it tries one kind.
+func TestRouterThatIsNotIntroducedTriesOneKind(t *testing.T) {
 	a := asker()
-	a.Members = "k"
-	put(a.Mirror, 5, time.Now())
-	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(5*time.Duration(startPoll), cancel)
-	if a.Turn(ctx, "config") {
-		t.Error("not registered yet: got the store's turn, want it to wait")
+	now := time.Now()
+	if a.may("config", now) || a.may("k", now) {
+		t.Error("just started: got the store's turn, want it to register first")
 	}
-	if !a.Turn(context.Background(), "k") {
-		t.Error("registrations: got false, want the store's turn")
+	late := now.Add(time.Duration(readsAfter) + readsSpread)
+	if !a.may("config", late) || a.may("k", late) {
+		t.Errorf("not registered in time: got %v for the watched kind and %v for another, want true and false", a.may("config", late), a.may("k", late))
 	}
 	a.Fleet.Put(Peer{Name: "self"})
-	if !a.Turn(context.Background(), "config") {
-		t.Error("registered, the first: got false, want the store's turn")
+	a.Introduce()
+	if !a.may("k", now) {
+		t.Error("registered, alone: got false, want the store's turn")
 	}
-	a.Fleet.Remove("self")
-	a.registersUntil = time.Now()
-	if !a.Turn(context.Background(), "config") {
-		t.Error("not registered in time: got false, want the store's turn")
+}
+
+// zoned is a fleet of 240 routers in six zones, of which 36 are able, and a router of zone a.
+func zoned() *Fleet {
+	f := NewFleet("a-9")
+	for i := range 240 {
+		zone, ability := string("abcdef"[i%6]), 144
+		if i%40 < 6 {
+			ability = 800
+		}
+		f.Put(Peer{Name: fmt.Sprint(zone, "-", i), Zone: zone, Ability: ability})
+	}
+	f.Put(Peer{Name: "a-9", Zone: "a", Ability: 144})
+	return f
+}
+
+// The few that read the store are the most able ones of each availability zone in turn.
+func TestRanksAreSpreadOverZones(t *testing.T) {
+	zones, able := make(map[string]bool), 0
+	for _, p := range zoned().ranked()[:6] {
+		zones[p.Zone] = true
+		able += p.Ability
+	}
+	if len(zones) != 6 || able != 6*800 {
+		t.Errorf("first six: got zones %v and an ability of %d together, want six zones and %d", zones, able, 6*800)
+	}
+}
+
+// Routers ask the one of their own zone while it answers.
+func TestTheOwnZoneIsAsked(t *testing.T) {
+	f := zoned()
+	for draw := range uint64(20) {
+		if p, ok := f.Next(time.Now(), draw, false); !ok || p.Zone != "a" {
+			t.Fatalf("draw %d: got %v, want one of the own zone", draw, p)
+		}
+	}
+	for _, p := range f.ranked()[:6] {
+		if p.Zone == "a" {
+			f.Shun(p.Name, time.Now())
+		}
+	}
+	if p, ok := f.Next(time.Now(), 1, false); !ok || p.Name == "" {
+		t.Errorf("without the own zone's: got %v, want another", p)
 	}
 }
 
@@ -325,6 +388,7 @@
 // While the store is not heard of, one kind alone is asked for.
 func TestOneKindTriesADeadStore(t *testing.T) {
 	a := asker()
+	a.Introduce()
 	put(a.Mirror, 5, time.Now().Add(-unheardAfter-time.Second))
 	ctx, cancel := context.WithCancel(context.Background())
 	if !a.Turn(ctx, "config") {
@@ -353,6 +417,7 @@
 	put(list[5].mirror, 9, time.Now())
 	a := asker(list...)
 	a.Fleet.Put(Peer{Name: "self"})
+	a.Introduce()
 	put(a.Mirror, 5, time.Now().Add(-time.Minute))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -382,3 +447,65 @@
 		t.Errorf("answer after %v, want about 50 ms", took)
 	}
 }
+
+// All routers lost the store: each asks few others, and waits at the first ones for word that
+// it is back.
+func TestRoutersThatLostTheStoreWaitForWord(t *testing.T) {
+	var list []*served
+	for i := range 12 {
+		p := serve(t, fmt.Sprint("p", i))
+		put(p.mirror, 5, time.Now().Add(-time.Minute))
+		list = append(list, p)
+	}
+	a := asker(list...)
+	a.Fleet.Put(Peer{Name: "self"})
+	a.Introduce()
+	put(a.Mirror, 5, time.Now().Add(-time.Minute))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	for deadline := time.Now().Add(patience); !a.direct.Load() && time.Now().Before(deadline); {
+		tasks.Pause(ctx, time.Now().Add(time.Millisecond))
+	}
+	leader, _ := a.Fleet.Leader(xxhash.Sum64String("self"))
+	for _, p := range list {
+		if p.Name == leader.Name {
+			put(p.mirror, 5, time.Now())
+		}
+	}
+	back := time.Now()
+	for a.direct.Load() && time.Since(back) < patience {
+		tasks.Pause(ctx, time.Now().Add(time.Millisecond))
+	}
+	if took := time.Since(back); took > time.Duration(askWait) {
+		t.Errorf("word that the store is back came after %v, want under %v", took, time.Duration(askWait))
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("asker: %v", err)
+	}
+}
+
+// Whole lists are long where there are many endpoints; changes are not.
+func TestWholeListsAreCompressed(t *testing.T) {
+	p := serve(t, "p")
+	var objects []mirror.Object
+	for i := range 3000 {
+		spec := fmt.Sprintf(`{"service":"s","address":"10.6.64.%d:8580","zone":"zone-a","version":"v1","capacity":24,"state":"ready","sequence":%d}`, i%250, i)
+		objects = append(objects, mirror.Object{Name: fmt.Sprintf("i-%010x", 7919*i), Revision: int64(i + 1), Spec: json.RawMessage(spec)})
+	}
+	p.mirror.List("k", objects, 3000, time.Now(), time.Time{})
+	p.mirror.List("config", nil, 1, time.Now(), time.Time{})
+	var traffic Traffic
+	p.srv.Config.Handler.(*Server).Traffic = &traffic
+	a := asker(p)
+	if !a.ask(context.Background(), p.Peer, false) || a.Mirror.Revision("k") != 3000 {
+		t.Fatalf("revision: got %d, want 3000", a.Mirror.Revision("k"))
+	}
+	if got, _ := a.Mirror.Since("k", -1); len(got.Changes) != 3000 || string(got.Changes[0].Spec) == "" {
+		t.Errorf("objects: got %d, want 3000 with what they specify", len(got.Changes))
+	}
+	if got, most := traffic.Answers.Load(), int64(130_000); got > most {
+		t.Errorf("bytes of the answer: got %d, want at most %d, an eighth of the objects' own", got, most)
+	}
+}
--- /dev/null
+++ b/internal/peers/secret.go
@@ -0,0 +1,28 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"crypto/subtle"
+	"sync/atomic"
+)
+
+// Secret is the token of this router, which its peers have to show. The zero value lets
+// nobody in.
+type Secret struct{ text atomic.Pointer[string] }
+
+// Set changes the token.
+func (s *Secret) Set(token string) { s.text.Store(&token) }
+
+// is reports whether a peer showed the token.
+func (s *Secret) is(shown string) bool {
+	want := s.text.Load()
+	return want != nil && *want != "" && subtle.ConstantTimeCompare([]byte(shown), []byte(*want)) == 1
+}
+
+// begins reports whether a datagram begins with the first bytes of the token.
+func (s *Secret) begins(b []byte) bool {
+	want := s.text.Load()
+	return want != nil && len(*want) >= tokenBytes && len(b) >= tokenBytes && subtle.ConstantTimeCompare(b[:tokenBytes], []byte((*want)[:tokenBytes])) == 1
+}
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -4,9 +4,10 @@
 package peers
 
 import (
-	"crypto/subtle"
+	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,7 +19,7 @@
 type Server struct {
 	Log    *zap.Logger
 	Mirror *mirror.Mirror
-	Token  string
+	Secret *Secret
 	packs  packs
 	// Watched is the kind whose age says how well this router is informed.
 	Watched string
@@ -39,13 +40,13 @@
 )
 
 // NewServer returns a server that answers those who show the token.
-func NewServer(log *zap.Logger, m *mirror.Mirror, watched, token string) *Server {
-	return &Server{Log: log, Mirror: m, Watched: watched, Token: token, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
+func NewServer(log *zap.Logger, m *mirror.Mirror, watched string, secret *Secret) *Server {
+	return &Server{Log: log, Mirror: m, Watched: watched, Secret: secret, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
 }
 
 // ServeHTTP answers one question.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+s.Token)) != 1 {
+	if shown, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); !ok || !s.Secret.is(shown) {
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
@@ -67,22 +68,31 @@
 		return
 	}
 	asked := time.Now()
-	wait := min(time.Duration(q.WaitMs)*time.Millisecond, waitMost)
-	until := asked.Add(wait)
-	if aged := agedAfter.After(s.Mirror.Proven(s.Watched)); aged.Before(until) {
-		// An asker should learn at once that this copy is old.
-		until = aged
-	}
-	s.Mirror.Await(r.Context(), q.Have, until)
+	s.hold(r.Context(), &q, asked)
 	now := time.Now()
 	a := answer{Kinds: make(map[string]kindAnswer), HeldMs: now.Sub(asked).Milliseconds()}
 	for kind, revision := range q.Have {
 		if d, ok := s.Mirror.Since(kind, revision); ok {
-			a.Kinds[kind] = encode(kind, d, now, &s.packs)
+			a.Kinds[kind] = encode(kind, d, now, &s.packs, q.Packs)
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(countingWriter{w, &s.Traffic.Answers}).Encode(a); err != nil {
+	if err := a.write(countingWriter{w, &s.Traffic.Answers}); err != nil {
 		s.Log.Debug("peers: A peer left before its answer.", zap.Error(err))
 	}
 }
+
+// hold returns when this copy knows more than the asker, or at the time that the question
+// may be held for. Where the copy grows too old, an asker learns that at once, unless it
+// waits for word that the store is back.
+func (s *Server) hold(ctx context.Context, q *question, asked time.Time) {
+	until := asked.Add(min(time.Duration(q.WaitMs)*time.Millisecond, waitMost))
+	if q.Proof {
+		s.Mirror.AwaitProof(ctx, s.Watched, asked.Add(-time.Duration(agedAfter)), until)
+		return
+	}
+	if aged := agedAfter.After(s.Mirror.Proven(s.Watched)); aged.Before(until) {
+		until = aged
+	}
+	s.Mirror.Await(ctx, q.Have, until)
+}
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -4,9 +4,16 @@
 package peers
 
 import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/traildrift/traildrift/internal/mirror"
 )
 
@@ -18,12 +25,22 @@
 	Addr netip.AddrPort `json:"addr"`
 	// Zone is its availability zone; empty in registrations of earlier releases.
 	Zone string `json:"zone,omitempty"`
-	// Token is what its peers have to show; it is new at each start.
+	// Ability is how much the VM bears, in thousandths of a processor core; 0 if that is
+	// not known.
+	Ability int `json:"ability,omitempty"`
+	// Token is what its peers have to show; a router that starts again on its VM goes
+	// on with the one that is registered.
 	Token string `json:"token"`
 	// Revision is that of the registration.
 	Revision int64 `json:"-"`
 }
 
+// Continues reports whether a router is what an earlier life of its VM registered, so that it
+// may go on with that registration.
+func (p Peer) Continues(old Peer) bool {
+	return old.Name == p.Name && old.Addr == p.Addr && old.Zone == p.Zone && old.Ability == p.Ability && len(old.Token) >= tokenBytes
+}
+
 // path is where peers ask.
 const path = "/changes"
 
@@ -33,6 +50,11 @@
 	Have map[string]int64 `json:"have"`
 	// WaitMs is how long to wait for a change, in milliseconds.
 	WaitMs int64 `json:"waitMs"`
+	// Proof says that the asker knows of no well informed peer: one that is ill informed
+	// too answers once it is not.
+	Proof bool `json:"proof,omitempty"`
+	// Packs says that the asker reads whole lists compressed.
+	Packs bool `json:"packs,omitempty"`
 }
 
 // answer is what a copy lacks.
@@ -49,6 +71,10 @@
 	AgeMs   int64        `json:"ageMs"`
 	Whole   bool         `json:"whole,omitempty"`
 	Changes []wireChange `json:"changes,omitempty"`
+	// Bytes is how many bytes behind the answer hold the changes compressed, where they
+	// are a whole list that is long; packed holds them.
+	Bytes  int `json:"bytes,omitempty"`
+	packed []byte
 }
 
 type wireChange struct {
@@ -61,9 +87,55 @@
 	LapseMs int64 `json:"lapseMs,omitempty"`
 }
 
-// encode returns a delta of a kind as it is sent at now.
-func encode(kind string, d mirror.Delta, now time.Time, p *packs) kindAnswer {
+// write writes an answer: a line of JSON, and behind it what is compressed, in the order of
+// the kinds' names.
+func (a *answer) write(w io.Writer) error {
+	if err := json.NewEncoder(w).Encode(a); err != nil {
+		return errors.Wrap(err, "peers")
+	}
+	for _, kind := range slices.Sorted(maps.Keys(a.Kinds)) {
+		if _, err := w.Write(a.Kinds[kind].packed); err != nil {
+			return errors.Wrap(err, "peers")
+		}
+	}
+	return nil
+}
+
+// readAnswer reads what write wrote.
+func readAnswer(r io.Reader) (*answer, error) {
+	in := bufio.NewReader(r)
+	line, err := in.ReadBytes('\n')
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	var a answer
+	if err := json.Unmarshal(line, &a); err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	for _, kind := range slices.Sorted(maps.Keys(a.Kinds)) {
+		k := a.Kinds[kind]
+		if k.Bytes < 0 || k.Bytes > answerMost {
+			return nil, errors.Newf("peers: a list of %d bytes", k.Bytes)
+		}
+		k.packed = make([]byte, k.Bytes)
+		if _, err := io.ReadFull(in, k.packed); err != nil {
+			return nil, errors.Wrap(err, "peers")
+		}
+		a.Kinds[kind] = k
+	}
+	return &a, nil
+}
+
+// encode returns a delta of a kind as it is sent at now; whole lists are compressed if the
+// asker reads that.
+func encode(kind string, d mirror.Delta, now time.Time, p *packs, packed bool) kindAnswer {
 	a := kindAnswer{Revision: d.Revision, AgeMs: ceilMs(now.Sub(d.ProvenAt)), Whole: d.Whole}
+	if packed && d.Whole && len(d.Changes) >= packsFrom {
+		if a.packed = p.list(kind, d); a.packed != nil {
+			a.Bytes = len(a.packed)
+			return a
+		}
+	}
 	for _, c := range d.Changes {
 		w := wireChange{Object: c.Object, Gone: c.Gone, LapseMs: max(c.LapsesAt.Sub(now).Milliseconds(), 0)}
 		if w.Packed = p.of(kind, &c.Object); w.Packed != nil {
@@ -76,6 +148,9 @@
 
 // decode returns the changes of an answer that came at now.
 func (a *kindAnswer) decode(now time.Time) ([]mirror.Change, error) {
+	if a.Bytes > 0 {
+		return unpackList(a.packed)
+	}
 	list := make([]mirror.Change, 0, len(a.Changes))
 	for _, c := range a.Changes {
 		ch := mirror.Change{Object: c.Object, Gone: c.Gone}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -174,7 +174,8 @@
 func (e *Engine) TakeEndpoint(p pool.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.book.Put(p) {
+	// The first list is told of as a whole.
+	if e.book.Put(p) && e.known.Load() {
 		e.Log.Info("relay: An endpoint has changed.", zap.String("endpoint", p.ID), zap.String("service", p.Service),
 			zap.String("version", p.Version), zap.Bool("leaving", p.Leaving), zap.Int64("revision", p.Revision))
 	}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/mirror"
+	"github.com/traildrift/traildrift/internal/peers"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
 )
@@ -46,7 +47,7 @@
 		{w.EndpointKind, endpointWait, changeRest, w.TrialKind},
 		{w.RouterKind, routerWait, changeRest, ""},
 	} {
-		follower := &mirror.Follower{Log: r.Log, Source: w.Source, Mirror: r.mirror, Kind: f.kind, Wait: f.wait, Rest: f.rest, Turn: r.turn(f.kind, f.after)}
+		follower := &mirror.Follower{Log: r.Log, Source: w.Source, Mirror: r.mirror, Kind: f.kind, Wait: f.wait, Rest: f.rest, Turn: r.turn(f.kind, f.after), Patient: r.asker.Patient}
 		r.tasks.Go(ctx, "store "+f.kind, follower.Run)
 	}
 	r.tasks.Go(ctx, "peers", r.asker.Run)
@@ -130,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	if c.Name == r.settings.VM && p.Token != r.self.Token {
+	if c.Name == r.settings.VM && !r.standing(p) {
 		// An earlier life of this router left it behind.
 		r.fleet.Remove(c.Name)
 		return nil
@@ -140,30 +141,77 @@
 }
 
 const (
-	// registerPoll is how often a router looks whether it is registered.
+	// registerPoll is how often a follower looks whether what it waits for is known.
 	registerPoll = config.Span(20 * time.Millisecond)
-	// registerAgain is how long it waits for its registration to come back
-	// from the store before it tries again.
-	registerAgain = config.Span(2 * time.Second)
+	// registeredEvery is how often a router looks whether it is still registered, and
+	// registerFirst and registerMost bound the pauses between tries that fail, which
+	// double.
+	registeredEvery = config.Span(2 * time.Second)
+	registerFirst   = config.Span(100 * time.Millisecond)
+	registerMost    = config.Span(800 * time.Millisecond)
 )
 
-// register keeps this router registered until ctx is done, and removes peers that
-// have been silent for long.
+// register keeps this router registered until ctx is done, makes it known to some peers, and
+// removes peers that have been silent for long.
 func (r *Router) register(ctx context.Context) error {
+	pause := registerFirst
 	for ctx.Err() == nil {
 		if r.stopping.Load() || r.fleet.Registered() {
 			r.removeGone(ctx)
-			tasks.Pause(ctx, registerAgain.After(time.Now()))
+			tasks.Pause(ctx, registeredEvery.After(time.Now()))
 			continue
 		}
-		if err := r.wire.Register(ctx, r.self); err != nil {
+		if err := r.introduce(ctx); err != nil {
 			r.Log.Warn("router: The registration failed.", logs.Err(err))
+			tasks.Pause(ctx, pause.After(time.Now()))
+			pause = min(2*pause, registerMost)
 		}
-		tasks.Pause(ctx, registerAgain.After(time.Now()))
 	}
 	return nil
 }
 
+// firstTogether is how long a router of a fleet that starts for the first time waits for the
+// others to register: VMs start within 0.3 s of each other, and callers come seconds later.
+const firstTogether = config.Span(500 * time.Millisecond)
+
+// introduce registers this router and takes over the peers around it.
+func (r *Router) introduce(ctx context.Context) error {
+	p, err := r.wire.Register(ctx, r.registration())
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.self = p
+	r.mu.Unlock()
+	r.secret.Set(p.Token)
+	if r.settings.FirstStart {
+		tasks.Pause(ctx, firstTogether.After(time.Now()))
+	}
+	list, err := r.wire.Neighbours(ctx, p.Name)
+	if err != nil {
+		return err
+	}
+	for _, q := range list {
+		if q.Name != p.Name {
+			r.fleet.Put(q)
+		}
+	}
+	r.fleet.Put(p)
+	r.asker.Introduce()
+	r.Log.Info("router: Registered.", zap.Bool("continued", p.Revision > 0), zap.Int("neighbours", len(list)))
+	return nil
+}
+
+// registration returns this router's registration.
+func (r *Router) registration() peers.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// standing reports whether a registration of this VM is this router's.
+func (r *Router) standing(p peers.Peer) bool { return p.Token == r.registration().Token }
+
 func (r *Router) removeGone(ctx context.Context) {
 	for _, p := range r.fleet.Gone(time.Now()) {
 		err := r.wire.Unregister(ctx, p)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,7 +46,9 @@
 	notes    *peers.Notes
 	traffic  peers.Traffic
 	bodies   *bodies
-	// self is this router's registration.
+	secret   peers.Secret
+	// mu guards self, this router's registration.
+	mu   sync.Mutex
 	self peers.Peer
 	// stopping says that a planned stop was asked for; it never goes back.
 	stopping atomic.Bool
@@ -76,9 +78,9 @@
 	r.mirror = mirror.New(w.ConfigKind, w.TrialKind, w.EndpointKind, w.RouterKind)
 	r.mirror.OnChange = r.take
 	r.fleet = peers.NewFleet(s.VM)
-	r.self = peers.Peer{Name: s.VM, Addr: s.Peers, Zone: s.AvailabilityZone, Token: proc.NewID() + proc.NewID()}
+	r.self = peers.Peer{Name: s.VM, Addr: s.Peers, Zone: s.AvailabilityZone, Ability: int(s.CPUShare * thousandths), Token: proc.NewID() + proc.NewID()}
+	r.secret.Set(r.self.Token)
 	r.asker = peers.NewAsker(log, r.fleet, r.mirror, w.ConfigKind, w.ConfigKind, w.TrialKind, w.EndpointKind, w.RouterKind)
-	r.asker.Members = w.RouterKind
 	w.OnStoreCall(r.storeCalled)
 	r.Engine.Proven = func() time.Time { return r.mirror.Proven(w.ConfigKind) }
 	r.Engine.Listed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
@@ -86,7 +88,7 @@
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
-	notes, err := peers.NewNotes(log, r.fleet, r.self, func(n peers.Note) {
+	notes, err := peers.NewNotes(log, r.fleet, s.Peers, &r.secret, func(n peers.Note) {
 		r.Engine.Heard(n.From, relay.Word{Endpoint: n.Endpoint, Busy: n.Busy, Failed: n.Failed, Prefix: n.Prefix})
 	})
 	if err != nil {
@@ -127,6 +129,9 @@
 	r.admin.Scope.Tagged(map[string]string{"verb": string(c.Verb), "kind": c.Kind, "status": strconv.Itoa(c.Status)}).Counter("store_calls").Inc(1)
 }
 
+// thousandths of a processor core are the unit of a registered VM's ability.
+const thousandths = 1000
+
 // memoryKept is the part of the memory, in hundredths, from which on the
 // collector works harder; the rest is for what the kernel holds of connections.
 const memoryKept = 70
@@ -160,7 +165,7 @@
 	r.tasks.Go(ctx, "notes", r.notes.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
-	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, r.self.Token)
+	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, &r.secret)
 	answers.Traffic = &r.traffic
 	r.tasks.Go(ctx, "traffic", func(ctx context.Context) error { return r.traffic.Run(ctx, r.Log) })
 	shared := &http.Server{Handler: answers, ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
@@ -232,7 +237,7 @@
 	r.fleet.Leave()
 	r.Engine.Stop((r.settings.StopWithin - stopMargin).After(time.Now()))
 	r.Log.Info("router: Stopping.", zap.Int64("underWay", r.Engine.Under()))
-	if err := r.wire.Unregister(kill, r.self); err != nil {
+	if err := r.wire.Unregister(kill, r.unconditional()); err != nil {
 		r.Log.Warn("router: The registration could not be removed.", logs.Err(err))
 	}
 	tasks.Pause(kill, listed.After(time.Now()))
@@ -244,6 +249,13 @@
 	}
 }
 
+// unconditional is this router's registration, whatever its revision.
+func (r *Router) unconditional() peers.Peer {
+	p := r.registration()
+	p.Revision = 0
+	return p
+}
+
 // close ends the listeners and waits for every goroutine.
 func (r *Router) close(servers ...*http.Server) {
 	_ = r.callers.Close()
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -31,6 +31,8 @@
 	ExposeSlack      float64        `yaml:"exposeSlack,omitempty" doc:"Requests that it may get beyond that; 30 if left out."`
 	ConfigWithin     config.Span    `yaml:"configWithin,omitempty" doc:"How long after its acceptance a configuration has to be in force; 2s if left out."`
 	MemoryMB         int            `yaml:"memoryMB,omitempty" doc:"Memory that the process may use; not bounded if left out."`
+	FirstStart       bool           `yaml:"firstStart,omitempty" doc:"Whether the whole fleet starts for the first time: then routers wait for one another to register."`
+	CPUShare         float64        `yaml:"cpuShare,omitempty" doc:"Processor cores that the process may use; VMs with more serve those with less what they read of the store."`
 	Straight         int            `yaml:"straight,omitempty" doc:"Confidence under which an answer gives way to the largest model; 40 if left out."`
 	Step             int            `yaml:"step,omitempty" doc:"Confidence under which an answer gives way to the next larger model; 60 if left out."`
 	LogLevel         string         `yaml:"logLevel,omitempty" doc:"debug, info, warn or error."`
@@ -87,8 +89,13 @@
 			report(c.key, "0s (the default) or more is allowed")
 		}
 	}
-	if s.RetryRatio < 0 || s.RetrySlack < 0 {
-		report("retryRatio", "retryRatio and retrySlack are 0 or more")
+	for _, c := range []struct {
+		key string
+		n   float64
+	}{{"cpuShare", s.CPUShare}, {"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack}} {
+		if c.n < 0 {
+			report(c.key, "0 or more is allowed")
+		}
 	}
 	if s.ExposeShare < 0 || s.ExposeShare > 1 || s.ExposeSlack < 0 {
 		report("exposeShare", "exposeShare is 0 to 1, exposeSlack 0 or more")
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -23,9 +23,13 @@
 	// ConfigKind, EndpointKind, TrialKind and RouterKind are the kinds to
 	// follow.
 	ConfigKind, EndpointKind, TrialKind, RouterKind string
-	// Register stores the registration of a router, Unregister removes it
-	// unless it was renewed since.
-	Register, Unregister func(ctx context.Context, p peers.Peer) error
+	// Register stores the registration of a router and returns the one that stands, which
+	// may be of an earlier life of its VM.
+	Register func(ctx context.Context, p peers.Peer) (peers.Peer, error)
+	// Unregister removes a registration unless it was renewed since.
+	Unregister func(ctx context.Context, p peers.Peer) error
+	// Neighbours returns some registered routers, those around a name.
+	Neighbours func(ctx context.Context, name string) ([]peers.Peer, error)
 	// Peer decodes a registration.
 	Peer func(o mirror.Object) (peers.Peer, error)
 	// Table decodes the configuration; it returns nil for an object that is
