Let a starting router that others take for one of the first read the store

Cause: starting routers know different peers, so that the one that is asked may itself ask a third. Change: who is asked by a router that knows nothing reads the store. TestRouterThatIsAskedReadsTheStore failed before.

--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -47,6 +47,9 @@
 	directAt time.Time
 	// introduced says that the store told of some peers; it never goes back.
 	introduced atomic.Bool
+	// wanted says that a starting peer takes this router for one of the first; it never
+	// goes back.
+	wanted atomic.Bool
 	// direct says that no peer answered well, so that the store is asked.
 	direct atomic.Bool
 	// sweep is how many peers are asked before the store is; see askNext.
@@ -133,12 +136,20 @@
 		heard := kind == a.Watched || now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
 		return heard && (a.directFor(a.alone(kind), now) || a.Fleet.Asker(now))
 	case a.introduced.Load():
-		return a.Fleet.First() || a.waited(now)
+		return a.reads() || a.waited(now)
 	default:
 		return kind == a.Watched && a.waited(now)
 	}
 }
 
+// reads reports whether this starting router reads the store for others: it is one of the
+// first of the peers that it knows, or of those that another one knows.
+func (a *Asker) reads() bool { return a.Fleet.First() || a.wanted.Load() }
+
+// Want notes that a starting peer asks this router for all. Each knows other peers, so that
+// otherwise the one that is asked might ask a third in turn.
+func (a *Asker) Want() { a.wanted.Store(true) }
+
 // alone returns how long this router must have found no peer well informed for the store to
 // be asked for a kind: most often another one takes over within that time.
 func (a *Asker) alone(kind string) time.Duration {
@@ -186,7 +197,7 @@
 		now := time.Now()
 		informed := now.Sub(a.Mirror.Proven(a.Watched)) <= time.Duration(agedAfter)
 		switch {
-		case !a.listed() && (!a.introduced.Load() || a.Fleet.First()):
+		case !a.listed() && (!a.introduced.Load() || a.reads()):
 			tasks.Pause(ctx, startPoll.After(now))
 		case a.Fleet.Asker(now) && informed:
 			tasks.Pause(ctx, idle.After(now))
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -280,6 +280,34 @@
 	}
 }
 
+// Each starting router knows other peers: one that is taken for one of the first reads the
+// store at once, so that none waits for one that waits for a third.
+func TestRouterThatIsAskedReadsTheStore(t *testing.T) {
+	asked := serve(t, "p")
+	a := asker()
+	a.Fleet.Put(Peer{Name: "self"})
+	for i := range 9 {
+		a.Fleet.Put(Peer{Name: fmt.Sprint("before-", i), Ability: 800})
+	}
+	a.Introduce()
+	if a.may("k", time.Now()) {
+		t.Fatal("not one of the first: got the store's turn, want the peers'")
+	}
+	asked.srv.Config.Handler.(*Server).OnStarting = a.Want
+	starting := asker(asked)
+	starting.ask(context.Background(), asked.Peer, false)
+	if !a.may("k", time.Now()) {
+		t.Error("asked by a starting router: got false, want the store's turn")
+	}
+	b := asker()
+	asked.srv.Config.Handler.(*Server).OnStarting = b.Want
+	put(starting.Mirror, 5, time.Now())
+	starting.ask(context.Background(), asked.Peer, false)
+	if b.wanted.Load() {
+		t.Error("asked by a router that knows all: got wanted, want not")
+	}
+}
+
 // A router that knows no peers yet leaves the store alone until it was registered, or that
 // takes too long: then it tries one kind.
 func TestRouterThatIsNotIntroducedTriesOneKind(t *testing.T) {
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -23,6 +23,9 @@
 	packs  packs
 	// Watched is the kind whose age says how well this router is informed.
 	Watched string
+	// OnStarting is called where a peer that knows nothing yet asks this router; set before
+	// the first question.
+	OnStarting func()
 	// Traffic counts the answers; set before the first question.
 	Traffic *Traffic
 	// slots bounds the questions that are held.
@@ -41,7 +44,7 @@
 
 // NewServer returns a server that answers those who show the token.
 func NewServer(log *zap.Logger, m *mirror.Mirror, watched string, secret *Secret) *Server {
-	return &Server{Log: log, Mirror: m, Watched: watched, Secret: secret, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
+	return &Server{Log: log, Mirror: m, Watched: watched, Secret: secret, OnStarting: func() {}, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
 }
 
 // ServeHTTP answers one question.
@@ -67,6 +70,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if q.starting() {
+		s.OnStarting()
+	}
 	asked := time.Now()
 	s.hold(r.Context(), &q, asked)
 	now := time.Now()
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -57,6 +57,16 @@
 	Packs bool `json:"packs,omitempty"`
 }
 
+// starting reports whether the asker has no copy of anything.
+func (q *question) starting() bool {
+	for _, revision := range q.Have {
+		if revision >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // answer is what a copy lacks.
 type answer struct {
 	Kinds map[string]kindAnswer `json:"kinds"`
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -166,7 +166,7 @@
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
 	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, &r.secret)
-	answers.Traffic = &r.traffic
+	answers.Traffic, answers.OnStarting = &r.traffic, r.asker.Want
 	r.tasks.Go(ctx, "traffic", func(ctx context.Context) error { return r.traffic.Run(ctx, r.Log) })
 	shared := &http.Server{Handler: answers, ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
 	r.tasks.Go(ctx, "answers to peers", func(context.Context) error { return shared.Serve(r.peer) })
