--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -463,9 +463,7 @@
 	a.Fleet.Put(Peer{Name: "self"})
 	a.Introduce()
 	put(a.Mirror, 5, time.Now().Add(-time.Minute))
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- a.Run(ctx) }()
+	ctx := running(t, a)
 	began := time.Now()
 	for a.Mirror.Revision("config") < 9 && time.Since(began) < patience {
 		tasks.Pause(ctx, time.Now().Add(time.Millisecond))
@@ -473,10 +471,20 @@
 	if took := time.Since(began); took > time.Duration(askWait) {
 		t.Errorf("the change was known after %v, want less than one held question (%v)", took, time.Duration(askWait))
 	}
-	cancel()
-	if err := <-ended; err != nil {
-		t.Errorf("asker: %v", err)
-	}
+}
+
+// running runs an asker until the test ends, and checks how it ends.
+func running(t *testing.T, a *Asker) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("asker: %v", err)
+		}
+	})
+	return ctx
 }
 
 // A peer whose copy grows too old answers at once, so that it is left.
@@ -505,9 +513,7 @@
 	a.Fleet.Put(Peer{Name: "self"})
 	a.Introduce()
 	put(a.Mirror, 5, time.Now().Add(-time.Minute))
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- a.Run(ctx) }()
+	ctx := running(t, a)
 	for deadline := time.Now().Add(patience); !a.direct.Load() && time.Now().Before(deadline); {
 		tasks.Pause(ctx, time.Now().Add(time.Millisecond))
 	}
@@ -524,10 +530,6 @@
 	if took := time.Since(back); took > time.Duration(askWait) {
 		t.Errorf("word that the store is back came after %v, want under %v", took, time.Duration(askWait))
 	}
-	cancel()
-	if err := <-ended; err != nil {
-		t.Errorf("asker: %v", err)
-	}
 }
 
 // Whole lists are long where there are many endpoints; changes are not.
--- a/internal/rig/once_test.go
+++ b/internal/rig/once_test.go
@@ -180,18 +180,26 @@
 		lost := send(f, 0, note(key, kind))
 		lodged(t, f, kind)
 		f.Entries[0].Freeze()
-		got := <-send(f, 1, note(key, kind))
-		f.Entries[0].Thaw()
-		expect(t, kind+" while the entry is frozen", got, "keyUnsettled/mayHaveRun")
-		if got.took > promptly {
-			t.Errorf("%s: got an answer after %v, want one at once", kind, got.took)
-		}
-		expect(t, kind+" after the thaw", <-lost, "whole")
-		expect(t, kind+" again", <-send(f, 1, note(key, kind)), "whole")
-		expectLodged(t, f, kind, 1)
+		expectFrozen(t, f, key, kind, send(f, 1, note(key, kind)), lost)
 	}
 }
 
+// expectFrozen checks what callers hear of an entry that is frozen, which is thawed then: the
+// repeat at the other entry that the run may have run, at once; the first caller and a later
+// repeat the one run's answer.
+func expectFrozen(t *testing.T, f *Fleet, key, kind string, repeat, lost <-chan sent) {
+	t.Helper()
+	got := <-repeat
+	f.Entries[0].Thaw()
+	expect(t, kind+" while the entry is frozen", got, "keyUnsettled/mayHaveRun")
+	if got.took > promptly {
+		t.Errorf("%s: got an answer after %v, want one at once", kind, got.took)
+	}
+	expect(t, kind+" after the thaw", <-lost, "whole")
+	expect(t, kind+" again", <-send(f, 1, note(key, kind)), "whole")
+	expectLodged(t, f, kind, 1)
+}
+
 // TestEntryFrozenWhileFollowed freezes the entry that runs a request after another
 // entry began to follow the run there: the repeat's caller hears at once that it may
 // have run, as if the entry had been frozen before.
@@ -204,15 +212,7 @@
 		repeat := send(f, 1, note(key, kind))
 		followed(t, f.Entries[0])
 		f.Entries[0].Freeze()
-		got := <-repeat
-		f.Entries[0].Thaw()
-		expect(t, kind+" while the entry is frozen", got, "keyUnsettled/mayHaveRun")
-		if got.took > promptly {
-			t.Errorf("%s: got an answer after %v, want one at once", kind, got.took)
-		}
-		expect(t, kind+" after the thaw", <-lost, "whole")
-		expect(t, kind+" again", <-send(f, 1, note(key, kind)), "whole")
-		expectLodged(t, f, kind, 1)
+		expectFrozen(t, f, key, kind, repeat, lost)
 	}
 }
 
