Tell what an attempt counted as in a roll-out, and the evidence of each verdict by route

Cause: the log could not tell a version on which little was seen from one of which much good was seen, nor whether an attempt that was lost had been weighed at all, nor what pace a stream had shown; a removed roll-out said nothing. An attempt's line now has paceUs and weighed, each verdict and step has its counts by route, the counter trial_answers counts the new version's by what they counted as. No decision changes.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -131,6 +131,7 @@
 			now := x.e.Now()
 			if p.add(now.Sub(heard)) {
 				x.e.paced(a, p.least)
+				t.Pace, t.Weighed = p.least, a.weighed
 			}
 			t.Pause = max(t.Pause, now.Sub(heard).Milliseconds())
 			heard = now
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,11 +76,65 @@
 // addEvidence adds an answer to the evidence of a route, or of what else is compared
 // between the versions.
 func (e *Engine) addEvidence(r *rollout, a *Attempt, of string, failed, slow bool) {
+	route := r.name(of)
+	a.weighed = weighedAs(failed, slow)
+	if r.isNew(&a.Endpoint) {
+		e.counts.count("trial_answers", of, a.weighed)
+	}
 	e.weigh(r, of, func(j *roll.Judge) {
-		j.Add(roll.Answer{Route: uint32(pool.Hash(of)), Endpoint: uint32(a.hash), New: r.isNew(&a.Endpoint), Bad: failed || slow, Loaded: a.loaded})
+		j.Add(roll.Answer{Route: route, Endpoint: uint32(a.hash), New: r.isNew(&a.Endpoint), Bad: failed || slow, Loaded: a.loaded})
 	})
 }
 
+// weighedAs names what an answer counts as.
+func weighedAs(failed, slow bool) string {
+	switch {
+	case failed:
+		return "failed"
+	case slow:
+		return "slow"
+	default:
+		return "good"
+	}
+}
+
+// name returns the hash of what is compared between the versions, and keeps its name.
+func (r *rollout) name(of string) uint32 {
+	hash := uint32(pool.Hash(of))
+	if len(r.names) < roll.RoutesMost {
+		if r.names == nil {
+			r.names = make(map[uint32]string)
+		}
+		r.names[hash] = of
+	}
+	return hash
+}
+
+// routeWeight is what the log tells of the evidence on one route.
+type routeWeight struct {
+	Route  string  `json:"route"`
+	Old    int     `json:"old"`
+	OldBad float64 `json:"oldBad"`
+	Good   int     `json:"good"`
+	Bad    int     `json:"bad"`
+	Sum    float64 `json:"sum"`
+	Ratio  float64 `json:"ratio"`
+}
+
+// weights returns what the log tells of a trial's evidence by route: what was counted, so
+// that a verdict can be told from one that little was seen for.
+func (r *rollout) weights() zap.Field {
+	list := make([]routeWeight, 0, len(r.names))
+	for _, w := range r.judge.Weights() {
+		name, ok := r.names[w.Route]
+		if !ok {
+			name = strconv.FormatUint(uint64(w.Route), 16)
+		}
+		list = append(list, routeWeight{name, w.Old, round(w.OldBad), w.Good, w.Bad, round(w.Sum), round(w.Ratio)})
+	}
+	return zap.Any("routes", list)
+}
+
 // weigh lets the judge of a trial take something in, and logs if that finds the version bad.
 func (e *Engine) weigh(r *rollout, by string, add func(j *roll.Judge)) {
 	was := r.judge.Bad()
@@ -90,7 +145,7 @@
 	}
 	n, of := r.judge.Exposed()
 	e.Log.Warn("relay: A new version was found bad.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
-		zap.String("by", by), zap.Float64("evidence", r.judge.Sum()), zap.Int("exposed", n), zap.Int("requests", of))
+		zap.String("by", by), zap.Float64("evidence", r.judge.Sum()), r.weights(), zap.Int("exposed", n), zap.Int("requests", of))
 }
 
 const (
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -86,6 +86,9 @@
 	loaded bool
 	// unread is how many tokens of the prompt are expected to be read.
 	unread int
+	// weighed is what the attempt counted as for the trial of its service; empty for
+	// nothing.
+	weighed string
 }
 
 // Reply is an endpoint's answer once its head is there.
@@ -155,4 +158,9 @@
 	Pause int64
 	// Events counts those that were passed on.
 	Events int
+	// Pace is the pace of the stream; 0 if too little of it came.
+	Pace time.Duration
+	// Weighed is what the attempt counted as for the trial of its service; empty for
+	// nothing.
+	Weighed string
 }
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -25,6 +25,8 @@
 	told   uint32
 	// verdict is what was logged last.
 	verdict roll.Verdict
+	// names holds the routes and what else is compared, by hash, for logs.
+	names map[uint32]string
 	// writing says that a step is being written; mu of the engine guards it.
 	writing bool
 	// notBefore is when the next step is tried, so that routers do not all
@@ -63,6 +65,8 @@
 	defer e.mu.Unlock()
 	if r, ok := e.rolls[service]; ok && r.trial.Revision <= revision {
 		delete(e.rolls, service)
+		e.Log.Warn("relay: A roll-out was removed.", zap.String("service", service), zap.String("version", r.trial.Version),
+			zap.String("state", string(r.trial.State)), zap.Int("step", r.trial.Step), zap.Int64("revision", revision))
 	}
 }
 
@@ -130,7 +134,7 @@
 	}
 	e.Log.Info("relay: A step of a roll-out was written.", zap.String("service", next.Service), zap.String("version", next.Version),
 		zap.String("state", string(next.State)), zap.Int("step", next.Step), zap.Stringer("verdict", r.judge.Verdict()),
-		zap.Float64("evidence", r.judge.Sum()), zap.Int64("onRevision", next.Revision), logs.Err(err))
+		zap.Float64("evidence", r.judge.Sum()), r.weights(), zap.Int64("onRevision", next.Revision), logs.Err(err))
 }
 
 // findings returns what is known of a trial; mu is held.
@@ -141,7 +145,7 @@
 	if f.Verdict != r.verdict {
 		r.verdict = f.Verdict
 		e.Log.Info("relay: What is known of a new version has changed.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
-			zap.Stringer("verdict", f.Verdict), zap.Float64("evidence", r.judge.Sum()), zap.Int("exposed", n), zap.Int("requests", of))
+			zap.Stringer("verdict", f.Verdict), zap.Float64("evidence", r.judge.Sum()), r.weights(), zap.Int("exposed", n), zap.Int("requests", of))
 	}
 	return f
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -119,6 +119,7 @@
 		return false
 	}
 	x.e.answered(a, x.route, now.Sub(t.At), now)
+	t.Weighed = a.weighed
 	if x.larger(reply.Confidence, now) {
 		t.Outcome = "dropped for a larger model"
 		return true
@@ -196,6 +197,7 @@
 		x.mayHaveRun = true
 	}
 	x.e.failed(a, x.route, err, t, now)
+	t.Weighed = a.weighed
 }
 
 // again reports whether another attempt follows one that failed with err, and
--- a/pkg/roll/evidence.go
+++ b/pkg/roll/evidence.go
@@ -21,6 +21,8 @@
 	// of the answers under a load like the old version's, against a share that is
 	// higher by loadedExcess. Neither is below -ratioMost.
 	any, loaded float64
+	// newGood and newBad count the new version's answers.
+	newGood, newBad int
 }
 
 const (
@@ -93,6 +95,7 @@
 
 // good notes n good answers of the new version.
 func (e *evidence) good(loaded bool, n int) {
+	e.newGood += n
 	old, times := e.share(), float64(min(n, batchMost))
 	ratio := math.Log((1-old-excess)/(1-old)) * times
 	e.any = max(e.any+ratio, -ratioMost)
@@ -110,6 +113,7 @@
 	if n <= 0 {
 		return
 	}
+	e.newBad += n
 	old, times := e.share(), float64(min(n, batchMost))
 	ratio := math.Log((old+excess)/old) * times
 	e.any += ratio
