Count answers that never came, broke off or could not be passed on against a version on trial

What was counted depended on how it went. Now an answer that an endpoint owed and did not give counts as bad on its route, one that broke off after its head as bad among the ends of answers, where whole ones count as good; a proven refusal, a missing connection and a caller that left early count as nothing.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -28,6 +28,7 @@
 	if broke == nil {
 		t.Outcome = "delivered"
 		x.e.ended(x.route, x.e.Now().Sub(began))
+		x.e.whole(a)
 		x.log(x.e.Now(), reply.Status, nil)
 		return false
 	}
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/roll"
 )
@@ -57,6 +58,53 @@
 	e.addEvidence(r, a, route.Name, failed, slow)
 }
 
+// missed notes what an attempt that failed says about a new version; mu is held. An answer
+// that never came, broke off or could not be passed on counts as much as a failure that came
+// signed: else a version is judged by those of its answers alone that went well, and one that
+// hangs on four of ten requests is proven.
+func (e *Engine) missed(a *Attempt, route *Route, err *fault.Error, t *try, now time.Time) {
+	r := e.onTrial(a.Endpoint.Service)
+	if r == nil || !a.owed(route, err, t, now) {
+		return
+	}
+	of := route.Name
+	if a.headed {
+		of = endsOfAnswers
+	}
+	e.addEvidence(r, a, of, true, false)
+}
+
+// endsOfAnswers is what is compared of answers whose head came: whether they came whole.
+const endsOfAnswers = "ends of answers"
+
+// owed reports whether an endpoint owed the answer of an attempt that failed with err: not
+// where it proved that it did not run the request, and where nobody waited any more only if
+// it had been silent for longer than answers are waited for. One that warms up may be slow.
+func (a *Attempt) owed(route *Route, err *fault.Error, t *try, now time.Time) bool {
+	switch {
+	case err.Run == fault.Ran:
+		return true
+	case err.Run == fault.NotRun || a.warming && t.Outcome == outcomeSilent:
+		return false
+	case err.Kind == fault.CallerGone || err.Kind == fault.DeadlinePassed:
+		return !a.headed && !a.warming && now.Sub(t.At) > a.silentAfter(route)
+	default:
+		return true
+	}
+}
+
+// whole notes an answer that came to its end.
+func (e *Engine) whole(a *Attempt) {
+	if !a.headed {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := e.onTrial(a.Endpoint.Service); r != nil {
+		e.addEvidence(r, a, endsOfAnswers, false, false)
+	}
+}
+
 // paced notes the pace of a stream. The endpoint that has the old load before the others
 // holds little yet and reads much, so that its pace is left out.
 func (e *Engine) paced(a *Attempt, gap time.Duration) {
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/roll"
 )
@@ -136,3 +138,40 @@
 		t.Errorf("pace: got %v, want %v", got, want)
 	}
 }
+
+// What an endpoint owed and did not give is evidence; what it proved not to have run, or
+// nobody waited long enough for, is none.
+func TestOwedAnswers(t *testing.T) {
+	route := &Route{Name: "r", Kind: Stream, Aim: config.Span(time.Second)}
+	now := time.Now()
+	lost := fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+	left := fault.New(fault.CallerGone, fault.MayHaveRun, "left")
+	late := fault.New(fault.DeadlinePassed, fault.MayHaveRun, "late")
+	for _, c := range []struct {
+		name            string
+		err             *fault.Error
+		outcome         string
+		after           time.Duration
+		warming, headed bool
+		want            bool
+	}{
+		{"a failure of its own", fault.New(fault.EndpointFailed, fault.Ran, "500"), "", 0, false, false, true},
+		{"a refusal with proof", fault.New(fault.Overloaded, fault.NotRun, "full"), "", 0, false, false, false},
+		{"no connection", fault.New(fault.EndpointLost, fault.NotRun, "refused"), "", 0, false, false, false},
+		{"silence", lost, outcomeSilent, time.Second, false, false, true},
+		{"silence of one that warms up", lost, outcomeSilent, time.Second, true, false, false},
+		{"a reset of one that warms up", lost, "", 0, true, false, true},
+		{"an answer that broke off", lost, "", 0, false, true, true},
+		{"an answer of another server", fault.New(fault.EndpointFailed, fault.MayHaveRun, "unsigned"), "", 0, false, false, true},
+		{"a caller that left at once", left, "", 100 * time.Millisecond, false, false, false},
+		{"a caller that left after a long silence", left, "", time.Second, false, false, true},
+		{"a caller that left in the middle", left, "", time.Second, false, true, false},
+		{"a deadline soon after", late, "", 100 * time.Millisecond, false, false, false},
+		{"a deadline after a long silence", late, "", time.Second, false, false, true},
+	} {
+		a := &Attempt{warming: c.warming, headed: c.headed, expected: 0.05}
+		if got := a.owed(route, c.err, &try{At: now.Add(-c.after), Outcome: c.outcome}, now); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -69,9 +69,7 @@
 	e.counts.count("failed_attempts", route.Name, string(err.Kind))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err.Run == fault.Ran {
-		e.evidence(a, route, true, now.Sub(t.At))
-	}
+	e.missed(a, route, err, t, now)
 	p := e.book.Get(a.Endpoint.ID)
 	if a.warming && t.Outcome == outcomeSilent {
 		// It is slow while it warms up, no more.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -86,6 +86,8 @@
 	loaded bool
 	// unread is how many tokens of the prompt are expected to be read.
 	unread int
+	// headed says that the head of an answer came that may be passed on.
+	headed bool
 	// weighed is what the attempt counted as for the trial of its service; empty for
 	// nothing.
 	weighed string
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -118,6 +118,7 @@
 		x.end(ctx, err)
 		return false
 	}
+	a.headed = true
 	x.e.answered(a, x.route, now.Sub(t.At), now)
 	t.Weighed = a.weighed
 	if x.larger(reply.Confidence, now) {
