Take the pace of a stream from pieces in a row too

Now the shortest time of three in a row is compared as well, as a row of evidence of its own; either convicts.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -131,7 +131,7 @@
 		if n > 0 {
 			now := x.e.Now()
 			if p.add(now.Sub(heard)) {
-				x.e.paced(a, p.least)
+				x.e.paced(a, &p)
 				t.Pace, t.Weighed = p.least, a.weighed
 			}
 			t.Pause = max(t.Pause, now.Sub(heard).Milliseconds())
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -74,8 +74,13 @@
 	e.addEvidence(r, a, of, true, false)
 }
 
-// endsOfAnswers is what is compared of answers whose head came: whether they came whole.
-const endsOfAnswers = "ends of answers"
+// What is compared between the versions beside routes: the paces of streams, by a single
+// time between pieces and by some in a row, and whether answers came whole whose head came.
+const (
+	paceOfStreams = "pace of streams"
+	paceInARow    = "pace in a row"
+	endsOfAnswers = "ends of answers"
+)
 
 // owed reports whether an endpoint owed the answer of an attempt that failed with err: not
 // where it proved that it did not run the request, and where nobody waited any more only if
@@ -107,7 +112,7 @@
 
 // paced notes the pace of a stream. The endpoint that has the old load before the others
 // holds little yet and reads much, so that its pace is left out.
-func (e *Engine) paced(a *Attempt, gap time.Duration) {
+func (e *Engine) paced(a *Attempt, p *pace) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.onTrial(a.Endpoint.Service)
@@ -115,9 +120,10 @@
 		return
 	}
 	usual := entryOf(e.paces, a.Model)
-	e.addEvidence(r, a, "pace of streams", false, roll.Slow(gap, usual.gap()))
+	e.addEvidence(r, a, paceOfStreams, false, roll.Slow(p.least, usual.single.mean()))
+	e.addEvidence(r, a, paceInARow, false, roll.Slow(p.leastRow, usual.row.mean()))
 	if !r.isNew(&a.Endpoint) {
-		usual.add(gap)
+		usual.add(p)
 	}
 }
 
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -45,9 +45,10 @@
 		e, _, old, latest := onTrial(2)
 		for i := range 200 {
 			gap := time.Duration(15+i%10) * time.Millisecond
-			e.paced(attemptAt(old[i%len(old)]), gap)
+			e.paced(attemptAt(old[i%len(old)]), &pace{least: gap, leastRow: 3 * gap})
 			if i%4 == 0 {
-				e.paced(attemptAt(latest[i/4%len(latest)]), gap*time.Duration(c.times))
+				gap *= time.Duration(c.times)
+				e.paced(attemptAt(latest[i/4%len(latest)]), &pace{least: gap, leastRow: 3 * gap})
 			}
 		}
 		if got := e.rolls["s"].judge.Verdict() == roll.Bad; got != c.want {
@@ -137,6 +138,9 @@
 	if got, want := p.least, 19*time.Millisecond; got != want {
 		t.Errorf("pace: got %v, want %v", got, want)
 	}
+	if got, want := p.leastRow, 340*time.Millisecond; got != want {
+		t.Errorf("pace in a row: got %v, want %v", got, want)
+	}
 }
 
 // What an endpoint owed and did not give is evidence; what it proved not to have run, or
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -8,15 +8,27 @@
 	"time"
 )
 
-// paceGaps is how many of the first times between the events of a stream are looked at;
-// two thirds of the users' streams have as many events. The shortest of them is the pace:
-// an endpoint that reads others' prompts in between makes the others longer.
-const paceGaps = 7
+const (
+	// paceGaps is how many of the first times between the pieces of a stream are looked at;
+	// two thirds of the users' streams have as many pieces.
+	paceGaps = 7
+	// paceWindow is how many of them in a row are looked at as one.
+	paceWindow = 3
+)
 
-// pace finds the shortest of the first times between the events of a stream.
+// pace finds the shortest of the first times between the pieces of a stream, and the
+// shortest that some pieces in a row took: an endpoint that reads others' prompts in between
+// makes the other times longer. A single one is the surer sign where pieces come as they are
+// made. But an endpoint may write several at once, and a socket or a busy process may hold
+// one up until the next, so that a single time is near 0 whatever the endpoint does; of
+// several in a row, one has what another one lacks.
 type pace struct {
-	least time.Duration
-	n     int
+	// least is the shortest time, leastRow the shortest of paceWindow in a row.
+	least, leastRow time.Duration
+	// last holds the last times, and row is their sum.
+	last [paceWindow]time.Duration
+	row  time.Duration
+	n    int
 }
 
 // add notes the time before a piece of a stream, the first of which is no gap, and reports
@@ -26,22 +38,37 @@
 	if p.n < 2 || p.n > paceGaps+1 {
 		return false
 	}
-	if p.n == 2 || gap < p.least {
+	gaps := p.n - 1
+	oldest := &p.last[gaps%paceWindow]
+	p.row += gap - *oldest
+	*oldest = gap
+	if gaps == 1 || gap < p.least {
 		p.least = gap
 	}
-	return p.n == paceGaps+1
+	if gaps == paceWindow || gaps > paceWindow && p.row < p.leastRow {
+		p.leastRow = p.row
+	}
+	return gaps == paceGaps
 }
 
-// usualPace is the decayed geometric mean of the paces of streams, so that some slow ones
-// weigh little. The zero value is empty.
-type usualPace struct{ log average }
+// usualTime is the decayed geometric mean of times, so that some long ones weigh little. The
+// zero value is empty.
+type usualTime struct{ log average }
 
-func (u *usualPace) add(gap time.Duration) { u.log.add(math.Log(float64(max(gap, 1)))) }
+func (u *usualTime) add(d time.Duration) { u.log.add(math.Log(float64(max(d, 1)))) }
 
-// gap returns the mean; 0 if there is none.
-func (u *usualPace) gap() time.Duration {
+// mean returns the mean; 0 if there is none.
+func (u *usualTime) mean() time.Duration {
 	if u.log.n == 0 {
 		return 0
 	}
 	return time.Duration(math.Exp(u.log.value))
 }
+
+// usualPace is what the paces of streams usually are.
+type usualPace struct{ single, row usualTime }
+
+func (u *usualPace) add(p *pace) {
+	u.single.add(p.least)
+	u.row.add(p.leastRow)
+}
