--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -55,7 +55,7 @@
 		return
 	}
 	slow := route.Kind != Stream && !a.warming && roll.Slow(head, time.Duration(a.expected*float64(time.Second)))
-	e.addEvidence(r, a, route.Name, failed, slow)
+	e.addRoute(r, a, route, failed, slow)
 }
 
 // missed notes what an attempt that failed says about a new version; mu is held. An answer
@@ -67,11 +67,11 @@
 	if r == nil || !a.owed(route, err, t, now) {
 		return
 	}
-	of := route.Name
 	if a.headed {
-		of = endsOfAnswers
+		e.addAspect(r, a, endsOfAnswers, true, false)
+		return
 	}
-	e.addEvidence(r, a, of, true, false)
+	e.addRoute(r, a, route, true, false)
 }
 
 // What is compared between the versions beside routes: the paces of streams, by a single
@@ -106,7 +106,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r := e.onTrial(a.Endpoint.Service); r != nil {
-		e.addEvidence(r, a, endsOfAnswers, false, false)
+		e.addAspect(r, a, endsOfAnswers, false, false)
 	}
 }
 
@@ -120,17 +120,25 @@
 		return
 	}
 	usual := entryOf(e.paces, a.Model)
-	e.addEvidence(r, a, paceOfStreams, false, roll.Slow(p.least, usual.single.mean()))
-	e.addEvidence(r, a, paceInARow, false, roll.Slow(p.leastRow, usual.row.mean()))
+	e.addAspect(r, a, paceOfStreams, false, roll.Slow(p.least, usual.single.mean()))
+	e.addAspect(r, a, paceInARow, false, roll.Slow(p.leastRow, usual.row.mean()))
 	if !r.isNew(&a.Endpoint) {
 		usual.add(p)
 	}
 }
 
-// addEvidence adds an answer to the evidence of a route, or of what else is compared
-// between the versions.
-func (e *Engine) addEvidence(r *rollout, a *Attempt, of string, failed, slow bool) {
-	route := r.name(of)
+// addRoute adds an answer to the evidence of its route, addAspect to that of an aspect
+// which is compared between the versions.
+func (e *Engine) addRoute(r *rollout, a *Attempt, route *Route, failed, slow bool) {
+	e.addEvidence(r, a, route.Name, roll.RouteOf(pool.Hash(route.Name)), failed, slow)
+}
+
+func (e *Engine) addAspect(r *rollout, a *Attempt, aspect string, failed, slow bool) {
+	e.addEvidence(r, a, aspect, roll.AspectOf(pool.Hash(aspect)), failed, slow)
+}
+
+func (e *Engine) addEvidence(r *rollout, a *Attempt, of string, route uint32, failed, slow bool) {
+	r.name(route, of)
 	a.weighed = weighedAs(failed, slow)
 	if r.isNew(&a.Endpoint) {
 		e.counts.count("trial_answers", of, a.weighed)
@@ -152,16 +160,14 @@
 	}
 }
 
-// name returns the hash of what is compared between the versions, and keeps its name.
-func (r *rollout) name(of string) uint32 {
-	hash := uint32(pool.Hash(of))
+// name keeps the name of a route or an aspect.
+func (r *rollout) name(route uint32, of string) {
+	if r.names == nil {
+		r.names = make(map[uint32]string)
+	}
 	if len(r.names) < roll.RoutesMost {
-		if r.names == nil {
-			r.names = make(map[uint32]string)
-		}
-		r.names[hash] = of
+		r.names[route] = of
 	}
-	return hash
 }
 
 // routeWeight is what the log tells of the evidence on one route.
--- a/pkg/roll/judge.go
+++ b/pkg/roll/judge.go
@@ -49,8 +49,7 @@
 
 // Answer is an answer as evidence.
 type Answer struct {
-	// Route and Endpoint are hashes of their names. What is compared between the
-	// versions beside routes counts as a route of its own.
+	// Route is made by RouteOf or AspectOf, Endpoint is a hash of its name.
 	Route, Endpoint uint32
 	// New says that the new version gave the answer.
 	New bool
@@ -141,14 +140,32 @@
 	return e
 }
 
+// aspectBit marks what is an aspect of answers, not a route.
+const aspectBit uint32 = 1 << 31
+
+// RouteOf returns what stands for a route, by the hash of its name.
+func RouteOf(hash uint64) uint32 { return uint32(hash) &^ aspectBit }
+
+// AspectOf returns what stands for an aspect of answers which is compared between the
+// versions beside the routes, by the hash of its name. An answer that is looked at in
+// several ways is still one answer: good aspects are evidence on their own row alone, bad ones
+// over all routes too, so that an answer is good over all if all of it is.
+func AspectOf(hash uint64) uint32 { return uint32(hash) | aspectBit }
+
+func isAspect(route uint32) bool { return route&aspectBit != 0 }
+
 func (j *Judge) old(route uint32, bad bool, n int) {
 	j.of(route).old(bad, n)
-	j.all.old(bad, n)
+	if bad || !isAspect(route) {
+		j.all.old(bad, n)
+	}
 }
 
 func (j *Judge) newGood(route uint32, loaded bool, n int) {
 	j.of(route).good(loaded, n)
-	j.all.good(loaded, n)
+	if !isAspect(route) {
+		j.all.good(loaded, n)
+	}
 }
 
 func (j *Judge) newBad(route, endpoint uint32, loaded bool, n int) {
--- a/pkg/roll/judge_test.go
+++ b/pkg/roll/judge_test.go
@@ -145,3 +145,30 @@
 		t.Errorf("own report: got %d routes and %d faults, want at most %d and %d", len(r.Routes), len(r.Faults), RoutesMost, FaultsMost)
 	}
 }
+
+// An answer that is looked at in several ways is one answer: its good aspects prove a version
+// no sooner, while one bad aspect in four answers convicts it.
+func TestAspectsOfOneAnswer(t *testing.T) {
+	aspects := []uint32{AspectOf(1), AspectOf(2), AspectOf(3)}
+	answers := func(n int, badAspect func(i int) bool) *Judge {
+		var j Judge
+		for i := range n {
+			for _, route := range append([]uint32{RouteOf(9)}, aspects...) {
+				j.Add(Answer{Route: route})
+				bad := route == aspects[0] && badAspect(i)
+				j.Add(Answer{Route: route, New: true, Endpoint: uint32(i), Loaded: true, Bad: bad})
+			}
+		}
+		return &j
+	}
+	sound := func(int) bool { return false }
+	if got := answers(14, sound).Verdict(); got == Good {
+		t.Errorf("after 14 good answers: got %v, want less, as for answers looked at in one way", got)
+	}
+	if got := answers(40, sound).Verdict(); got != Good {
+		t.Errorf("after 40 good answers: got %v, want %v", got, Good)
+	}
+	if got := answers(60, func(i int) bool { return i%4 == 0 }).Verdict(); got != Bad {
+		t.Errorf("one aspect bad in four answers: got %v, want %v", got, Bad)
+	}
+}
--- a/pkg/roll/report.go
+++ b/pkg/roll/report.go
@@ -23,7 +23,7 @@
 
 // RouteCounts are the answers of one route, but for the bad ones of the new version.
 type RouteCounts struct {
-	// Route is the hash of its name.
+	// Route is as in an Answer.
 	Route uint32
 	// OldGood and OldBad are the old version's answers, Good and Light the new
 	// one's good ones under a load like the old version's and under a lighter one.
--- a/pkg/roll/weight.go
+++ b/pkg/roll/weight.go
@@ -11,7 +11,7 @@
 // Weight is what a Judge has of one route, for logs: Sum speaks against the version, as
 // does a Ratio above 0; both are log likelihood ratios.
 type Weight struct {
-	// Route is the hash of its name.
+	// Route is as in an Answer.
 	Route uint32
 	// Old counts the old version's answers, OldBad is their decayed share of bad ones.
 	Old    int
