Let the last step of a roll-out wait where the rest of its time would expose too many requests

The last step came at a fixed part of the trial's time, chosen so that 0.152 of *even* requests meet a version whatever is known of it. Now the step waits while the requests that are to come until the end, at the rate of the last seconds, would take the version over the bound that the counts so far leave.

The test failed without the new condition.

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -29,6 +29,10 @@
 	names map[uint32]string
 	// writing says that a step is being written; mu of the engine guards it.
 	writing bool
+	// flow is how often requests come to the service at all routers; all says that this
+	// router knew the trial from its order on, so that its counts are of the whole.
+	flow flow
+	all  bool
 	// notBefore is when the next step is tried, so that routers do not all
 	// write at once.
 	notBefore time.Time
@@ -44,7 +48,7 @@
 		return
 	}
 	if !ok || r.trial.Version != t.Version || t.State == roll.Ordered && r.trial.State != roll.Ordered {
-		r = &rollout{stepAt: e.Now()}
+		r = &rollout{stepAt: e.Now(), all: t.State == roll.Ordered || t.Step == 0}
 		e.rolls[t.Service] = r
 	} else {
 		t.Begun, t.Ends = r.trial.Begun, r.trial.Ends
@@ -139,9 +143,12 @@
 
 // findings returns what is known of a trial; mu is held.
 func (e *Engine) findings(r *rollout) roll.Findings {
-	l := e.limits.Load()
+	now := e.Now()
 	n, of := r.judge.Exposed()
-	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: float64(n) > l.ExposeShare*float64(of)+l.ExposeSlack*exposeKept}
+	r.flow.note(now, of)
+	rest := r.flow.perSecond * max(r.trial.Ends.Sub(now).Seconds(), 0)
+	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: e.exposedTooOften(float64(n), float64(of)),
+		Crowded: r.all && e.exposedTooOften(float64(n)+rest, float64(of)+rest)}
 	if f.Verdict != r.verdict {
 		r.verdict = f.Verdict
 		e.Log.Info("relay: What is known of a new version has changed.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
@@ -150,6 +157,13 @@
 	return f
 }
 
+// exposedTooOften reports whether n of so many requests are more than a version that may be bad
+// may get.
+func (e *Engine) exposedTooOften(n, of float64) bool {
+	l := e.limits.Load()
+	return n > l.ExposeShare*of+l.ExposeSlack*exposeKept
+}
+
 // exposeKept is the part of the users' slack that is used up: requests are under way
 // when the last of them is told.
 const exposeKept = 0.5
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/roll"
 )
 
@@ -29,3 +30,48 @@
 		t.Errorf("another router wrote the step: got the time %v for the next one, want it drawn anew", got)
 	}
 }
+
+// A burst near the end of a trial lets the last step wait: the rest of the trial's requests
+// would be more than a version which may be bad may get, though the steps' times are kept.
+// Load: 100 requests a second over 24 s, 2.5 times as many from 18 s on; the version is bad
+// under a load that it does not get before, so that nothing speaks against it.
+func TestBurstLetsTheLastStepWait(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		burst float64
+		want  int
+	}{{"even", 1, 3}, {"burst", 2.5, 2}} {
+		e, _, old, latest := onTrial(2)
+		begun := time.Now()
+		now := begun
+		e.Now = func() time.Time { return now }
+		l := *e.limits.Load()
+		l.ExposeShare, l.ExposeSlack = 0.15, 30
+		e.SetLimits(l)
+		e.DropTrial("s", 99)
+		e.TakeTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Trying, Begun: begun, Ends: begun.Add(24 * time.Second), Revision: 100})
+		r := e.rolls["s"]
+		answers := func(p pool.Entry, n int) {
+			for range n {
+				r.judge.Sent(r.isNew(&p))
+				r.judge.Add(roll.Answer{Route: 2, Endpoint: uint32(n), New: r.isNew(&p), Loaded: true})
+			}
+		}
+		for tick := range 222 {
+			now = begun.Add(time.Duration(tick) * 100 * time.Millisecond)
+			perTick := 10.0
+			if now.Sub(begun) >= 18*time.Second {
+				perTick *= c.burst
+			}
+			newOnes := int(perTick*r.trial.Share() + 0.5)
+			answers(old[0], int(perTick)-newOnes)
+			answers(latest[tick%len(latest)], newOnes)
+			if next, changed := r.trial.Next(now, e.findings(r)); changed {
+				r.trial, r.stepAt = next, now
+			}
+		}
+		if got := r.trial.Step; got != c.want {
+			t.Errorf("%s: step at 22.1 s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/pkg/roll/trial.go
+++ b/pkg/roll/trial.go
@@ -63,8 +63,9 @@
 	// knows.
 	StepAt time.Time
 	// Spent says that the new version got as many requests as one that may be bad
-	// may get.
-	Spent bool
+	// may get, Crowded that it would have got as many by the end of the trial if it got
+	// all requests from now on.
+	Spent, Crowded bool
 }
 
 // Share returns the share of sessions that the new version serves.
@@ -121,16 +122,24 @@
 	}
 	if part >= overBy && f.Verdict == Doubtful || part >= waitsBy && f.Verdict != Good {
 		next.State = Rejected
-	} else if t.due(part, f.Verdict) {
+	} else if t.due(part, f) {
 		next.Step++
 	}
 	return next, next != *t
 }
 
 // due reports whether the next step is: a step is never skipped, as each must have had its
-// time before the next, and the last one is for a version that is fair at least.
-func (t *Trial) due(part float64, v Verdict) bool {
-	return part >= steps[t.Step].at && (t.Step+1 < len(steps) || v == Good || v == Fair)
+// time before the next. The last one is for a version that is fair at least, and waits while
+// requests come so often that the rest of the trial would be more than the users' share of
+// them: the steps' times are for requests that come evenly.
+func (t *Trial) due(part float64, f Findings) bool {
+	if part < steps[t.Step].at {
+		return false
+	}
+	if t.Step+1 < len(steps) {
+		return true
+	}
+	return !f.Crowded && (f.Verdict == Good || f.Verdict == Fair)
 }
 
 // ending returns the state of a trial at its last step, at a part of its time of which
