Weigh a proven version on, and warn when it is found bad

Its failures and lost answers are weighed on now, without what is slow or silent, and 'A new version was found bad' tells the state. Requests go on to it: no other version is left, and half of the answers are better than none.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -24,6 +24,19 @@
 	return r
 }
 
+// weighedFor returns the roll-out of a service whose answers are weighed, and nil if there is
+// none; mu is held. A version that was proven is weighed on, as it may turn bad later. Nothing
+// is left then to send requests to, so that all that follows is a warning: the operator must
+// know at once. What is slow or silent says nothing then: the endpoints get all requests at
+// once and hold little of their prompts yet.
+func (e *Engine) weighedFor(service string) *rollout {
+	r := e.rolls[service]
+	if r == nil || r.trial.State != roll.Trying && r.trial.State != roll.Proven {
+		return nil
+	}
+	return r
+}
+
 // isNew reports whether an endpoint has the version on trial.
 func (r *rollout) isNew(p *pool.Entry) bool { return r.hasVersion(p.Version) }
 
@@ -31,7 +44,7 @@
 
 // sent notes an attempt for the trial of its service; mu is held.
 func (x *run) sent(a *Attempt, now time.Time) {
-	if r := x.e.onTrial(a.Endpoint.Service); r != nil {
+	if r := x.e.weighedFor(a.Endpoint.Service); r != nil {
 		r.judge.Sent(r.isNew(&a.Endpoint))
 		a.loaded = x.loaded(r, now)
 	}
@@ -50,11 +63,11 @@
 // holds in memory and on what it reads, so that only its pace tells a slow version. An
 // endpoint that warms up may be slow, but does not fail for it.
 func (e *Engine) evidence(a *Attempt, route *Route, failed bool, head time.Duration) {
-	r := e.onTrial(a.Endpoint.Service)
+	r := e.weighedFor(a.Endpoint.Service)
 	if r == nil {
 		return
 	}
-	slow := route.Kind != Stream && !a.warming && roll.Slow(head, time.Duration(a.expected*float64(time.Second)))
+	slow := r.trial.State != roll.Proven && route.Kind != Stream && !a.warming && roll.Slow(head, time.Duration(a.expected*float64(time.Second)))
 	e.addRoute(r, a, route, failed, slow)
 }
 
@@ -63,8 +76,8 @@
 // signed: else a version is judged by those of its answers alone that went well, and one that
 // hangs on four of ten requests is proven.
 func (e *Engine) missed(a *Attempt, route *Route, err *fault.Error, t *try, now time.Time) {
-	r := e.onTrial(a.Endpoint.Service)
-	if r == nil || !a.owed(route, err, t, now) {
+	r := e.weighedFor(a.Endpoint.Service)
+	if r == nil || !a.owed(route, err, t, now) || r.trial.State == roll.Proven && t.Outcome == outcomeSilent {
 		return
 	}
 	if a.headed {
@@ -105,7 +118,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r := e.onTrial(a.Endpoint.Service); r != nil {
+	if r := e.weighedFor(a.Endpoint.Service); r != nil {
 		e.addAspect(r, a, endsOfAnswers, false, false)
 	}
 }
@@ -204,7 +217,8 @@
 		return
 	}
 	n, of := r.judge.Exposed()
-	e.Log.Warn("relay: A new version was found bad.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
+	e.counts.count("versions_found_bad", r.trial.Service, string(r.trial.State))
+	e.Log.Warn("relay: A new version was found bad.", zap.String("state", string(r.trial.State)), zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
 		zap.String("by", by), zap.Float64("evidence", r.judge.Sum()), r.weights(), zap.Int("exposed", n), zap.Int("requests", of))
 }
 
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -75,3 +75,22 @@
 		}
 	}
 }
+
+// A version that turns bad once it is proven is found bad: the operator is warned, and requests
+// go on to it, as no other version is left.
+func TestProvenVersionIsWeighedOn(t *testing.T) {
+	e, route, _, latest := onTrial(2)
+	now := time.Now()
+	e.TakeTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Proven, Step: 3, Begun: now, Ends: now, Revision: 2})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range 40 {
+		e.evidence(attemptAt(latest[i%len(latest)]), route, i%2 == 0, time.Millisecond)
+	}
+	if !e.rolls["s"].judge.Bad() {
+		t.Error("half of the answers fail: got no verdict, want bad")
+	}
+	if f := e.fit("s", 0.5); f.version == nil || !f.version("v2") {
+		t.Error("the only version that is left is not used")
+	}
+}
