Remember across orders which versions get nothing any more

Cause: a new order overwrote what was known of the last one, and all versions but the one on trial counted as the old one. Failures of a bad one counted as the old version's, so that nobody judged it.

A trial holds the versions that were rolled back, given up or replaced, six at most, from the status of the order before it, stored in the status with step and begin.

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -119,11 +119,26 @@
 			continue
 		}
 		r.writing = true
+		if next.State == roll.Proven {
+			next.Past = e.replaced(next)
+		}
 		due = append(due, next)
 	}
 	return due
 }
 
+// replaced returns the versions that get nothing any more once a trial's version is proven:
+// those that served beside it too; mu is held.
+func (e *Engine) replaced(t roll.Trial) roll.Past {
+	past := t.Past
+	for _, v := range e.book.Versions(t.Service) {
+		if t.Old(v) {
+			past = past.With(v)
+		}
+	}
+	return past
+}
+
 func (e *Engine) writeStep(ctx context.Context, next roll.Trial) {
 	err := e.WriteTrial(ctx, next)
 	e.mu.Lock()
@@ -186,8 +201,7 @@
 	if !ok {
 		return fit{}
 	}
-	isNew := r.hasVersion
-	isOld := func(v string) bool { return !isNew(v) }
+	isNew, isOld := r.hasVersion, r.trial.Old
 	switch {
 	case r.trial.State == roll.Proven:
 		return fit{version: isNew}
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -172,6 +173,15 @@
 	return n
 }
 
+// Versions returns the versions of software that the endpoints of a service have, in order.
+func (b *Book) Versions(service string) []string {
+	seen := make(map[string]bool)
+	for _, p := range b.byService[service] {
+		seen[p.Version] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // Size returns how many endpoints a service has.
 func (b *Book) Size(service string) int { return len(b.byService[service]) }
 
--- /dev/null
+++ b/pkg/roll/past_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package roll
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func TestPast(t *testing.T) {
+	var p Past
+	for i := range 10 {
+		p = p.With(fmt.Sprint("v", i))
+	}
+	if got, want := p.List(), []string{"v9", "v8", "v7", "v6", "v5", "v4"}; !slices.Equal(got, want) {
+		t.Errorf("after ten versions: got %v, want %v", got, want)
+	}
+	if got, want := p.With("v6").List(), []string{"v6", "v9", "v8", "v7", "v5", "v4"}; !slices.Equal(got, want) {
+		t.Errorf("one that is there: got %v, want %v", got, want)
+	}
+	if got, want := p.Without("v8").List(), []string{"v9", "v7", "v6", "v5", "v4"}; !slices.Equal(got, want) {
+		t.Errorf("without one: got %v, want %v", got, want)
+	}
+	if got := PastOf(p.List()); got != p {
+		t.Errorf("read back: got %v, want %v", got, p)
+	}
+	if p.Has("") || !p.Has("v4") || p.Has("v3") {
+		t.Errorf("has: got %v, %v, %v, want only v4 of empty, v4, v3", p.Has(""), p.Has("v4"), p.Has("v3"))
+	}
+}
+
+// What serves on when the next version is ordered depends on how the last roll-out ended.
+func TestOrderedAfter(t *testing.T) {
+	for _, c := range []struct {
+		state TrialState
+		order string
+		want  []string
+	}{
+		{Proven, "v3", []string{"v1"}},
+		{Rejected, "v3", []string{"v2", "v1"}},
+		{Trying, "v3", []string{"v2", "v1"}},
+		{Rejected, "v1", []string{"v2"}},
+	} {
+		last := Trial{Service: "s", Version: "v2", State: c.state, Step: 3, Past: PastOf([]string{"v1"})}
+		got := last.Ordered(c.order)
+		if got.State != Ordered || got.Step != 0 || got.Version != c.order || !slices.Equal(got.Past.List(), c.want) {
+			t.Errorf("%s after %s: got %+v, want past %v", c.order, c.state, got, c.want)
+		}
+	}
+}
--- a/pkg/roll/trial.go
+++ b/pkg/roll/trial.go
@@ -29,10 +29,25 @@
 	// Begun and Ends are when the trial was ordered and when it has to be
 	// over, by this process's clock.
 	Begun, Ends time.Time
+	// Past holds the versions that get nothing any more.
+	Past Past
 	// Revision is that of the stored trial.
 	Revision int64
 }
 
+// Old reports whether a version is one that serves the sessions which the new one does not.
+func (t *Trial) Old(version string) bool { return version != t.Version && !t.Past.Has(version) }
+
+// Ordered returns the trial of a version that is ordered after t, which may have ended: only
+// a proven version goes on to serve.
+func (t *Trial) Ordered(version string) Trial {
+	past := t.Past
+	if t.State != Proven {
+		past = past.With(t.Version)
+	}
+	return Trial{Service: t.Service, Version: version, State: Ordered, Past: past.Without(version)}
+}
+
 // step is one step of a trial: from At, a part of its time, Share of the
 // sessions are served by the new version.
 type step struct{ at, share float64 }
