See a burst within half a second, and let the proof of a version wait in one

A burst came within a second of the last step, before the flow over 1.5 s showed it, and the version was proven in it a second later, while the same version, where its proof came 0.2 s later by chance, was found bad. Now a proof waits for the end of the order's time where requests come so often that 1.2 times as many are exposed as allowed; what shows until then rejects the version. A step's line says how many requests were exposed, and the flow.

--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -24,9 +24,10 @@
 // growth returns how fast the count grew up to a later one.
 func (s sample) growth(to sample) float64 { return float64(to.n-s.n) / to.at.Sub(s.at).Seconds() }
 
-// flowFor is the least time over which growth is measured: a report of each router of a fleet
-// of 32.
-const flowFor = 1500 * time.Millisecond
+// flowFor is the least time over which growth is measured: two reports of each router of a
+// small fleet, or of half of the routers of a fleet of 32; some tens of requests. With 1.5 s a
+// burst that came a second before the step was not seen.
+const flowFor = 600 * time.Millisecond
 
 // note takes in the count at a time.
 func (f *flow) note(now time.Time, n int) {
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -151,9 +151,11 @@
 	if err != nil {
 		r.notBefore = e.Now().Add(moveLeast)
 	}
+	n, of := r.judge.Exposed()
 	e.Log.Info("relay: A step of a roll-out was written.", zap.String("service", next.Service), zap.String("version", next.Version),
 		zap.String("state", string(next.State)), zap.Int("step", next.Step), zap.Stringer("verdict", r.judge.Verdict()),
-		zap.Float64("evidence", r.judge.Sum()), r.weights(), zap.Int64("onRevision", next.Revision), logs.Err(err))
+		zap.Float64("evidence", r.judge.Sum()), r.weights(), zap.Int("exposed", n), zap.Int("requests", of),
+		zap.Float64("requestsPerSecond", round(r.flow.perSecond)), zap.Int64("onRevision", next.Revision), logs.Err(err))
 }
 
 // findings returns what is known of a trial; mu is held.
@@ -162,8 +164,8 @@
 	n, of := r.judge.Exposed()
 	r.flow.note(now, of)
 	rest := r.flow.perSecond * max(r.trial.Ends.Sub(now).Seconds(), 0)
-	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: e.exposedTooOften(float64(n), float64(of)),
-		Crowded: r.all && e.exposedTooOften(float64(n)+rest, float64(of)+rest)}
+	used, expected := e.exposed(float64(n), float64(of)), e.exposed(float64(n)+rest, float64(of)+rest)
+	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: used > 1, Crowded: r.all && expected > 1, Burst: r.all && expected > burst}
 	if f.Verdict != r.verdict {
 		r.verdict = f.Verdict
 		e.Log.Info("relay: What is known of a new version has changed.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
@@ -172,13 +174,17 @@
 	return f
 }
 
-// exposedTooOften reports whether n of so many requests are more than a version that may be bad
-// may get.
-func (e *Engine) exposedTooOften(n, of float64) bool {
+// exposed returns which part of the requests that a version which may be bad may get are n of
+// so many.
+func (e *Engine) exposed(n, of float64) float64 {
 	l := e.limits.Load()
-	return n > l.ExposeShare*of+l.ExposeSlack*exposeKept
+	return n / max(l.ExposeShare*of+l.ExposeSlack*exposeKept, 1)
 }
 
+// burst is the part of the allowed requests from which on those that are expected are no
+// accident: even requests, counted over half a second, stay within a tenth of it.
+const burst = 1.2
+
 // exposeKept is the part of the users' slack that is used up: requests are under way
 // when the last of them is told.
 const exposeKept = 0.5
--- a/pkg/roll/trial.go
+++ b/pkg/roll/trial.go
@@ -79,8 +79,8 @@
 	StepAt time.Time
 	// Spent says that the new version got as many requests as one that may be bad
 	// may get, Crowded that it would have got as many by the end of the trial if it got
-	// all requests from now on.
-	Spent, Crowded bool
+	// all requests from now on, and Burst that it would have got many more.
+	Spent, Crowded, Burst bool
 }
 
 // Share returns the share of sessions that the new version serves.
@@ -161,6 +161,10 @@
 // the last step has had a part full.
 func (t *Trial) ending(part, full float64, f Findings) TrialState {
 	switch {
+	case f.Verdict == Good && f.Burst && part < 1:
+		// What cannot be undone waits: a version that is bad under the load that has come
+		// shows it in these seconds.
+		return Trying
 	case f.Verdict == Good && (full >= fullFor || part >= overBy || f.Spent):
 		return Proven
 	case f.Verdict == Fair && part < waitsBy && !f.Spent:
--- a/pkg/roll/trial_test.go
+++ b/pkg/roll/trial_test.go
@@ -162,3 +162,30 @@
 		t.Error("a rejected trial changed")
 	}
 }
+
+// At the last step a good version waits for the end of its time while far more requests come
+// than the step's time was chosen for, and is proven then.
+func TestBurstLetsTheProofWait(t *testing.T) {
+	begun := time.Unix(0, 0)
+	last := Trial{Service: "s", Version: "v2", State: Trying, Step: len(steps), Begun: begun, Ends: begun.Add(100 * time.Second)}
+	at := func(second int, f Findings) TrialState {
+		f.StepAt = begun.Add(92 * time.Second)
+		next, _ := last.Next(begun.Add(time.Duration(second)*time.Second), f)
+		return next.State
+	}
+	for _, c := range []struct {
+		second int
+		f      Findings
+		want   TrialState
+	}{
+		{96, Findings{Verdict: Good}, Proven},
+		{96, Findings{Verdict: Good, Burst: true}, Trying},
+		{99, Findings{Verdict: Good, Burst: true, Spent: true}, Trying},
+		{99, Findings{Verdict: Bad, Burst: true}, Rejected},
+		{101, Findings{Verdict: Good, Burst: true}, Proven},
+	} {
+		if got := at(c.second, c.f); got != c.want {
+			t.Errorf("at %d s with %+v: got %s, want %s", c.second, c.f, got, c.want)
+		}
+	}
+}
