--- a/pkg/roll/trial.go
+++ b/pkg/roll/trial.go
@@ -161,12 +161,8 @@
 // the last step has had a part full.
 func (t *Trial) ending(part, full float64, f Findings) TrialState {
 	switch {
-	case f.Verdict == Good && f.Burst && part < 1:
-		// What cannot be undone waits: a version that is bad under the load that has come
-		// shows it in these seconds.
-		return Trying
-	case f.Verdict == Good && (full >= fullFor || part >= overBy || f.Spent):
-		return Proven
+	case f.Verdict == Good:
+		return proof(part, full, f)
 	case f.Verdict == Fair && part < waitsBy && !f.Spent:
 		return Trying
 	case full >= fullMost || part >= overBy || f.Spent:
@@ -176,5 +172,16 @@
 	}
 }
 
+// proof returns the state of a trial of a good version at its last step. What cannot be undone
+// waits in a burst: a version that is bad under the load that has come shows it in these seconds.
+func proof(part, full float64, f Findings) TrialState {
+	waits := f.Burst && part < 1
+	served := full >= fullFor || part >= overBy || f.Spent
+	if served && !waits {
+		return Proven
+	}
+	return Trying
+}
+
 // part returns a time in parts of the trial's.
 func (t *Trial) part(d time.Duration) float64 { return float64(d) / float64(t.Ends.Sub(t.Begun)) }
