Ask the next peer once a connection is late, and take the late answer over all the same

Cause: a starting router waited for its first peer's connection for as long as the question was bounded, 2 s, where that VM had no power. Now the question goes on beside the next one.

TestPeerWithoutPowerIsLeftSoon failed each time and passes; TestLateAnswerIsTakenOver came with it.

--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -10,6 +10,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +55,9 @@
 	direct atomic.Bool
 	// sweep is how many peers are asked before the store is; see askNext.
 	sweep int
+	// late holds the ends of the questions that go on though nobody waits for them; the
+	// goroutine that asks owns it.
+	late []<-chan bool
 }
 
 const (
@@ -63,6 +68,10 @@
 	// listWithin does so for a starting router: a whole list of 3,000 endpoints
 	// has tens of kilobytes, and an asker sends it to dozens at once.
 	listWithin = 1500 * time.Millisecond
+	// connectWithin is how long the connection to a peer is waited for before another one is
+	// asked as well. It takes 3 ms between zones; a VM without power never answers, and the
+	// kernel tries again after a second, in which a starting router serves nobody.
+	connectWithin = 400 * time.Millisecond
 	// agedAfter is how old a peer's copy may be for it to count as well
 	// informed: a peer that asks the store has one of at most 1 s, and a
 	// configuration has to be in force 2 s after it was accepted, also where
@@ -117,8 +126,14 @@
 // the store leaves this router without word.
 func (a *Asker) Run(ctx context.Context) error {
 	primary := xxhash.Sum64String(a.Fleet.self)
+	defer func() {
+		for _, done := range a.late {
+			<-done
+		}
+	}()
 	for ctx.Err() == nil {
 		now := time.Now()
+		a.late = slices.DeleteFunc(a.late, ended)
 		informed := now.Sub(a.Mirror.Proven(a.Watched)) <= time.Duration(agedAfter)
 		switch {
 		case !a.listed() && (!a.introduced.Load() || a.reads()):
@@ -132,6 +147,16 @@
 	return nil
 }
 
+// ended reports whether a question has ended.
+func ended(done <-chan bool) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // askNext asks the first peers. If they are ill informed it waits at the next in rank, which
 // take over from them, then asks some others at once, turns to the store, and waits at the
 // first ones for word that it is back.
@@ -195,7 +220,29 @@
 	if hold {
 		until = askWait.After(sent)
 	}
-	return a.exchange(ctx, p, question{WaitMs: until.Sub(sent).Milliseconds()}, sent)
+	return a.connected(ctx, p, question{WaitMs: until.Sub(sent).Milliseconds()}, sent)
+}
+
+// connected is exchange, but that it returns false once no connection has come up for
+// connectWithin. The question goes on then, and its answer is taken over when it comes: a bound
+// on the connection would lose the answers of peers whose links are full.
+func (a *Asker) connected(ctx context.Context, p Peer, q question, sent time.Time) bool {
+	up := make(chan struct{})
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { close(up) }}
+	done := make(chan bool, 1)
+	go func() { done <- a.exchange(httptrace.WithClientTrace(ctx, trace), p, q, sent) }()
+	late := time.NewTimer(connectWithin)
+	defer late.Stop()
+	select {
+	case ok := <-done:
+		return ok
+	case <-up:
+		return <-done
+	case <-late.C:
+		a.Fleet.Skip(p.Name, time.Now().Add(listWithin))
+		a.late = append(a.late, done)
+		return false
+	}
 }
 
 // await asks a peer that may be ill informed to answer as soon as it is not, and reports
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
@@ -616,6 +617,29 @@
 	}
 }
 
+// A peer whose connection comes up late has not asked in vain: its answer is taken over though
+// others were asked meanwhile.
+func TestLateAnswerIsTakenOver(t *testing.T) {
+	p := serve(t, "p")
+	put(p.mirror, 5, time.Now())
+	a := asker(p)
+	up := make(chan struct{})
+	a.HTTP = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		<-up
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}}}
+	if a.ask(context.Background(), p.Peer, false) {
+		t.Fatal("ask without a connection: got true, want false")
+	}
+	close(up)
+	if len(a.late) != 1 || !<-a.late[0] {
+		t.Fatal("the late question: got no good answer, want one")
+	}
+	if got := a.Mirror.Revision("k"); got != 5 {
+		t.Errorf("revision: got %d, want 5", got)
+	}
+}
+
 // deaf returns an address whose queue of connections is full.
 func deaf(t *testing.T) netip.AddrPort {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
