--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -178,7 +178,7 @@
 	if r.names == nil {
 		r.names = make(map[uint32]string)
 	}
-	if len(r.names) < roll.RoutesMost {
+	if len(r.names) < roll.RowsMost {
 		r.names[route] = of
 	}
 }
