Take the last step of a roll-out on a flow that no single look may miss

Reports of 32 routers come in lumps, and one of 32 that saw half of the flow at one look took the step in the middle of a burst.

TestFlowOfReports came with it.

--- /dev/null
+++ b/internal/relay/flow_test.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// A flow of 300 a second that 32 routers report, each every 1.5 s at a moment of its own, is
+// never taken for much less, and a burst of 2.5 times shows within four.
+func TestFlowOfReports(t *testing.T) {
+	const routers, every = 32, 1500 * time.Millisecond
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 9))
+		begun := time.Unix(0, 0)
+		var phase [routers]time.Duration
+		for i := range phase {
+			phase[i] = time.Duration(rnd.Int64N(int64(every)))
+		}
+		// counted is what all routers sent up to a time, told what their last reports held.
+		counted := func(at time.Duration) float64 {
+			return 300*at.Seconds() + 450*max(at.Seconds()-10, 0)
+		}
+		told := func(at time.Duration) (n float64) {
+			for _, p := range phase {
+				if at >= p {
+					n += counted(at-(at-p)%every) / routers
+				}
+			}
+			return n
+		}
+		var f flow
+		for at := time.Duration(0); at < 15*time.Second; at += 100 * time.Millisecond {
+			f.note(begun.Add(at), int(told(at)))
+			if at > 5*time.Second && f.perSecond < 280 {
+				t.Fatalf("seed %d, at %v: got %.0f a second, want 280 at least", seed, at, f.perSecond)
+			}
+			if at > 14*time.Second && f.perSecond < 650 {
+				t.Fatalf("seed %d, at %v, 4 s into a burst: got %.0f a second, want 650 at least", seed, at, f.perSecond)
+			}
+		}
+	}
+}
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -106,7 +106,12 @@
 	defer e.mu.Unlock()
 	for _, r := range e.rolls {
 		next, changed := r.trial.Next(now, e.findings(r))
-		if !changed || r.writing {
+		if !changed {
+			// A step must be due all the while, so that no single look takes it.
+			r.notBefore = time.Time{}
+			continue
+		}
+		if r.writing {
 			continue
 		}
 		if r.notBefore.IsZero() {
