Let a question take a second connection without ending the router

Cause: found on reading the change once more. The trace of a question's connection closed a channel, and the client reports a second connection for the same question where a kept one has gone; closing the channel twice panicked and would have ended the process. Test: TestQuestionTakesAnotherConnection panicked before and passes.

--- a/internal/peers/asker.go
+++ b/internal/peers/asker.go
@@ -227,8 +227,14 @@
 // connectWithin. The question goes on then, and its answer is taken over when it comes: a bound
 // on the connection would lose the answers of peers whose links are full.
 func (a *Asker) connected(ctx context.Context, p Peer, q question, sent time.Time) bool {
-	up := make(chan struct{})
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { close(up) }}
+	// The client takes another connection for the same question where a kept one has gone.
+	up := make(chan struct{}, 1)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		select {
+		case up <- struct{}{}:
+		default:
+		}
+	}}
 	done := make(chan bool, 1)
 	go func() { done <- a.exchange(httptrace.WithClientTrace(ctx, trace), p, q, sent) }()
 	late := time.NewTimer(connectWithin)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -640,6 +641,40 @@
 	}
 }
 
+// brokenOnReuse is a connection that takes nothing more after its first request.
+type brokenOnReuse struct {
+	net.Conn
+	wrote atomic.Int64
+}
+
+func (c *brokenOnReuse) Write(b []byte) (int, error) {
+	if c.wrote.Add(1) > 1 {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+// A kept connection that has gone makes the client take another one for the same question.
+func TestQuestionTakesAnotherConnection(t *testing.T) {
+	p := serve(t, "p")
+	put(p.mirror, 5, time.Now())
+	a := asker(p)
+	dialed := 0
+	a.HTTP = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dialed++
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return &brokenOnReuse{Conn: c}, err
+	}}}
+	for i := range 2 {
+		if !a.ask(context.Background(), p.Peer, false) {
+			t.Errorf("question %d: got no good answer, want one", i+1)
+		}
+	}
+	if dialed != 2 {
+		t.Errorf("connections: got %d, want 2", dialed)
+	}
+}
+
 // deaf returns an address whose queue of connections is full.
 func deaf(t *testing.T) netip.AddrPort {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
