--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -48,7 +48,7 @@
 		return
 	}
 	if !ok || r.trial.Version != t.Version || t.State == roll.Ordered && r.trial.State != roll.Ordered {
-		r = &rollout{stepAt: e.Now(), all: t.State == roll.Ordered || t.Step == 0}
+		r = &rollout{stepAt: e.Now(), all: t.Step == 0}
 		e.rolls[t.Service] = r
 	} else {
 		t.Begun, t.Ends = r.trial.Begun, r.trial.Ends
--- a/pkg/roll/past.go
+++ b/pkg/roll/past.go
@@ -19,17 +19,12 @@
 
 // With returns p with a version as its newest one.
 func (p Past) With(version string) Past {
-	if version == "" || p[0] == version {
+	if version == "" {
 		return p
 	}
+	rest := p.Without(version)
 	next := Past{version}
-	n := 1
-	for _, v := range p.Without(version) {
-		if n < pastMost {
-			next[n] = v
-			n++
-		}
-	}
+	copy(next[1:], rest[:])
 	return next
 }
 
