Tell when an endpoint has ended, under which requests, and which requests ask the same

An attempt that breaks off asks whether the endpoint's port refuses connections; if so each request that it may have been running, also one that was dropped a second ago, has a line with the request's print. No decision hangs on it.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -26,7 +26,7 @@
 		broke = x.deliverWhole(reply, t, s)
 	}
 	if broke == nil {
-		t.Outcome = "delivered"
+		t.Outcome, a.harmless = "delivered", true
 		x.e.ended(x.route, x.e.Now().Sub(began))
 		x.e.whole(a)
 		x.log(x.e.Now(), reply.Status, nil)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -36,6 +36,8 @@
 	// a trial.
 	Tell       func(w Word)
 	TellReport func(r roll.Report)
+	// Gone reports whether an endpoint has ended.
+	Gone Gone
 	// Proven returns when the table in force was the newest, for sure.
 	Proven func() time.Time
 	// Listed reports whether the endpoints are known.
@@ -69,8 +71,10 @@
 	sendersOf uint64
 
 	// mu guards what follows.
-	mu      sync.Mutex
-	book    *pool.Book
+	mu   sync.Mutex
+	book *pool.Book
+	// aboard holds what endpoints may be running, by their hashes.
+	aboard  map[uint64]*aboard
 	budgets map[string]*budget.Window
 	// heads holds the times to the head by sort.
 	heads map[string]*mean
@@ -108,6 +112,8 @@
 		Senders:    func(uint64) (pool.Senders, uint64, bool) { return pool.Senders{}, 0, false },
 		failures:   rate.NewLimiter(failuresPerSecond, failuresPerSecond),
 		book:       pool.NewBook(),
+		aboard:     make(map[uint64]*aboard),
+		Gone:       func(context.Context, pool.Entry) bool { return false },
 		budgets:    make(map[string]*budget.Window),
 		heads:      make(map[string]*mean),
 		reads:      make(map[string]*speed),
@@ -225,8 +231,9 @@
 				e.TellReport(r)
 			}
 			e.gauge()
-			if n%warmingEvery == 0 {
+			if n%everySecond == 0 {
 				e.gaugeWarming()
+				e.sweepAboard(e.Now())
 			}
 		case <-ctx.Done():
 			return nil
@@ -238,9 +245,9 @@
 // the second within which a bad version must be left.
 const tendEvery = 100 * time.Millisecond
 
-// warmingEvery is after how many looks it is told how many endpoints warm up, which looks at
-// every endpoint: metrics are read every few seconds.
-const warmingEvery = 10
+// everySecond is after how many looks it does what looks at every endpoint: telling how many
+// warm up, and forgetting what they ran.
+const everySecond = 10
 
 // gauge tells the metrics what the router believes.
 func (e *Engine) gauge() {
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -4,7 +4,7 @@
 package relay
 
 // entryOf returns what a map holds under a key; a new zero value if there is none.
-func entryOf[T any](in map[string]*T, key string) *T {
+func entryOf[K comparable, T any](in map[K]*T, key K) *T {
 	v, ok := in[key]
 	if !ok {
 		v = new(T)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/blame"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
 )
@@ -44,6 +45,8 @@
 	Arrived   time.Time
 	// Deadline is when the caller gives up; zero if it does not say.
 	Deadline time.Time
+	// print names the request and its repeats; zero before it was asked for.
+	print blame.Print
 }
 
 // Attempt is one request on its way to one endpoint.
@@ -86,6 +89,10 @@
 	loaded bool
 	// unread is how many tokens of the prompt are expected to be read.
 	unread int
+	// stay is the request's place among those that the endpoint may be running.
+	stay *stay
+	// harmless says that the endpoint answered the request whole, or surely did not run it.
+	harmless bool
 	// headed says that the head of an answer came that may be passed on.
 	headed bool
 	// weighed is what the attempt counted as for the trial of its service; empty for
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -169,6 +169,9 @@
 		err = x.over(ctx)
 	}
 	x.note(a, t, err, now)
+	if ctx.Err() == nil && broken(err, t) {
+		x.e.askGone(ctx, a)
+	}
 	if notSent(err) {
 		x.made--
 		x.giveBack(now)
@@ -194,7 +197,9 @@
 	if t.Outcome == "" {
 		t.Outcome = "failed"
 	}
-	if err.Run != fault.NotRun {
+	if err.Run == fault.NotRun {
+		a.harmless = true
+	} else {
 		x.mayHaveRun = true
 	}
 	x.e.failed(a, x.route, err, t, now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,7 +71,7 @@
 	r := &Router{Log: log, file: file, settings: s, wire: w, lines: lines, configured: make(chan struct{})}
 	r.admin = admin.NewMetrics()
 	r.Engine = relay.New(log, r.admin.Scope, s.limits())
-	r.Engine.Send, r.Engine.WriteTrial = w.Send, w.WriteTrial
+	r.Engine.Send, r.Engine.WriteTrial, r.Engine.Gone = w.Send, w.WriteTrial, w.Gone
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryKept / 100)
 	}
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -43,6 +43,8 @@
 	Request func(r *http.Request, body []byte, now time.Time) *relay.Request
 	// Send makes an attempt.
 	Send relay.Send
+	// Gone reports whether an endpoint has ended.
+	Gone relay.Gone
 	// ReadyPath is where the balancer asks.
 	ReadyPath string
 	// OnStoreCall sets what is called for each call to the store that has ended.
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -188,6 +188,9 @@
 // Len returns how many endpoints are known.
 func (b *Book) Len() int { return len(b.byID) }
 
+// Leaves reports whether the endpoint was listed as leaving, or removed in calm times.
+func (p *Endpoint) Leaves() bool { return p.leaving }
+
 // usable reports whether the endpoint may get new work.
 func (p *Endpoint) usable(now time.Time) bool { return !p.area.closed && p.listed(now) }
 
