--- a/pkg/blame/book_test.go
+++ b/pkg/blame/book_test.go
@@ -258,42 +258,63 @@
 	return !slices.ContainsFunc(a, func(e End) bool { return !contains(b, e) }) && len(a) == len(b)
 }
 
+// drawn is a book with a request that ends every endpoint which runs it, and others.
+type drawn struct {
+	*Book
+	guilty Print
+	// ends are those under guilty, and blamed says that it was blamed before.
+	ends   int
+	blamed bool
+	// clean holds the requests that were answered whole since their last end.
+	clean map[Print]bool
+}
+
+// other draws one of the other requests.
+func other(t *rapid.T, label string) Print { return request(2 + rapid.Byte().Draw(t, label)%20) }
+
+// strike ends an endpoint under the guilty request.
+func (d *drawn) strike(t *rapid.T, now time.Time, endpoint uint64) {
+	d.ends++
+	d.Ended(now, d.guilty, endpoint)
+	refused := d.Refuses(now, d.guilty, first) != nil
+	if late := d.blamed || d.ends > endsInWave; late && !refused {
+		t.Fatalf("after %d ends, blamed before %v: got no verdict", d.ends, d.blamed)
+	}
+	d.blamed = d.blamed || refused
+}
+
+// besides strikes what else the endpoint runs, and answers one request whole.
+func (d *drawn) besides(t *rapid.T, now time.Time, endpoint uint64) {
+	for range rapid.IntRange(0, 4).Draw(t, "beside") {
+		if p := other(t, "other"); d.Refuses(now, p, first) == nil {
+			d.Ended(now, p, endpoint)
+			d.clean[p] = false
+		}
+	}
+	if p := other(t, "answered"); rapid.Bool().Draw(t, "whole") {
+		d.Whole(now, p)
+		d.clean[p] = true
+	}
+	for p, ok := range d.clean {
+		if ok && d.Refuses(now, p, first) != nil {
+			t.Fatalf("request %v was answered whole: got a verdict", p)
+		}
+	}
+}
+
 // A request that ends every endpoint which runs it is blamed after three ends, four in a
 // wave, and one more where what ran beside it was blamed first; where a clearer cause lifts
 // that, the next end blames it again. No request that was answered whole since its last end
 // is blamed. What is blamed is not sent.
 func TestBlameIsSoundAndSoon(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBook()
-		guilty, ends, blamed, endpoint := request(1), 0, false, uint64(0)
-		clean := make(map[Print]bool)
+		d := drawn{Book: NewBook(), guilty: request(1), clean: make(map[Print]bool)}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now := at(step * 50)
-			endpoint++
-			if b.Refuses(now, guilty, first) == nil && rapid.Bool().Draw(t, "guilty") {
-				ends++
-				b.Ended(now, guilty, endpoint)
-				if late := blamed || ends > endsInWave; late && b.Refuses(now, guilty, first) == nil {
-					t.Fatalf("after %d ends, blamed before %v: got no verdict", ends, blamed)
-				}
-			}
-			blamed = blamed || b.Refuses(now, guilty, first) != nil
-			for range rapid.IntRange(0, 4).Draw(t, "beside") {
-				p := request(2 + rapid.Byte().Draw(t, "other")%20)
-				if b.Refuses(now, p, first) == nil {
-					b.Ended(now, p, endpoint)
-					clean[p] = false
-				}
-			}
-			if p := request(2 + rapid.Byte().Draw(t, "answered")%20); rapid.Bool().Draw(t, "whole") {
-				b.Whole(now, p)
-				clean[p] = true
-			}
-			for p, ok := range clean {
-				if ok && b.Refuses(now, p, first) != nil {
-					t.Fatalf("request %v was answered whole: got a verdict", p)
-				}
+			now, endpoint := at(step*50), uint64(step)
+			if d.Refuses(now, d.guilty, first) == nil && rapid.Bool().Draw(t, "guilty") {
+				d.strike(t, now, endpoint)
 			}
+			d.besides(t, now, endpoint)
 		}
 	})
 }
