Weigh an end by how likely it was without the request: waves blamed innocents

Cause: waves that end a third of the endpoints every 3.5 s struck innocent requests three times and more: long streams meet several waves, and a request that was dropped at two endpoints a moment before is struck by one wave at three. Change: an end weighs as much as it was unlikely for a request that was merely there: by what part of the other endpoints ended at that moment, as far as this router sees or was told, and by how often endpoints end in the time that the request was there. Three ends that are together less likely than one in a thousand make a verdict, five always do. A suspect is judged 60 ms after its third end, once it is known what else ended, and its next attempt waits for that. The store is tried again as soon as it is heard of: a router that started just then read it before a verdict of its silence was there.

--- a/internal/peers/blame.go
+++ b/internal/peers/blame.go
@@ -24,6 +24,8 @@
 	Print blame.Print
 	// Endpoint is the hash of the endpoint's ID.
 	Endpoint uint64
+	// AgeMs is how long the request had been there, in milliseconds.
+	AgeMs uint32
 	// Whole says that the request was answered, which clears it.
 	Whole bool
 }
@@ -118,7 +120,7 @@
 }
 
 // strikeBytes is the length of an encoded Struck.
-const strikeBytes = blame.PrintBytes + 8 + 1
+const strikeBytes = blame.PrintBytes + 8 + 4 + 1
 
 // SendVerdicts tells all other routers of verdicts that are new or changed.
 func (n *Notes) SendVerdicts(list []blame.Verdict) { n.sendVerdicts(list, n.fleet.others()) }
--- a/internal/relay/blame.go
+++ b/internal/relay/blame.go
@@ -4,21 +4,33 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/blame"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
+// Struck is word of a request under which an endpoint ended, or that was answered whole.
+type Struck struct {
+	Print blame.Print
+	// Endpoint is the hash of the endpoint's ID.
+	Endpoint uint64
+	// Age is how long the request had been there.
+	Age time.Duration
+	// Whole says that the request was answered, which clears it.
+	Whole bool
+}
+
 // Blames is what the engine tells and asks of the other routers and the store about requests
 // that end endpoints. Its functions are seams.
 type Blames struct {
-	// Struck tells the routers that keep a request's ends that an endpoint, by its hash,
-	// ended under it, or that it was answered whole.
-	Struck func(p blame.Print, endpoint uint64, whole bool)
+	// Struck tells the routers that keep the request's ends.
+	Struck func(s Struck)
 	// Changed tells all routers of verdicts, Again some of them once more.
 	Changed, Again func(list []blame.Verdict)
 	// AgainMost is how many verdicts are worth telling again at a time.
@@ -29,7 +41,7 @@
 
 // noBlames are those of a router alone.
 var noBlames = Blames{
-	Struck:  func(blame.Print, uint64, bool) {},
+	Struck:  func(Struck) {},
 	Changed: func([]blame.Verdict) {}, Again: func([]blame.Verdict) {},
 	Rank: func(blame.Print) int { return 0 },
 }
@@ -53,6 +65,22 @@
 	return fault.New(fault.Quarantined, fault.NotRun, "%d endpoints or more ended under request %v; it is not sent to another.", len(v.Ends), p).At(v.Until)
 }
 
+// awaitJudgement returns once it is known whether the request is quarantined: one under which
+// enough endpoints have ended is not sent to another in the meantime.
+func (x *run) awaitJudgement(ctx context.Context) {
+	e := x.e
+	e.mu.Lock()
+	due, waits := time.Time{}, false
+	if !e.blames.Empty() {
+		due, waits = e.blames.JudgedAt(x.print())
+	}
+	e.mu.Unlock()
+	if waits {
+		tasks.Pause(ctx, due)
+		e.judge()
+	}
+}
+
 // apart returns the endpoints that a request under which one ended should not meet: those
 // that run another such request. Each then shows by itself whether it ends what runs it.
 // Nothing for other requests; mu is held.
@@ -76,25 +104,67 @@
 
 // strike counts the end of an endpoint for a request that it may have been running; mu is held.
 func (e *Engine) strike(s *stay, p *pool.Entry, hash uint64, besides int, now time.Time) {
-	name := s.name()
-	changed := e.blames.Ended(now, name, hash)
+	name, age := s.name(), now.Sub(s.sentAt)
+	e.struck(Struck{Print: name, Endpoint: hash, Age: age}, true, now)
 	e.Log.Info("relay: An endpoint has ended under a request.", zap.String("endpoint", p.ID), zap.String("service", p.Service),
-		zap.String("request", s.id), zap.Stringer("print", name), zap.Int("ends", e.blames.Ends(name)), zap.Int("besides", besides))
-	e.Blames.Struck(name, hash, false)
-	e.tellVerdicts(changed, "an endpoint ended under it here")
+		zap.String("request", s.id), zap.Stringer("print", name), zap.Int("ends", e.blames.Ends(name)), zap.Int("besides", besides), zap.Int64("ageMs", age.Milliseconds()))
+	e.Blames.Struck(Struck{Print: name, Endpoint: hash, Age: age})
+}
+
+// struck takes over word of an end, of this router or another; mu is held.
+func (e *Engine) struck(s Struck, own bool, now time.Time) {
+	why := "other routers told of ends"
+	if own {
+		why = "an endpoint ended under it here"
+	}
+	changed, pending := e.blames.Ended(now, s.Print, s.Endpoint, s.Age, own)
+	e.tellVerdicts(changed, why)
+	if !pending {
+		return
+	}
+	select {
+	case e.judging <- struct{}{}:
+	default:
+	}
+}
+
+// judge judges the suspects that are due, and reports whether others are to follow.
+func (e *Engine) judge() (pending bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changed, pending := e.blames.Judge(e.Now(), e.view)
+	e.tellVerdicts(changed, "enough endpoints ended under it")
+	return pending
+}
+
+// view returns how much this router sees of the service of an endpoint, or of all if that is
+// not known any more; mu is held.
+func (e *Engine) view(endpoint uint64) (v blame.View) {
+	service, all := "", true
+	if p := e.book.ByHash(endpoint); p != nil {
+		service, all = p.Service, false
+	}
+	for hash := range e.aboard {
+		if p := e.book.ByHash(hash); all || p != nil && p.Service == service {
+			v.Aboard++
+		}
+	}
+	v.Listed = e.book.Len()
+	if !all {
+		v.Listed = e.book.Size(service)
+	}
+	return v
 }
 
-// HeardStruck takes over word of another router that an endpoint ended under a request, or that
-// it was answered whole.
-func (e *Engine) HeardStruck(p blame.Print, endpoint uint64, whole bool) {
+// HeardStruck takes over what another router tells of a request.
+func (e *Engine) HeardStruck(s Struck) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.Now()
-	if whole {
-		e.cleared(p, now)
+	if s.Whole {
+		e.cleared(s.Print, e.Now())
 		return
 	}
-	e.tellVerdicts(e.blames.Ended(now, p, endpoint), "other routers told of ends")
+	e.struck(s, false, e.Now())
 }
 
 // HeardVerdicts takes over verdicts of another router.
@@ -152,7 +222,7 @@
 		return
 	}
 	if p := a.print(); e.cleared(p, e.Now()) {
-		e.Blames.Struck(p, a.hash, true)
+		e.Blames.Struck(Struck{Print: p, Endpoint: a.hash, Whole: true})
 	}
 }
 
--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -39,6 +39,8 @@
 	// id and print name the request; print is zero while it is under way.
 	id    string
 	print blame.Print
+	// sentAt is when it was sent.
+	sentAt time.Time
 	// leftAt is when it was left without a whole answer; zero while it is under way.
 	leftAt time.Time
 	// counted says that the endpoint's end was counted for it.
@@ -86,7 +88,7 @@
 	if len(b.stays) >= aboardMost {
 		b.stays = b.stays[1:]
 	}
-	a.stay = &stay{attempt: a, id: a.Request.ID, suspect: !e.blames.Empty() && e.blames.Ends(a.print()) > 0}
+	a.stay = &stay{attempt: a, id: a.Request.ID, sentAt: e.Now(), suspect: !e.blames.Empty() && e.blames.Ends(a.print()) > 0}
 	b.stays = append(b.stays, a.stay)
 }
 
@@ -201,13 +203,25 @@
 // doubtsMost bounds the endpoints that are in doubt at a time.
 const doubtsMost = 64
 
-// AskDoubts asks whether endpoints have ended that others found failing, or at which a request
-// was dropped under which another one ended, until ctx is done.
-func (e *Engine) AskDoubts(ctx context.Context) error {
-	for {
+// WatchEnds asks whether endpoints have ended that others found failing, or at which a request
+// was dropped under which another one ended, and judges the requests that are suspected, until
+// ctx is done.
+func (e *Engine) WatchEnds(ctx context.Context) error {
+	settled := time.NewTimer(0)
+	defer settled.Stop()
+	for waiting := true; ; {
 		select {
 		case p := <-e.doubts:
 			e.askDoubt(ctx, p)
+		case <-e.judging:
+			if !waiting {
+				settled.Reset(blame.SettleFor)
+			}
+			waiting = true
+		case <-settled.C:
+			if waiting = e.judge(); waiting {
+				settled.Reset(blame.SettleFor / 2)
+			}
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -80,6 +80,8 @@
 	// forgotten and are still stored.
 	blames *blame.Book
 	lapsed []blame.Print
+	// judging says that suspects are to be judged once word of ends has settled.
+	judging chan struct{}
 	// doubts are the endpoints of which it is to be asked whether they have ended.
 	doubts chan pool.Entry
 	// aboard holds what endpoints may be running, by their hashes.
@@ -122,6 +124,7 @@
 		failures:   rate.NewLimiter(failuresPerSecond, failuresPerSecond),
 		book:       pool.NewBook(),
 		blames:     blame.NewBook(),
+		judging:    make(chan struct{}, 1),
 		doubts:     make(chan pool.Entry, doubtsMost),
 		Blames:     noBlames,
 		aboard:     make(map[uint64]*aboard),
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -60,6 +60,7 @@
 func (x *run) serve(ctx context.Context) {
 	x.begin()
 	for {
+		x.awaitJudgement(ctx)
 		now := x.e.Now()
 		a, t, err := x.choose(now)
 		if err != nil {
--- a/internal/router/verdicts.go
+++ b/internal/router/verdicts.go
@@ -25,8 +25,9 @@
 	// verdictStep is how long the next router in rank leaves that to the one before: a slow
 	// store takes half a second. A router that is cut off from it is one of few.
 	verdictStep = 800 * time.Millisecond
-	// verdictAgain is how long a router waits after a call that failed: each is priced,
-	// and all are told each second meanwhile.
+	// verdictAgain is how long a router waits after a call that failed, unless the store was
+	// heard of sooner: each call is priced, and all are told each second meanwhile. A router
+	// that starts just then reads the store at once.
 	verdictAgain = config.Span(2 * time.Second)
 )
 
@@ -48,19 +49,32 @@
 
 // storeVerdicts stores what the store lacks of quarantined requests until ctx is done.
 func (r *Router) storeVerdicts(ctx context.Context) error {
+	var failedAt time.Time
 	for ctx.Err() == nil {
-		next := verdictEvery.After(time.Now())
-		if v := r.Engine.Unstored(verdictStep); v != nil {
-			if err := r.storeVerdict(ctx, *v); err != nil {
-				r.Log.Warn("router: A quarantine could not be stored.", zap.Stringer("print", v.Print), zap.Int("round", v.Round), logs.Err(err))
-				next = verdictAgain.After(time.Now())
-			}
+		now := time.Now()
+		heard := r.mirror.Proven(r.wire.ConfigKind).After(failedAt)
+		if heard || now.After(verdictAgain.After(failedAt)) {
+			failedAt = r.storeNext(ctx)
 		}
-		tasks.Pause(ctx, next)
+		tasks.Pause(ctx, verdictEvery.After(now))
 	}
 	return nil
 }
 
+// storeNext stores one quarantine, if one is to be, and returns when that failed; zero if it
+// did not.
+func (r *Router) storeNext(ctx context.Context) (failedAt time.Time) {
+	v := r.Engine.Unstored(verdictStep)
+	if v == nil {
+		return time.Time{}
+	}
+	if err := r.storeVerdict(ctx, *v); err != nil {
+		r.Log.Warn("router: A quarantine could not be stored.", zap.Stringer("print", v.Print), zap.Int("round", v.Round), logs.Err(err))
+		return time.Now()
+	}
+	return time.Time{}
+}
+
 // storeVerdict stores a quarantine, or removes one that was lifted or is forgotten.
 func (r *Router) storeVerdict(ctx context.Context, v blame.Verdict) error {
 	if !v.Blames() {
--- a/pkg/blame/book.go
+++ b/pkg/blame/book.go
@@ -18,15 +18,10 @@
 	causes map[uint64][]Print
 	// recent holds the ends that word of came lately, whatever ran there; at most
 	// recentMost.
-	recent []End
-}
-
-// suspect is a request under which endpoints ended and that is not blamed for it.
-type suspect struct {
-	// ends are at most endsKept.
-	ends []End
-	// at is when word of the last one came.
-	at time.Time
+	recent []sighting
+	// pending holds the suspects that are to be judged, and from when on: later ends don't
+	// put that off.
+	pending map[Print]time.Time
 }
 
 // record is a verdict with what this process did about it.
@@ -40,19 +35,6 @@
 }
 
 const (
-	// endsLeast is how many endpoints must have ended under a request for it to be blamed.
-	// The users' bound counts from the third on.
-	endsLeast = 3
-	// endsInWave is that number while endpoints end without the request as well, waveLeast
-	// of them or more within waveFor: what runs in a wave may be struck three times by
-	// chance, a fourth time a third as often.
-	endsInWave = 4
-	waveLeast  = 3
-	waveFor    = 10 * time.Second
-	// clearerBy is by how many ends another request must be the clearer cause. A request
-	// that was blamed wrongly is not sent any more, so that it hardly gets ahead of the
-	// right one again.
-	clearerBy = 2
 	// suspectFor is how long ends under a request are remembered beyond the last of them.
 	suspectFor = 10 * time.Minute
 	// suspectsMost and recordsMost bound the memory, to 3 and 4 MB; the oldest make room.
@@ -70,7 +52,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{suspects: make(map[Print]*suspect), records: make(map[Print]*record), causes: make(map[uint64][]Print)}
+	return &Book{suspects: make(map[Print]*suspect), records: make(map[Print]*record), causes: make(map[uint64][]Print), pending: make(map[Print]time.Time)}
 }
 
 // Empty reports whether nothing is known of any request.
@@ -102,18 +84,28 @@
 	return 0
 }
 
-// Ended notes that an endpoint ended under a request. It returns the verdicts that are new or
-// changed by that.
-func (b *Book) Ended(now time.Time, p Print, endpoint uint64) []Verdict {
+// Ended notes that an endpoint ended under a request that had been there for so long; own says
+// that this process saw it itself. It returns the verdicts that are new or changed by that at
+// once; pending says that Judge is to follow.
+func (b *Book) Ended(now time.Time, p Print, endpoint uint64, age time.Duration, own bool) (changed []Verdict, pending bool) {
 	e := End{endpoint, now}
-	b.notice(e)
+	b.notice(e, own)
 	r := b.records[p]
 	if r != nil && r.Blames() && now.Before(r.Until) {
 		if !b.grow(now, r, e) {
-			return nil
+			return nil, false
 		}
-		return append([]Verdict{r.Verdict}, b.overrule(now, r.Ends)...)
+		return append([]Verdict{r.Verdict}, b.overrule(now, r.Ends)...), false
+	}
+	if r != nil && len(r.Ends) > 0 && b.explaining(e, p, 0) == nil {
+		return b.blame(now, p, []End{e}), false
 	}
+	return nil, b.suspect(now, p, e, age)
+}
+
+// suspect notes an end under a request that is not blamed, and reports whether it is to be
+// judged for that.
+func (b *Book) suspect(now time.Time, p Print, e End, age time.Duration) (pending bool) {
 	s := b.suspects[p]
 	if s == nil {
 		s = &suspect{}
@@ -122,104 +114,37 @@
 		}
 		b.suspects[p] = s
 	}
-	s.ends, _ = join(s.ends, e)
-	s.at = now
-	if !b.guilty(p, s, now) {
-		return nil
-	}
-	v := Verdict{Print: p}
-	if r != nil {
-		v = r.Verdict
-		if v.Blames() {
-			// It was tried again after its time and has done it again.
-			v.Round++
-		}
-	}
-	v = v.next(now)
-	v.Ends, _ = join(s.ends, v.Ends...)
-	delete(b.suspects, p)
-	b.keep(now, v)
-	return append([]Verdict{v}, b.overrule(now, v.Ends)...)
-}
-
-// notice keeps an end among the recent ones.
-func (b *Book) notice(e End) {
-	if contains(b.recent, e) {
-		return
-	}
-	if len(b.recent) >= recentMost {
-		b.recent = b.recent[1:]
-	}
-	b.recent = append(b.recent, e)
-}
-
-// guilty reports whether a suspect is to be blamed. What ran beside a request that is blamed
-// was struck by that: it takes two ends which no such request explains, or one beyond the
-// number that is needed, as the blamed one may itself have run beside this one.
-func (b *Book) guilty(p Print, s *suspect, now time.Time) bool {
-	r := b.records[p]
-	again := r != nil && len(r.Ends) > 0
-	if len(s.ends) < endsLeast && !again {
+	if !s.add(e, age) {
 		return false
 	}
-	open := 0
-	for _, e := range s.ends {
-		if b.explaining(e, p, 0) == nil {
-			open++
-		}
+	s.at = now
+	if len(s.ends) < endsLeast {
+		return false
 	}
-	if again {
-		return open > 0
+	if _, ok := b.pending[p]; !ok {
+		b.pending[p] = now.Add(SettleFor)
 	}
-	needed := b.needed(s, now)
-	return len(s.ends) >= needed && open > 1 || len(s.ends) > needed && open > 0
+	return true
 }
 
-// needed returns how many ends it takes for a suspect to be blamed.
-func (b *Book) needed(s *suspect, now time.Time) int {
-	others := 0
-	for _, e := range b.recent {
-		if now.Sub(e.At) <= waveFor && !contains(s.ends, e) && b.explaining(e, Print{}, 0) == nil {
-			others++
-		}
-	}
-	if others >= waveLeast {
-		return endsInWave
-	}
-	return endsLeast
+// JudgedAt returns when a request is to be judged; ok is false if it is not.
+func (b *Book) JudgedAt(p Print) (at time.Time, ok bool) {
+	at, ok = b.pending[p]
+	return at, ok
 }
 
-// explaining returns a blamed request other than p that an end came from, and under which so
-// many endpoints ended at least; nil for none.
-func (b *Book) explaining(e End, p Print, least int) *record {
-	for _, cause := range b.causes[e.Endpoint] {
-		if r := b.records[cause]; cause != p && len(r.Ends) >= least && r.Explains(e) {
-			return r
+// notice keeps an end among the recent ones.
+func (b *Book) notice(e End, own bool) {
+	for i := range b.recent {
+		if r := &b.recent[i]; r.same(e) {
+			r.own = r.own || own
+			return
 		}
 	}
-	return nil
-}
-
-// overrule lifts the verdicts, of those that such ends stand in, whose every end other
-// requests explain that have more of them by clearerBy, and returns them. They keep their
-// ends, so that one more is enough for the blame: it may have been right.
-func (b *Book) overrule(now time.Time, ends []End) (lifted []Verdict) {
-	for _, e := range ends {
-		for _, p := range slices.Clone(b.causes[e.Endpoint]) {
-			if r := b.records[p]; b.overruled(r) {
-				v := r.next(now)
-				b.keep(now, v)
-				lifted = append(lifted, v)
-			}
-		}
+	if len(b.recent) >= recentMost {
+		b.recent = b.recent[1:]
 	}
-	return lifted
-}
-
-// overruled reports whether other requests are the clearer cause of all that one is blamed for.
-func (b *Book) overruled(r *record) bool {
-	open := func(e End) bool { return b.explaining(e, r.Print, len(r.Ends)+clearerBy) == nil }
-	return r.Blames() && !slices.ContainsFunc(r.Ends, open)
+	b.recent = append(b.recent, sighting{e, own})
 }
 
 // Whole notes that an endpoint answered a request whole, which proves that it does not end
@@ -395,7 +320,7 @@
 // Expire forgets what is old, and returns the requests whose verdicts the store still holds.
 func (b *Book) Expire(now time.Time) (stored []Print) {
 	maps.DeleteFunc(b.suspects, func(_ Print, s *suspect) bool { return now.Sub(s.at) > suspectFor })
-	b.recent = slices.DeleteFunc(b.recent, func(e End) bool { return now.Sub(e.At) > waveFor })
+	b.recent = slices.DeleteFunc(b.recent, func(e sighting) bool { return now.Sub(e.At) > 2*waveFor })
 	for p, r := range b.records {
 		if now.Before(r.forgottenAt()) {
 			continue
