--- a/cmd/traildrift/main.go
+++ b/cmd/traildrift/main.go
@@ -78,17 +78,18 @@
 
 // args are the program's commands.
 type args struct {
-	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serve callers"`
-	Guard    *guardArgs    `arg:"subcommand:guard" help:"run a guard: serve the endpoint on this VM"`
-	Router   *routerArgs   `arg:"subcommand:router" help:"run a router on the users' platform"`
-	Settings *settingsArgs `arg:"subcommand:settings" help:"check, show and change fleet settings"`
-	Rollout  *rolloutArgs  `arg:"subcommand:rollout" help:"stage, pause and abort roll-outs of versions"`
-	Status   *statusArgs   `arg:"subcommand:status" help:"show every VM's process, its revision, and the roll-outs"`
-	Explain  *explainArgs  `arg:"subcommand:explain" help:"say why a request went where it went"`
-	Account  *accountArgs  `arg:"subcommand:account" help:"say where the time and the bytes of requests went, from routers' logs"`
-	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of a process"`
-	Bills    *billsArgs    `arg:"subcommand:bills" help:"show folded bills"`
-	Version  *versionArgs  `arg:"subcommand:version" help:"show the version"`
+	Entry      *entryArgs      `arg:"subcommand:entry" help:"run an entry: serve callers"`
+	Guard      *guardArgs      `arg:"subcommand:guard" help:"run a guard: serve the endpoint on this VM"`
+	Router     *routerArgs     `arg:"subcommand:router" help:"run a router on the users' platform"`
+	Settings   *settingsArgs   `arg:"subcommand:settings" help:"check, show and change fleet settings"`
+	Rollout    *rolloutArgs    `arg:"subcommand:rollout" help:"stage, pause and abort roll-outs of versions"`
+	Status     *statusArgs     `arg:"subcommand:status" help:"show every VM's process, its revision, and the roll-outs"`
+	Explain    *explainArgs    `arg:"subcommand:explain" help:"say why a request went where it went"`
+	Account    *accountArgs    `arg:"subcommand:account" help:"say where the time and the bytes of requests went, from routers' logs"`
+	Dump       *dumpArgs       `arg:"subcommand:dump" help:"show the state of a process"`
+	Quarantine *quarantineArgs `arg:"subcommand:quarantine" help:"show and lift quarantines of requests that end endpoints"`
+	Bills      *billsArgs      `arg:"subcommand:bills" help:"show folded bills"`
+	Version    *versionArgs    `arg:"subcommand:version" help:"show the version"`
 }
 
 // Description is shown by --help.
@@ -104,7 +105,7 @@
 	}{
 		{a.Entry != nil, a.Entry}, {a.Guard != nil, a.Guard}, {a.Router != nil, a.Router},
 		{a.Settings != nil, a.Settings}, {a.Rollout != nil, a.Rollout}, {a.Status != nil, a.Status}, {a.Explain != nil, a.Explain},
-		{a.Account != nil, a.Account}, {a.Dump != nil, a.Dump}, {a.Bills != nil, a.Bills}, {a.Version != nil, a.Version},
+		{a.Account != nil, a.Account}, {a.Dump != nil, a.Dump}, {a.Quarantine != nil, a.Quarantine}, {a.Bills != nil, a.Bills}, {a.Version != nil, a.Version},
 	} {
 		if c.named {
 			return c.command
--- /dev/null
+++ b/cmd/traildrift/quarantine.go
@@ -0,0 +1,55 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/blame"
+	"github.com/traildrift/traildrift/platform"
+)
+
+// quarantineArgs show and lift quarantines of requests on the users' platform.
+type quarantineArgs struct {
+	Store netip.AddrPort `arg:"--store,required" help:"the platform's store"`
+	Lift  string         `arg:"--lift" help:"print of a request to lift the quarantine of, at all routers"`
+}
+
+func (a *quarantineArgs) run(ctx context.Context) error {
+	if a.Lift == "" {
+		return a.show(ctx)
+	}
+	p, err := blame.ParsePrint(a.Lift)
+	if err != nil {
+		return err
+	}
+	if err := platform.LiftQuarantine(ctx, a.Store, p); err != nil {
+		return err
+	}
+	fmt.Printf("%v: lifted; routers hear of it within a second\n", p)
+	return nil
+}
+
+// show writes a line for each quarantined request.
+func (a *quarantineArgs) show(ctx context.Context) error {
+	list, err := platform.Quarantines(ctx, a.Store)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "print\tround\tends\tlast end\tuntil")
+	for _, v := range list {
+		last := "-"
+		if n := len(v.Ends); n > 0 {
+			last = v.Ends[n-1].At.UTC().Format(time.RFC3339)
+		}
+		fmt.Fprintf(w, "%v\t%d\t%d\t%s\t%s\n", v.Print, v.Round, len(v.Ends), last, v.Until.UTC().Format(time.RFC3339))
+	}
+	return w.Flush()
+}
--- a/internal/desk/story.go
+++ b/internal/desk/story.go
@@ -22,6 +22,8 @@
 	Endpoint string `json:"endpoint"`
 	Service  string `json:"service"`
 	Kind     string `json:"kind"`
+	// Print names a request among its repeats.
+	Print string `json:"print"`
 	// text is the whole line from its first brace on.
 	text string
 }
@@ -33,6 +35,13 @@
 	msgStarted = "router: Started."
 )
 
+// struck and blamed begin the topics of a request under which an endpoint ended and of one that
+// is quarantined; the request's print follows.
+const (
+	struck = "end under request "
+	blamed = "quarantine of request "
+)
+
 // lineMost bounds a line of a log, in bytes.
 const lineMost = 1 << 20
 
@@ -45,6 +54,8 @@
 		return "store, " + l.Kind
 	case strings.HasPrefix(l.Msg, "peers: "):
 		return "peers"
+	case l.Print != "":
+		return l.blame()
 	case l.Endpoint != "":
 		return "endpoint " + l.Endpoint
 	case l.Service != "":
@@ -60,6 +71,14 @@
 	}
 }
 
+// blame names what a line says of a request that may end endpoints.
+func (l *logLine) blame() string {
+	if l.Endpoint != "" {
+		return struck + l.Print + " of " + l.Endpoint
+	}
+	return blamed + l.Print
+}
+
 // Story reads a router's log and writes what it tells of a request: its attempts,
 // its end, and what the router believed then, by the lines that came before in the
 // same log, so that no clocks are compared. It reports whether the request was
@@ -115,9 +134,22 @@
 	p.line("  end      %s", end.text)
 	p.line("  believed then")
 	for _, topic := range slices.Sorted(maps.Keys(beliefs)) {
-		if id, ok := strings.CutPrefix(topic, "endpoint "); ok && !slices.ContainsFunc(attempts, func(a logLine) bool { return a.Endpoint == id }) {
+		if !concerns(topic, attempts, &end) {
 			continue
 		}
 		p.line("    %s: %s", topic, beliefs[topic])
 	}
 }
+
+// concerns reports whether what a router believed of a topic may have decided about a request.
+func concerns(topic string, attempts []logLine, end *logLine) bool {
+	if id, ok := strings.CutPrefix(topic, "endpoint "); ok {
+		return slices.ContainsFunc(attempts, func(a logLine) bool { return a.Endpoint == id })
+	}
+	for _, prefix := range []string{struck, blamed} {
+		if rest, ok := strings.CutPrefix(topic, prefix); ok {
+			return end.Print != "" && strings.HasPrefix(rest, end.Print)
+		}
+	}
+	return true
+}
