Ask again whether an endpoint has ended where nothing came back; hear of lifted quarantines sooner

Cause: on a link that loses packets the question is lost as well, and the end with it; a request that was dropped while it waited at its endpoint ends it later than a second; a watch of 8 s would keep a quarantine from a router that reads the store itself for 5 s after a cut has healed; a wave of ends could write thousands of lines a second. Change: four questions; requests count for 2.5 s after they were left; watches of 2.5 s as for roll-outs; 200 lines a second.

--- a/internal/relay/blame.go
+++ b/internal/relay/blame.go
@@ -106,9 +106,13 @@
 func (e *Engine) strike(s *stay, p *pool.Entry, hash uint64, besides int, now time.Time) {
 	name, age := s.name(), now.Sub(s.sentAt)
 	e.struck(Struck{Print: name, Endpoint: hash, Age: age}, true, now)
+	e.Blames.Struck(Struck{Print: name, Endpoint: hash, Age: age})
+	if !e.lines.ends.AllowN(now, 1) {
+		e.counts.count("unlogged_ends", "", p.Service)
+		return
+	}
 	e.Log.Info("relay: An endpoint has ended under a request.", zap.String("endpoint", p.ID), zap.String("service", p.Service),
 		zap.String("request", s.id), zap.Stringer("print", name), zap.Int("ends", e.blames.Ends(name)), zap.Int("besides", besides), zap.Int64("ageMs", age.Milliseconds()))
-	e.Blames.Struck(Struck{Print: name, Endpoint: hash, Age: age})
 }
 
 // struck takes over word of an end, of this router or another; mu is held.
--- a/internal/relay/counts.go
+++ b/internal/relay/counts.go
@@ -71,6 +71,8 @@
 // lines decides which requests are logged: all of a request's lines or none.
 type lines struct {
 	ended, failed *rate.Limiter
+	// ends is for requests under which endpoints ended.
+	ends *rate.Limiter
 }
 
 const (
@@ -78,11 +80,15 @@
 	// are logged, those that failed apart. A calm day has 25 a second.
 	endedPerSecond  = 60
 	failedPerSecond = 60
+	// endsPerSecond bounds the requests that it tells endpoints ended under: three ends of
+	// busy ones.
+	endsPerSecond = 200
 )
 
 func (l *lines) init() {
 	l.ended = rate.NewLimiter(endedPerSecond, endedPerSecond)
 	l.failed = rate.NewLimiter(failedPerSecond, failedPerSecond)
+	l.ends = rate.NewLimiter(endsPerSecond, endsPerSecond)
 }
 
 func (l *lines) allow(now time.Time, failed bool) bool {
--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -13,20 +13,25 @@
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
-// Gone reports whether nothing listens at an endpoint's address any more, for sure: a
-// connection is refused there. A VM that is silent or cut off proves nothing.
-type Gone func(ctx context.Context, p pool.Entry) bool
+// Gone reports whether nothing listens at an endpoint's address any more: a connection is
+// refused there. known is false where nothing came back: a VM that is silent or cut off, or
+// a packet that was lost.
+type Gone func(ctx context.Context, p pool.Entry) (gone, known bool)
 
 const (
 	// endedFor is how long after an endpoint was found gone what breaks off there is put
 	// down to the same end. Endpoints are back after a second at the earliest.
 	endedFor = time.Second
 	// lingersFor is how long after its last attempt was left a request may still be what
-	// ends the endpoint: a run that the router dropped ends it as well.
-	lingersFor = time.Second
+	// ends the endpoint: a run that the router dropped ends it as well, also one that waited
+	// there, for half a second in a busy service.
+	lingersFor = 2500 * time.Millisecond
 	// goneWithin bounds the question whether an endpoint is gone, which a failed request
 	// waits for: a refusal takes as long as a connection, 4 ms between zones.
 	goneWithin = 100 * time.Millisecond
+	// goneAsks is how often that is asked before it stays open: of four, one comes back
+	// where each packet is lost with a chance of three in ten.
+	goneAsks = 4
 	// aboardMost bounds the requests that are remembered of one endpoint; the users'
 	// endpoints run 64 at a time, some of which have just ended.
 	aboardMost = 256
@@ -70,6 +75,8 @@
 	// asking is closed once the question whether it is gone is answered; nil if nobody
 	// asks.
 	asking chan struct{}
+	// asked is how often that was asked in a row without anything coming back.
+	asked int
 }
 
 // open reports whether there are requests that the endpoint's end was not counted for.
@@ -175,11 +182,16 @@
 func (e *Engine) findGone(ctx context.Context, p pool.Entry, b *aboard) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), goneWithin)
 	defer cancel()
-	gone := e.Gone(ctx, p)
+	gone, known := e.Gone(ctx, p)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(b.asking)
 	b.asking = nil
+	if b.asked++; known {
+		b.asked = 0
+	} else if b.asked%goneAsks != 0 {
+		e.doubt(pool.HashOf(p.ID))
+	}
 	if gone {
 		b.goneAt = e.Now()
 		e.counts.count("endpoints_ended", "", p.Service)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -128,7 +128,7 @@
 		doubts:     make(chan pool.Entry, doubtsMost),
 		Blames:     noBlames,
 		aboard:     make(map[uint64]*aboard),
-		Gone:       func(context.Context, pool.Entry) bool { return false },
+		Gone:       func(context.Context, pool.Entry) (gone, known bool) { return false, true },
 		budgets:    make(map[string]*budget.Window),
 		heads:      make(map[string]*mean),
 		reads:      make(map[string]*speed),
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -24,15 +24,13 @@
 	// prove that the table is current: at this wait the proof is at most 1 s
 	// old at a router that asks the store.
 	configWait = config.Span(500 * time.Millisecond)
-	// endpointWait, trialWait and closingWait are as long as a lost connection to the
+	// endpointWait, trialWait, verdictWait and closingWait are as long as a lost connection to the
 	// store may go unnoticed: bounds hold again 3 s after a cut has healed, and the closing
 	// of a zone, which has 5 s, comes 4 s after its connection fell silent at the latest.
 	closingWait  = config.Span(2500 * time.Millisecond)
 	endpointWait = config.Span(2500 * time.Millisecond)
 	trialWait    = config.Span(2500 * time.Millisecond)
-	// verdictWait may be long, as routers tell each other of quarantined requests; what is
-	// learned from the store alone is that an operator has lifted one.
-	verdictWait = config.Span(8 * time.Second)
+	verdictWait  = config.Span(2500 * time.Millisecond)
 	// routerWait may be long, as nothing breaks for want of a peer.
 	routerWait = config.Span(8 * time.Second)
 	// changeRest gathers changes that come together, as when a fleet starts;
