Quarantine requests that crash engines in the product's own fleet as well

Cause: the same as at the routers: an entry that lost an engine under a repeatable request sent it to the next, and remembered nothing; neither did the others. Change: a guard whose run broke off asks whether the port beside it refuses; if so it tells all entries at once, and with each heartbeat for ten seconds, under which requests its engine crashed, and that it is down. Entries weigh that as routers do and refuse the request. The entry sends the fingerprint with the work, as the body names the version that was chosen.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -26,6 +26,9 @@
 	var tried []string
 	for {
 		length, err := e.attempt(r, &tried)
+		if err == nil {
+			e.answeredWhole(r)
+		}
 		if err == nil || !e.again(r, err, len(tried)) {
 			e.finish(r, length, err)
 			return
@@ -50,6 +53,9 @@
 
 // attempt decides once and sends the request there.
 func (e *Entry) attempt(r *request, tried *[]string) (int, *fault.Error) {
+	if err := e.quarantined(r); err != nil {
+		return 0, err
+	}
 	now := e.Now()
 	snap, list, d, err := e.choose(r, *tried)
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/bill"
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/poison"
 	"github.com/traildrift/traildrift/pkg/trail"
 )
 
@@ -78,6 +79,8 @@
 	owed     map[wire.RunKey]*peer
 	listener net.Listener
 	counts   counts
+	// quarantine holds the requests that crash endpoints.
+	quarantine quarantine
 }
 
 // counts are the entry's metrics.
@@ -90,6 +93,7 @@
 func New(s Settings) (*Entry, error) {
 	s.fill()
 	e := &Entry{settings: s, startedAt: time.Now(), owed: make(map[wire.RunKey]*peer)}
+	e.quarantine.book = poison.NewBook()
 	e.peers = &peers{e: e, byVM: make(map[string]*peer)}
 	p, err := proc.New(s.Common, proc.Options{
 		Role:     store.RoleEntry,
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -26,6 +26,10 @@
 	// suspectAt is when the endpoint counts as silent; it moves with every
 	// answered heartbeat.
 	suspectAt time.Time
+	// crashesOf is the incarnation of the guard that told of crashes, and crashSeq the number
+	// of the last one.
+	crashesOf string
+	crashSeq  uint64
 	// sent counts this entry's runs there that are not ended.
 	sent int
 	// settled lists runs whose bill is confirmed, for the next heartbeat.
@@ -124,6 +128,7 @@
 	if reply.Revision == ps.e.Holder.Revision() {
 		ps.e.Holder.Heard()
 	}
+	ps.e.takeCrashes(p, c.Peer.Incarnation, reply.Load.Crashes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tried = true
@@ -191,6 +196,7 @@
 	if !ok {
 		return
 	}
+	e.takeCrashes(p, c.Peer.Incarnation, n.Load.Crashes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == c {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// linked returns how many endpoints the entry links to.
+func (ps *peers) linked() int {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return len(ps.byVM)
+}
+
 func (ps *peers) start(ctx context.Context, vm store.VM) *peer {
 	p := &peer{vm: vm, opened: make(chan struct{}), poke: make(chan struct{}, 1), ended: make(chan struct{})}
 	p.gone, p.drop = context.WithCancel(ctx)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -27,6 +27,8 @@
 		Repeatable: r.repeatable,
 		BillID:     r.billID(),
 		Cost:       d.Cost,
+		// The body that is sent names the version, so that repeats differ there.
+		Fingerprint: r.fingerprint().String(),
 	}
 	w.Model, w.Session = d.Model, ""
 	if d.Model != "" {
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -42,12 +43,17 @@
 	Weights func(version string) bool
 	// Unfenced says that the engine does not check who gives it orders.
 	Unfenced bool
+	// CrashOn is a text on which the engine crashes once it runs a request that holds it;
+	// empty for none.
+	CrashOn string
 }
 
 // Engine is a stand-in for a model engine: chat completions, streamed or
 // whole, resumed and cancelled by run ID, with a load report.
 type Engine struct {
 	*faultBox
+	// Crash ends the engine as a crash does; set it before the first call.
+	Crash func()
 	opts  EngineOptions
 	batch chan struct{}
 	mu    sync.Mutex
@@ -64,6 +70,8 @@
 	fence  int64
 	// orders counts the orders taken.
 	orders int
+	// crashed says that the engine crashed on a request.
+	crashed bool
 }
 
 // answer is one run of the engine.
@@ -89,6 +97,13 @@
 	}
 }
 
+// Crashed reports whether the engine crashed on a request.
+func (e *Engine) Crashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
 // Runs returns how often each run ID was really run.
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
@@ -156,6 +171,17 @@
 	e.models[req.Model]++
 	e.answers[id] = a
 	e.mu.Unlock()
+	if e.opts.CrashOn != "" && bytes.Contains(ctx.PostBody(), []byte(e.opts.CrashOn)) {
+		cancel()
+		e.mu.Lock()
+		e.crashed = true
+		e.mu.Unlock()
+		e.Crash()
+		// The connection ends without an answer.
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+		return
+	}
 	go e.generate(run, a, req, f)
 	e.follow(ctx, a, 0, f)
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -75,6 +75,11 @@
 	fence int64
 	// unbilled holds the lines that no entry has confirmed yet.
 	unbilled map[wire.RunKey]unbilled
+	// crashes are the latest runs under which the endpoint crashed, by their rising numbers;
+	// crashSeq is the last of these. crashed says that there are new ones.
+	crashes  []crash
+	crashSeq uint64
+	crashed  chan struct{}
 	bills    *ledger.Writer[bill.Line]
 	counts   counts
 }
@@ -105,6 +110,7 @@
 		links:    make(map[string]*peerLink),
 		loads:    make(map[string]*load),
 		unbilled: make(map[wire.RunKey]unbilled),
+		crashed:  make(chan struct{}, 1),
 	}
 	limits := admit.Limits{Slots: s.Slots, Reserved: s.Reserved, Waiting: s.Waiting}
 	if s.AgeAfter > 0 {
@@ -156,6 +162,7 @@
 	g.Start(ctx)
 	g.Tasks.Go(ctx, "ticks", g.tick)
 	g.Tasks.Go(ctx, "alive", g.watchEndpoint)
+	g.Tasks.Go(ctx, "crashes", g.tellCrashes)
 	g.Tasks.Go(ctx, "bills", g.bills.Run)
 	g.Log.Info("guard: Serving.", zap.String("vm", g.Common.VM), zap.String("pool", g.settings.Pool))
 	<-stages.Stop.Done()
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -43,6 +43,7 @@
 		Leaving:  g.leaving,
 		Down:     g.down,
 		Versions: g.versions,
+		Crashes:  g.recentCrashes(g.Now()),
 	}
 }
 
@@ -141,7 +142,9 @@
 	if !g.begin(r) {
 		return
 	}
+	begun := g.Now()
 	usage, err := g.endpoint.Run(r.ctx, r.key, &r.work, r.buf)
+	g.askCrashed(r, begun, err)
 	g.end(r, usage, err)
 }
 
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	f.Objects = fakes.NewObjects(f.opts.Seed)
-	if err := f.serve(f.Platform, f.Objects.Handle); err != nil {
+	if _, err := f.serve(f.Platform, f.Objects.Handle); err != nil {
 		return err
 	}
 	f.Store, f.VMs = store.New(f.Platform), store.NewVMs(f.Platform)
@@ -158,13 +158,13 @@
 // readyWithin bounds the start of a fleet.
 const readyWithin = 20 * time.Second
 
-func (f *Fleet) serve(addr netip.AddrPort, handle fasthttp.RequestHandler) error {
+func (f *Fleet) serve(addr netip.AddrPort, handle fasthttp.RequestHandler) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f.served = append(f.served, fakes.Serve(ln, handle))
-	return nil
+	return ln, nil
 }
 
 func (f *Fleet) writeKeys() error {
@@ -234,7 +234,8 @@
 	if p.Kind == "service" {
 		s := fakes.NewPlain(seed, p.Work)
 		f.Plains[vm] = s
-		return f.serve(addr, s.Handle)
+		_, err := f.serve(addr, s.Handle)
+		return err
 	}
 	o := p.Engine
 	o.Seed = seed
@@ -243,7 +244,9 @@
 	}
 	e := fakes.NewEngine(o)
 	f.Engines[vm] = e
-	return f.serve(addr, e.Handle)
+	ln, err := f.serve(addr, e.Handle)
+	e.Crash = func() { _ = ln.Close() }
+	return err
 }
 
 func (f *Fleet) addEntry() error {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -125,6 +125,20 @@
 	Versions []string `json:"versions,omitempty"`
 	// Down says that the endpoint itself does not answer.
 	Down bool `json:"down,omitempty"`
+	// Crashes are the runs of the last seconds that were under way when the endpoint
+	// crashed, in the order of their numbers.
+	Crashes []Crash `json:"crashes,omitempty"`
+}
+
+// Crash is a run that was under way when its endpoint crashed.
+type Crash struct {
+	// Seq numbers the crashes that one incarnation of a guard tells of, from 1.
+	Seq uint64 `json:"seq"`
+	// Fingerprint is that of the run's request.
+	Fingerprint string `json:"fingerprint"`
+	// AgoMs is how long ago it was, AgeMs how long the run had been there, in milliseconds.
+	AgoMs int64 `json:"agoMs"`
+	AgeMs int64 `json:"ageMs"`
 }
 
 // Delta asks for the settings that follow revision Have.
@@ -160,6 +174,8 @@
 	BillID string `json:"billID"`
 	// Cost is per million tokens.
 	Cost float64 `json:"cost,omitempty"`
+	// Fingerprint names the caller's request among its repeats.
+	Fingerprint string `json:"fingerprint,omitempty"`
 }
 
 // Run asks a guard to run work once.
