--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -47,7 +47,7 @@
 	OnNote   func(n Note)
 	OnReport func(r roll.Report)
 	// OnCrash and OnVerdicts are called likewise for word of requests under which endpoints
-	// ended; set them before Run.
+	// crashed; set them before Run.
 	OnCrash    func(s CrashReport)
 	OnVerdicts func(list []poison.Verdict)
 	// Traffic counts the notes and reports; set before the first.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -80,7 +80,7 @@
 	// forgotten and are still stored.
 	crashes *poison.Book
 	lapsed  []poison.Fingerprint
-	// judging says that suspects are to be judged once word of ends has settled.
+	// judging says that suspects are to be judged once word of crashes has settled.
 	judging chan struct{}
 	// probes are the endpoints of which it is to be asked whether they have ended.
 	probes chan pool.Entry
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -80,7 +80,7 @@
 	cold   bool
 	// belongs says that the prefix belongs to the endpoint, though nobody was heard to
 	// have sent it there; rest is how long the prompt is read if it holds it all the
-	// same, in seconds. sure says that there is no such probe.
+	// same, in seconds. sure says that there is no such doubt.
 	belongs, sure bool
 	rest          float64
 	// warming says that the endpoint was warming up: what it takes says little.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -186,7 +186,7 @@
 	r.follow(ctx)
 	r.tasks.Go(ctx, "notes", r.notes.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
-	r.tasks.Go(ctx, "ends of endpoints", r.Engine.WatchCrashes)
+	r.tasks.Go(ctx, "crashes of endpoints", r.Engine.WatchCrashes)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
 	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, &r.secret)
 	answers.Traffic, answers.OnStarting, answers.Verdicts = &r.traffic, r.asker.Want, r.Engine.FreshVerdicts
