Know when the process stood still: hold what waited until word is read, count suspensions

A suspended VM's monotonic clock does not count that time, so that the table's proof looked new and a key that was taken away meanwhile would have been honoured. Change: a tick by the boot clock notices both. Requests wait 30 ms after it; the age of a proof, also as it is vouched for to peers, includes the time of a suspension. TestSuspendedRouterHonoursNoOldKey and clock.TestStill fail without the counted time.

--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -31,6 +31,8 @@
 	// Verdicts returns what a peer that starts should know besides the stored objects; set
 	// before the first question.
 	Verdicts func() []poison.Verdict
+	// Age returns how old what was true at a time is now; set before the first question.
+	Age func(at, now time.Time) time.Duration
 	// Traffic counts the answers; set before the first question.
 	Traffic *Traffic
 	// slots bounds the questions that are held.
@@ -49,7 +51,7 @@
 
 // NewServer returns a server that answers those who show the token.
 func NewServer(log *zap.Logger, m *mirror.Mirror, watched string, secret *Secret) *Server {
-	return &Server{Log: log, Mirror: m, Watched: watched, Secret: secret, OnStarting: func() {}, Verdicts: func() []poison.Verdict { return nil }, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
+	return &Server{Log: log, Mirror: m, Watched: watched, Secret: secret, OnStarting: func() {}, Age: func(at, now time.Time) time.Duration { return now.Sub(at) }, Verdicts: func() []poison.Verdict { return nil }, Traffic: &Traffic{}, slots: make(chan struct{}, heldMost)}
 }
 
 // ServeHTTP answers one question.
@@ -84,7 +86,7 @@
 	a := answer{Kinds: make(map[string]kindAnswer), HeldMs: now.Sub(asked).Milliseconds()}
 	for kind, revision := range q.Have {
 		if d, ok := s.Mirror.Since(kind, revision); ok {
-			a.Kinds[kind] = encode(kind, d, now, &s.packs, q.Packs)
+			a.Kinds[kind] = encode(kind, d, s.Age(d.ProvenAt, now), now, &s.packs, q.Packs)
 		}
 	}
 	if q.starting() {
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -139,10 +139,10 @@
 	return &a, nil
 }
 
-// encode returns a delta of a kind as it is sent at now; whole lists are compressed if the
-// asker reads that.
-func encode(kind string, d mirror.Delta, now time.Time, p *packs, packed bool) kindAnswer {
-	a := kindAnswer{Revision: d.Revision, AgeMs: ceilMs(now.Sub(d.ProvenAt)), Whole: d.Whole}
+// encode returns a delta of a kind, whose proof is so old, as it is sent at now; whole lists are
+// compressed if the asker reads that.
+func encode(kind string, d mirror.Delta, age time.Duration, now time.Time, p *packs, packed bool) kindAnswer {
+	a := kindAnswer{Revision: d.Revision, AgeMs: ceilMs(age), Whole: d.Whole}
 	if packed && d.Whole && len(d.Changes) >= packsFrom {
 		if a.packed = p.list(kind, d); a.packed != nil {
 			a.Bytes = len(a.packed)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/traildrift/traildrift/internal/clock"
 	"github.com/traildrift/traildrift/pkg/budget"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/poison"
@@ -41,6 +42,8 @@
 	Gone Gone
 	// Quarantines tells other routers of requests that crash endpoints.
 	Quarantines Quarantines
+	// Boot is a clock that counts the time for which the VM was suspended; see still.
+	Boot func() time.Duration
 	// Proven returns when the table in force was the newest, for sure.
 	Proven func() time.Time
 	// Listed reports whether the endpoints are known.
@@ -51,6 +54,8 @@
 	// grows as they change; changed is false if that is still have, or nothing is known.
 	Senders func(have uint64) (s pool.Senders, generation uint64, changed bool)
 
+	// still notices that the process stood still.
+	still    clock.Still
 	limits   atomic.Pointer[Limits]
 	table    atomic.Pointer[Table]
 	stopping atomic.Bool
@@ -128,6 +133,7 @@
 		probes:      make(chan pool.Entry, probesMost),
 		Quarantines: aloneQuarantines,
 		inFlight:    make(map[uint64]*inFlight),
+		Boot:        clock.Boot,
 		Gone:        func(context.Context, pool.Entry) (gone, known bool) { return false, true },
 		budgets:     make(map[string]*budget.Window),
 		heads:       make(map[string]*mean),
@@ -141,6 +147,7 @@
 		counts:      newCounts(scope),
 	}
 	e.lines.init()
+	e.still = clock.Still{Boot: func() time.Duration { return e.Boot() }, Now: func() time.Time { return e.Now() }, Least: stillLeast}
 	e.startedAt = time.Now()
 	e.limits.Store(&l)
 	return e
@@ -159,9 +166,11 @@
 }
 
 // age returns how long ago the table in force was proven to be the newest.
-func (e *Engine) age(now time.Time) time.Duration {
-	return now.Sub(e.Proven())
-}
+func (e *Engine) age(now time.Time) time.Duration { return e.Age(e.Proven(), now) }
+
+// Age returns how old what was true at a time is now, the time included for which the VM was
+// suspended.
+func (e *Engine) Age(at, now time.Time) time.Duration { return e.still.Age(at, now) }
 
 // TakeEndpoint takes over one listed endpoint.
 func (e *Engine) TakeEndpoint(p pool.Entry) {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -69,6 +69,7 @@
 // enough endpoints have crashed is not sent to another in the meantime.
 func (x *run) awaitJudgement(ctx context.Context) {
 	e := x.e
+	e.awaitWake(ctx)
 	e.mu.Lock()
 	due, waits := time.Time{}, false
 	if !e.crashes.Empty() {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -25,6 +25,7 @@
 	e.under.Add(1)
 	defer e.under.Add(-1)
 	e.awaitStart(ctx)
+	e.awaitWake(ctx)
 	route, ws, err := e.admit(r)
 	x := &run{e: e, r: r, w: w, route: route, workspace: ws}
 	if err != nil {
--- /dev/null
+++ b/internal/relay/still.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/internal/tasks"
+	"github.com/traildrift/traildrift/pkg/config"
+)
+
+const (
+	// stillTick is how often it is looked whether the process stood still, and stillLeast how
+	// long that must be: a loaded processor delays a tick by a tenth of a second.
+	stillTick  = 200 * time.Millisecond
+	stillLeast = 500 * time.Millisecond
+	// wakeFor is how long after that requests wait, which came meanwhile: what other routers
+	// told meanwhile waits beside them, and is read within a few milliseconds. Without it a
+	// router that was frozen sent four of some fifteen repeats of a quarantined request on.
+	wakeFor = 30 * time.Millisecond
+	// wakeMost bounds the wait where the process gets no time for its ticks, and wakePoll is
+	// how often a request looks.
+	wakeMost = config.Span(300 * time.Millisecond)
+	wakePoll = config.Span(5 * time.Millisecond)
+)
+
+// WatchClock notices that the process stood still, until ctx is done.
+func (e *Engine) WatchClock(ctx context.Context) error {
+	t := time.NewTicker(stillTick)
+	defer t.Stop()
+	for {
+		if stood := e.still.Tick(); stood > 0 {
+			e.Log.Warn("relay: The process stood still.", zap.Int64("forMs", stood.Milliseconds()), zap.Int64("configurationAgeMs", e.age(e.Now()).Milliseconds()))
+			e.counts.count("stood_still", "", "")
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// awaitWake returns once the router knows what it was told while it stood still.
+func (e *Engine) awaitWake(ctx context.Context) {
+	until := wakeMost.After(e.Now())
+	for e.still.Waking(wakeFor) && ctx.Err() == nil && e.Now().Before(until) {
+		tasks.Pause(ctx, wakePoll.After(time.Now()))
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -186,10 +186,12 @@
 	r.follow(ctx)
 	r.tasks.Go(ctx, "notes", r.notes.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.Tend)
+	r.tasks.Go(ctx, "clock", r.Engine.WatchClock)
 	r.tasks.Go(ctx, "crashes of endpoints", r.Engine.WatchCrashes)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
 	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, &r.secret)
 	answers.Traffic, answers.OnStarting, answers.Verdicts = &r.traffic, r.asker.Want, r.Engine.FreshVerdicts
+	answers.Age = r.Engine.Age
 	r.tasks.Go(ctx, "traffic", func(ctx context.Context) error { return r.traffic.Run(ctx, r.Log) })
 	shared := &http.Server{Handler: answers, ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
 	r.tasks.Go(ctx, "answers to peers", func(context.Context) error { return shared.Serve(r.peer) })
