--- a/cmd/traildrift/main.go
+++ b/cmd/traildrift/main.go
@@ -87,7 +87,7 @@
 	Explain    *explainArgs    `arg:"subcommand:explain" help:"say why a request went where it went"`
 	Account    *accountArgs    `arg:"subcommand:account" help:"say where the time and the bytes of requests went, from routers' logs"`
 	Dump       *dumpArgs       `arg:"subcommand:dump" help:"show the state of a process"`
-	Quarantine *quarantineArgs `arg:"subcommand:quarantine" help:"show and lift quarantines of requests that end endpoints"`
+	Quarantine *quarantineArgs `arg:"subcommand:quarantine" help:"show and lift quarantines of requests that crash endpoints"`
 	Bills      *billsArgs      `arg:"subcommand:bills" help:"show folded bills"`
 	Version    *versionArgs    `arg:"subcommand:version" help:"show the version"`
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -27,11 +27,15 @@
 // alone is the rank of an entry: each tries a request again by itself once its time is over.
 func alone(poison.Fingerprint) int { return 0 }
 
-// fingerprint names the request among its repeats.
+// fingerprint names the request among its repeats. It is called by the goroutine that runs the
+// request.
 func (r *request) fingerprint() poison.Fingerprint {
-	c := &r.call
-	req := poison.Request{Method: c.Method, Host: c.Service, Path: c.Path, Caller: c.Workspace, Body: c.Body}
-	return req.Fingerprint()
+	if r.named == (poison.Fingerprint{}) {
+		c := &r.call
+		req := poison.Request{Method: c.Method, Host: c.Service, Path: c.Path, Caller: c.Workspace, Body: c.Body}
+		r.named = req.Fingerprint()
+	}
+	return r.named
 }
 
 // quarantined returns why a request is not sent to any endpoint; nil if it may be. One that is
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 	"github.com/traildrift/traildrift/pkg/bill"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/poison"
 	"github.com/traildrift/traildrift/pkg/route"
 	"github.com/traildrift/traildrift/pkg/stream"
 	"github.com/traildrift/traildrift/pkg/trail"
@@ -22,6 +23,8 @@
 type request struct {
 	id   string
 	call wire.Call
+	// named is the request's fingerprint; zero before it was asked for.
+	named poison.Fingerprint
 	// key is the caller's own key or ticket; empty without one.
 	key string
 	// effective is what was in force when the request arrived.
--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -42,7 +42,6 @@
 // refuses. If so all entries are told under which request, as it may be the cause, and its
 // repeats may come to any of them. r.work is still there.
 func (g *Guard) askCrashed(r *record, begun time.Time, err *fault.Error) {
-	// An endpoint that leaves ends as planned.
 	if err == nil || err.Kind != fault.EndpointLost || err.Run == fault.NotRun || r.work.Fingerprint == "" {
 		return
 	}
@@ -92,12 +91,7 @@
 func (g *Guard) notifyLoad(ctx context.Context) {
 	g.mu.Lock()
 	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.load()}
-	var links []*peerLink
-	for _, l := range g.links {
-		if l.conn.Peer.Role == store.RoleEntry {
-			links = append(links, l)
-		}
-	}
+	links := g.entryLinks()
 	g.mu.Unlock()
 	for _, l := range links {
 		// An entry whose link is broken hears of it with its next heartbeat.
@@ -106,3 +100,13 @@
 		}
 	}
 }
+
+// entryLinks returns the newest links of all entries; g.mu is held.
+func (g *Guard) entryLinks() (links []*peerLink) {
+	for _, l := range g.links {
+		if l.conn.Peer.Role == store.RoleEntry {
+			links = append(links, l)
+		}
+	}
+	return links
+}
--- a/internal/guard/drain.go
+++ b/internal/guard/drain.go
@@ -28,12 +28,10 @@
 	}
 	g.Log.Info("guard: Leaving.", zap.Int("running", g.queue.Running()))
 	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.load()}
-	for _, l := range g.links {
-		if l.conn.Peer.Role == store.RoleEntry {
-			g.Tasks.Go(g.kill, "leaving notice", func(ctx context.Context) error {
-				return l.conn.Notify(ctx, wire.MethodLoad, notice)
-			})
-		}
+	for _, l := range g.entryLinks() {
+		g.Tasks.Go(g.kill, "leaving notice", func(ctx context.Context) error {
+			return l.conn.Notify(ctx, wire.MethodLoad, notice)
+		})
 	}
 }
 
--- a/internal/peers/crash.go
+++ b/internal/peers/crash.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"cmp"
 	"encoding/binary"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -143,7 +142,7 @@
 	}
 }
 
-// others returns all other routers, whatever became of them, in random order.
+// others returns all other routers, whatever became of them.
 func (f *Fleet) others() (list []Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -152,7 +151,6 @@
 			list = append(list, p)
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
 
