Resume a cut answer as long as each connection brings it forward

Ruled out: the question after crashes of engines; the answer was lost before it is asked. Change: the bound of three counts resumptions in a row that bring nothing.

--- a/internal/guard/endpoint.go
+++ b/internal/guard/endpoint.go
@@ -57,7 +57,8 @@
 const (
 	// dialWithin bounds the opening of a connection to the endpoint.
 	dialWithin = time.Second
-	// resumeMost is how often a cut stream is resumed.
+	// resumeMost is how many resumptions of a cut answer in a row may bring nothing. One that
+	// brings it forward starts the count anew: the run goes on, and its deadline bounds it.
 	resumeMost = 3
 	// readSize is the size of one read of an answer.
 	readSize = 16 << 10
@@ -158,8 +159,14 @@
 	stop := context.AfterFunc(ctx, func() { c.cancel(key) })
 	defer stop()
 	err := c.call(w, b, func(req *fasthttp.Request) { c.prepare(req, key, w) })
-	for i := 0; i < resumeMost && c.resumable(err, b) && ctx.Err() == nil; i++ {
-		err = c.call(w, b, func(req *fasthttp.Request) { c.prepareResume(req, key, b.Len()) })
+	for idle := 0; idle < resumeMost && c.resumable(err, b) && ctx.Err() == nil; {
+		had := b.Len()
+		err = c.call(w, b, func(req *fasthttp.Request) { c.prepareResume(req, key, had) })
+		if b.Len() > had {
+			idle = 0
+		} else {
+			idle++
+		}
 	}
 	body := b.Bytes()
 	usage := readUsage(body)
--- /dev/null
+++ b/internal/guard/endpoint_test.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package guard
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/stream"
+)
+
+// cutEngine answers with text and cuts each connection after step more bytes of it. It
+// counts the calls.
+type cutEngine struct {
+	text  string
+	step  int
+	calls atomic.Int32
+}
+
+func (e *cutEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	first := e.calls.Add(1) == 1
+	offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+	step := e.step
+	if first {
+		step = max(step, 1)
+	}
+	piece := e.text[offset:min(offset+step, len(e.text))]
+	w.Header().Set("Content-Length", strconv.Itoa(len(e.text)-offset))
+	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, piece)
+	_ = http.NewResponseController(w).Flush()
+	if offset+step < len(e.text) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// runAgainst runs one request of a model against the engine.
+func runAgainst(t *testing.T, e *cutEngine) (string, *fault.Error) {
+	t.Helper()
+	s := httptest.NewServer(e)
+	defer s.Close()
+	endpoint := NewEndpoint(KindEngine, netip.MustParseAddrPort(s.Listener.Addr().String()))
+	b := stream.New(1 << 20)
+	work := wire.Work{Call: wire.Call{
+		Method:   http.MethodPost,
+		Path:     "/v1/chat/completions",
+		Model:    "m",
+		Stream:   true,
+		Deadline: time.Now().Add(10 * time.Second),
+	}}
+	_, err := endpoint.Run(t.Context(), wire.RunKey{RunID: "r"}, &work, b)
+	return string(b.Bytes()), err
+}
+
+// An answer of eighteen events, three to a connection, was lost half-way, though each
+// connection had brought it forward and its run went on: the guard resumed a fixed number of
+// times. Whether it came whole hung on how far the engine was ahead of the reader.
+func TestAnswerCutOftenIsWhole(t *testing.T) {
+	text := strings.Repeat("data: {}\n\n", 18) + endMarker + "\n\n"
+	e := &cutEngine{text: text, step: 3 * len("data: {}\n\n")}
+	got, err := runAgainst(t, e)
+	if err != nil || got != text {
+		t.Errorf("answer after %d calls: got %d bytes, %v, want %d bytes, nil", e.calls.Load(), len(got), err, len(text))
+	}
+}
+
+// Resumptions that bring nothing end after a few.
+func TestResumesThatBringNothingEnd(t *testing.T) {
+	e := &cutEngine{text: strings.Repeat("x", 100)}
+	_, err := runAgainst(t, e)
+	if err == nil || err.Kind != fault.NotWhole {
+		t.Errorf("error: got %v, want %v", err, fault.NotWhole)
+	}
+	if got, want := int(e.calls.Load()), 1+resumeMost; got != want {
+		t.Errorf("calls: got %d, want %d", got, want)
+	}
+}
