Count a crash for what was at the endpoint, not for what was still opening its connection

Cause: all that was under way at an endpoint counted as running there from the moment at which it was chosen. Who came to one that had been gone for a while was blamed for its crash, if another request asked at that moment whether it was gone: three such were enough for ten minutes of quarantine. Ruled out: that these requests had run beside the crashing ones each time; the third crash counted for each had an age of 0 ms and its attempt had been refused a connection. Change: an attempt tells once its connection is open; a crash counts for what was open before it was found. The test also tells that two of its connections were open, which it could not before; it checks the same.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -46,6 +46,9 @@
 	fingerprint poison.Fingerprint
 	// sentAt is when it was sent.
 	sentAt time.Time
+	// openedAt is when its connection was open; zero before. Nothing of it was at the endpoint
+	// until then.
+	openedAt time.Time
 	// leftAt is when it was left without a whole answer; zero while it is under way.
 	leftAt time.Time
 	// counted says that the endpoint's crash was counted for it.
@@ -62,6 +65,19 @@
 	return s.fingerprint
 }
 
+// opened notes that its connection is open, unless that is known.
+func (s *sentRequest) opened(now time.Time) {
+	if s.openedAt.IsZero() {
+		s.openedAt = now
+	}
+}
+
+// may reports whether it may be what crashed the endpoint that was found gone at a time. One that
+// was still opening its connection then is not: it would be blamed for a crash that it came after.
+func (s *sentRequest) may(goneAt time.Time) bool {
+	return !s.openedAt.IsZero() && !s.openedAt.After(goneAt)
+}
+
 // forgotten reports whether it was left too long ago to be what crashes the endpoint.
 func (s *sentRequest) forgotten(now time.Time) bool {
 	return !s.leftAt.IsZero() && now.Sub(s.leftAt) > lingersFor
@@ -81,7 +97,7 @@
 
 // open reports whether there are requests that the endpoint's crash was not counted for.
 func (b *inFlight) open(now time.Time) bool {
-	return slices.ContainsFunc(b.requests, func(s *sentRequest) bool { return !s.counted && !s.forgotten(now) })
+	return slices.ContainsFunc(b.requests, func(s *sentRequest) bool { return !s.counted && s.may(now) && !s.forgotten(now) })
 }
 
 // drop takes a request out.
@@ -97,6 +113,14 @@
 	}
 	a.sent = &sentRequest{attempt: a, id: a.Request.ID, sentAt: e.Now(), suspect: !e.crashes.Empty() && e.crashes.Crashes(a.fingerprint()) > 0}
 	b.requests = append(b.requests, a.sent)
+	a.Opened = func() { e.noteOpened(a.sent) }
+}
+
+// noteOpened notes that the connection of a request is open.
+func (e *Engine) noteOpened(s *sentRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.opened(e.Now())
 }
 
 // noteLeft notes that an attempt has ended; mu is held.
@@ -152,13 +176,16 @@
 	b := entryOf(e.inFlight, a.hash)
 	if a.harmless {
 		b.drop(a.sent)
+	} else {
+		// What may have run was sent.
+		a.sent.opened(a.sent.sentAt)
 	}
 	now := e.Now()
 	if !b.open(now) {
 		e.mu.Unlock()
 		return
 	}
-	if now.Sub(b.goneAt) <= crashedFor {
+	if now.Sub(b.goneAt) <= crashedFor && (a.harmless || a.sent.may(b.goneAt)) {
 		e.countCrash(&a.Endpoint, b, now)
 		e.mu.Unlock()
 		return
@@ -261,7 +288,7 @@
 		return
 	}
 	for _, s := range b.requests {
-		if s.counted || s.forgotten(now) {
+		if s.counted || s.forgotten(now) || !s.may(b.goneAt) {
 			continue
 		}
 		s.counted = true
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -55,6 +55,8 @@
 func TestRequestThatWasNotSentIsNotBlamed(t *testing.T) {
 	s := newCrashSite()
 	dropped, running, opening := s.sends("dropped"), s.sends("running"), s.sends("opening")
+	dropped.Opened()
+	running.Opened()
 	s.e.left(dropped)
 	s.gone = true
 	s.e.askGone(t.Context(), running)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -62,6 +62,9 @@
 	// Rank is the urgency, 0 to 9; 0 comes first.
 	Rank     int
 	Deadline time.Time
+	// Opened is called by Send once the connection to the endpoint is open: from then on the
+	// endpoint may be running the request.
+	Opened func()
 	// hash is what other routers know the endpoint by.
 	hash uint64
 	// expected is how long the head is expected to take, reading how long the
