Store a quarantine at once where no other router is reached

Cause: routers wait in rank before they store a verdict, so that one writes. One that reaches no other waited just the same, though those before it may not know of the request: with forty others for 9.8 s, in which each router that is cut off learns by endpoints of its own. Change: a router that has found no peer well informed for a second, while the store answers, stores at once. Measured: platform.TestQuarantineIsStoredByRouterThatIsAlone failed (9.8 s, 3 s wanted), passes. Of the ones that ask the store for all, one that is cut off still waits in rank.

--- a/internal/peers/turn.go
+++ b/internal/peers/turn.go
@@ -37,8 +37,7 @@
 func (a *Asker) may(kind string, now time.Time) bool {
 	switch {
 	case a.Mirror.Revision(kind) >= 0:
-		heard := kind == a.Watched || now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
-		return heard && (a.directFor(a.alone(kind), now) || a.Fleet.Asker(now))
+		return (kind == a.Watched || a.heard(now)) && (a.directFor(a.alone(kind), now) || a.Fleet.Asker(now))
 	case a.introduced.Load():
 		return a.reads() || a.waited(now)
 	default:
@@ -46,6 +45,15 @@
 	}
 }
 
+// heard reports whether the store was heard of lately, by this router or others.
+func (a *Asker) heard(now time.Time) bool {
+	return now.Sub(a.Mirror.Proven(a.Watched)) <= unheardAfter
+}
+
+// Alone reports whether this router has found no peer well informed for a while though the
+// store answers: none hears of what it learns but from the store.
+func (a *Asker) Alone(now time.Time) bool { return a.heard(now) && a.directFor(othersAfter, now) }
+
 // reads reports whether this starting router reads the store for others: it is one of the
 // first of the peers that it knows, or of those that another one knows.
 func (a *Asker) reads() bool { return a.Fleet.First() || a.wanted.Load() }
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -37,13 +37,16 @@
 	AgainMost int
 	// Rank returns how many routers come before this one for a request.
 	Rank func(p poison.Fingerprint) int
+	// Alone reports whether no other router hears of what this one learns but from the store.
+	Alone func() bool
 }
 
 // aloneQuarantines are those of a router alone.
 var aloneQuarantines = Quarantines{
 	Report:  func(CrashReport) {},
 	Changed: func([]poison.Verdict) {}, Again: func([]poison.Verdict) {},
-	Rank: func(poison.Fingerprint) int { return 0 },
+	Rank:  func(poison.Fingerprint) int { return 0 },
+	Alone: func() bool { return true },
 }
 
 // quarantined returns why a request is not sent to any endpoint; nil if it may be. It is asked
@@ -277,8 +280,13 @@
 }
 
 // Unstored returns a verdict that this router should store, or remove from the store if it was
-// lifted or is forgotten; nil for none.
+// lifted or is forgotten; nil for none. Routers wait for those that come before them in rank by
+// step each, so that one writes. One that is alone does not: nobody else may know, and with forty
+// routers it would wait for ten seconds, in which each of them loses endpoints to the request.
 func (e *Engine) Unstored(step time.Duration) *poison.Verdict {
+	if e.Quarantines.Alone() {
+		step = 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for len(e.lapsed) > 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -106,7 +106,7 @@
 		Report: func(s relay.CrashReport) {
 			notes.SendCrash(peers.CrashReport{Fingerprint: s.Fingerprint, Endpoint: s.Endpoint, AgeMs: uint32(s.Age.Milliseconds()), Whole: s.Whole})
 		},
-		Changed: notes.SendVerdicts, Again: notes.SendAgain, AgainMost: peers.VerdictsAgain, Rank: r.fleet.Rank,
+		Changed: notes.SendVerdicts, Again: notes.SendAgain, AgainMost: peers.VerdictsAgain, Rank: r.fleet.Rank, Alone: r.Alone,
 	}
 	notes.OnReport, r.Engine.TellReport = r.Engine.HeardReport, notes.SendReport
 	r.Engine.Tell = func(w relay.Word) {
