Count a suspension from the moment of waking, not from the next tick

Cause: what was known before a suspension was taken for as new as the monotonic clock says until the tick that noticed it, up to 0.2 s later; in that time a router vouched to others for a copy of the store that was older. Ruled out for requests: they wait for the tick. Change: the age counts what has passed since the last tick by the clock that counts suspensions.

--- a/internal/clock/still.go
+++ b/internal/clock/still.go
@@ -41,15 +41,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, boot := s.Now(), s.Boot()
-	gap, counted := boot-s.tickedBoot, now.Sub(s.tickedAt)
-	first := s.tickedAt.IsZero()
+	stood, hidden := s.sinceTick(now, boot)
 	s.tickedAt, s.tickedBoot = now, boot
-	if first || gap < s.Least {
-		return 0
+	if stood > 0 {
+		s.wokeAt = now
+		s.hidden += hidden
 	}
-	s.wokeAt = now
-	s.hidden += max(gap-counted, 0)
-	return gap
+	return stood
+}
+
+// sinceTick returns how long the process has stood still since the last tick, 0 if it has not, and
+// how much of that Now did not count; mu is held.
+func (s *Still) sinceTick(now time.Time, boot time.Duration) (stood, hidden time.Duration) {
+	gap := boot - s.tickedBoot
+	if s.tickedAt.IsZero() || gap < s.Least {
+		return 0, 0
+	}
+	return gap, max(gap-now.Sub(s.tickedAt), 0)
 }
 
 // Waking reports whether the process stands still by the clock that counts suspensions, or has
@@ -57,13 +65,14 @@
 func (s *Still) Waking(within time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.tickedAt.IsZero() {
-		return false
-	}
-	return s.Boot()-s.tickedBoot >= s.Least || !s.wokeAt.IsZero() && s.Now().Sub(s.wokeAt) < within
+	now := s.Now()
+	stood, _ := s.sinceTick(now, s.Boot())
+	return stood > 0 || !s.wokeAt.IsZero() && now.Sub(s.wokeAt) < within
 }
 
-// Age returns how old what was true at a time is now, also where the process stood still since.
+// Age returns how old what was true at a time is now, at least, also where the process stood still
+// since. Until the tick after that it is taken to be older than all that is known: a copy of the
+// store would otherwise be vouched for as new in the meantime.
 func (s *Still) Age(at, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,5 +80,6 @@
 	if at.Before(s.wokeAt) {
 		age += s.hidden
 	}
-	return age
+	_, hidden := s.sinceTick(s.Now(), s.Boot())
+	return age + hidden
 }
--- a/internal/clock/still_test.go
+++ b/internal/clock/still_test.go
@@ -49,6 +49,9 @@
 		if got := s.Waking(0); got != c.waking {
 			t.Errorf("%s: waking before the tick: got %v, want %v", c.name, got, c.waking)
 		}
+		if got := s.Age(proven, h.now); got != c.age {
+			t.Errorf("%s: age before the tick of what was true before: got %v, want %v", c.name, got, c.age)
+		}
 		if got := s.Tick(); got != c.stood {
 			t.Errorf("%s: stood still: got %v, want %v", c.name, got, c.stood)
 		}
