Take a suspension off the time that a request has left

Cause: deadlines are times of the monotonic clock, which stands still while a VM is suspended. A request that was under way then was sent on with more time than its caller had left, or after its caller had given up. Change: a request knows its arrival by the clock that counts suspensions too; before each attempt the deadline moves earlier by what the other clock missed, and nothing is sent once it has passed. Measured: platform.TestDeadlineCountsSuspension failed (3 s of 5 slept: the second attempt told to have 4.8 s; 6 s: sent all the same), passes. Left: answers under way go on by the monotonic clock, as ready ones go out, also late.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -43,6 +43,9 @@
 	// for none.
 	LastEvent string
 	Arrived   time.Time
+	// ArrivedBoot is when it arrived by the clock that counts suspensions; zero if that is
+	// not known.
+	ArrivedBoot time.Duration
 	// Deadline is when the caller gives up; zero if it does not say.
 	Deadline time.Time
 	// fingerprint names the request and its repeats; zero before it was asked for.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -24,6 +24,9 @@
 	workspace *Workspace
 	// deadline is the caller's or the route's, whichever is earlier.
 	deadline time.Time
+	// hidden is how long the VM was suspended since the request arrived: the deadline is
+	// earlier by that, as the monotonic clock did not count it.
+	hidden time.Duration
 	// service is the backend that was drawn; it stays the same.
 	service string
 	// draw is the session's, 0 to 1: the same at every router.
@@ -62,6 +65,10 @@
 	for {
 		x.awaitJudgement(ctx)
 		now := x.e.Now()
+		if !x.timeLeft(now) {
+			x.end(ctx, fault.New(fault.DeadlinePassed, fault.NotRun, "The time for the answer passed while the VM was suspended for %d ms.", x.hidden.Milliseconds()))
+			return
+		}
 		a, t, err := x.choose(now)
 		if err != nil {
 			x.end(ctx, err)
--- a/internal/relay/still.go
+++ b/internal/relay/still.go
@@ -52,3 +52,17 @@
 		tasks.Pause(ctx, wakePoll.After(time.Now()))
 	}
 }
+
+// timeLeft takes the time for which the VM was suspended since the request arrived off its
+// deadline, and reports whether any is left: an attempt after it would run for nobody.
+func (x *run) timeLeft(now time.Time) bool {
+	if x.r.ArrivedBoot == 0 {
+		return true
+	}
+	hidden := x.e.Boot() - x.r.ArrivedBoot - now.Sub(x.r.Arrived)
+	if more := hidden - x.hidden; more >= stillLeast {
+		x.hidden = hidden
+		x.deadline = x.deadline.Add(-more)
+	}
+	return x.hidden == 0 || now.Before(x.deadline)
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -57,7 +57,7 @@
 
 // serveCaller reads a request and hands it to the core.
 func (r *Router) serveCaller(w http.ResponseWriter, q *http.Request) {
-	now := r.Engine.Now()
+	now, boot := r.Engine.Now(), r.Engine.Boot()
 	body, status, err := r.readBody(w, q)
 	if err != nil {
 		r.Log.Info("router: A body could not be read.", zap.String("path", q.URL.Path), zap.Int("status", status), logs.Err(err))
@@ -69,7 +69,9 @@
 		return
 	}
 	defer r.bodies.free(len(body))
-	r.Engine.Serve(q.Context(), w, r.wire.Request(q, body, now))
+	request := r.wire.Request(q, body, now)
+	request.ArrivedBoot = boot
+	r.Engine.Serve(q.Context(), w, request)
 }
 
 // readBody reads the body of a request, or returns the status that tells what is
