--- a/pkg/poison/book_test.go
+++ b/pkg/poison/book_test.go
@@ -122,6 +122,36 @@
 	}
 }
 
+// Two requests that were at the same three crashes, of which one crashes endpoints: neither is
+// quarantined for these, and the next attempt of each tells.
+//
+// Seen: where few endpoints were left, one of 801 other requests was quarantined together with the
+// one that had crashed all of its three endpoints.
+func TestTwinsAreToldApart(t *testing.T) {
+	for _, order := range [][]Fingerprint{{request(1), request(2)}, {request(2), request(1)}} {
+		b := NewBook()
+		for i, e := range []uint64{10, 11, 12} {
+			for _, p := range order {
+				b.Crashed(at(100*i), p, e, young, true)
+			}
+			b.Judge(at(100*i+99), view)
+		}
+		for _, p := range order {
+			if v := b.Refuses(at(300), p, first); v != nil {
+				t.Errorf("order %v: request %v after three crashes together: got %v, want no verdict", order, p, v)
+			}
+		}
+		b.Whole(at(400), request(2))
+		strike(b, 400, request(1), 13)
+		if b.Refuses(at(500), request(1), first) == nil {
+			t.Errorf("order %v: after a fourth crash alone: got no verdict", order)
+		}
+		if v := b.Refuses(at(500), request(2), first); v != nil {
+			t.Errorf("order %v: the other, answered whole: got %v, want no verdict", order, v)
+		}
+	}
+}
+
 // What is in a wave is struck by chance: three crashes of it are no proof, five are. What crashes
 // its endpoints at other moments than the wave is told by three.
 func TestWave(t *testing.T) {
--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -17,6 +17,9 @@
 	ages    []time.Duration
 	// at is when word of the last one came.
 	at time.Time
+	// held says that only another suspect, which was at the same crashes, keeps it from being
+	// quarantined: one of the two explains them.
+	held bool
 }
 
 // add notes a crash under the request, and reports whether it is new.
@@ -71,13 +74,14 @@
 // verdicts that are new or changed by that. pending says that there are others to come back
 // for. view returns how much this process sees of the service of an endpoint.
 func (b *Book) Judge(now time.Time, view func(endpoint uint64) View) (changed []Verdict, pending bool) {
+	held := b.heldCrashes()
 	for p, due := range b.pending {
 		if now.Before(due) {
 			pending = true
 			continue
 		}
 		delete(b.pending, p)
-		if s := b.suspects[p]; s != nil && b.guilty(p, s, view(s.crashes[len(s.crashes)-1].Endpoint)) {
+		if s := b.suspects[p]; s != nil && b.guilty(p, s, view(s.crashes[len(s.crashes)-1].Endpoint), held) {
 			changed = append(changed, b.quarantine(now, p, s.crashes)...)
 		}
 	}
@@ -86,8 +90,9 @@
 
 // guilty reports whether a suspect is to be quarantined. What ran beside a request that is quarantined
 // was struck by that: it takes two crashes which no such request explains, or one beyond the
-// least number, as the quarantined one may itself have run beside this one.
-func (b *Book) guilty(p Fingerprint, s *suspect, v View) bool {
+// least number, as the quarantined one may itself have run beside this one. Of two that were at the
+// same three crashes one may be innocent, and the next attempt of each tells which.
+func (b *Book) guilty(p Fingerprint, s *suspect, v View, held []Crash) bool {
 	if len(s.crashes) < crashesLeast {
 		return false
 	}
@@ -95,7 +100,7 @@
 	for i, e := range s.crashes {
 		if b.explaining(e, p, 0) == nil {
 			open++
-			weight -= math.Log(b.chance(s, e, s.ages[i], v))
+			weight -= math.Log(b.chance(s, e, s.ages[i], v, held))
 		}
 	}
 	switch {
@@ -104,18 +109,32 @@
 	case len(s.crashes) > crashesLeast:
 		return open > 0 && weight >= sure
 	default:
-		return open > 1 && weight >= sure
+		proven := open > 1 && weight >= sure
+		s.held = proven && b.twinned(p, s)
+		return proven && !s.held
 	}
 }
 
+// twinned reports whether another suspect was at each crash of one.
+func (b *Book) twinned(p Fingerprint, s *suspect) bool {
+	for q, o := range b.suspects {
+		missing := func(e Crash) bool { return !contains(o.crashes, e) }
+		if q != p && len(o.crashes) >= len(s.crashes) && !slices.ContainsFunc(s.crashes, missing) {
+			return true
+		}
+	}
+	return false
+}
+
 // chance returns how likely it was, 0 to 1, that an endpoint crashed under a suspect though the
 // suspect has nothing to do with it: by how many of the others crashed at that moment, and by how
-// often they do in the time that it was there.
-func (b *Book) chance(s *suspect, e Crash, age time.Duration, v View) float64 {
+// often they do in the time that it was there. Those that a request explains don't count; held are
+// the crashes that one of several suspects does.
+func (b *Book) chance(s *suspect, e Crash, age time.Duration, v View, held []Crash) float64 {
 	var burst, often [2]int
 	for i := range b.recent {
 		r := &b.recent[i]
-		if contains(s.crashes, r.Crash) || b.explaining(r.Crash, Fingerprint{}, 0) != nil {
+		if contains(s.crashes, r.Crash) || b.explaining(r.Crash, Fingerprint{}, 0) != nil || contains(held, r.Crash) {
 			continue
 		}
 		apart := r.At.Sub(e.At).Abs()
@@ -134,6 +153,16 @@
 	return min(max(p, chanceLeast), 1)
 }
 
+// heldCrashes returns the crashes under suspects that are held.
+func (b *Book) heldCrashes() (list []Crash) {
+	for _, s := range b.suspects {
+		if s.held {
+			list = append(list, s.crashes...)
+		}
+	}
+	return list
+}
+
 // part returns n of all as a part; 0 of none.
 func part(n, all int) float64 {
 	if all <= 0 {
