Quarantine a request after its sixth crash whatever explains them

Cause: a crash counts for one request alone. Where a hundred different ones crash endpoints at once, others that were quarantined first explain each crash of some, which went on: eleven endpoints, four arrivals beyond the bound. Change: the sixth crash is enough.

--- a/pkg/poison/book_test.go
+++ b/pkg/poison/book_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// A request whose every crash another one explains is quarantined all the same, as the users' bound
+// knows no causes.
+//
+// Seen: of a hundred requests at once that crash what runs them, some reached endpoints four times
+// beyond the users' bound and crashed eleven. How: others were at each endpoint that they crashed,
+// and were quarantined first; a crash counts for one of them alone.
+func TestExplainedCrashesAddUp(t *testing.T) {
+	b := NewBook()
+	for i := range crashesEver {
+		cause, endpoint := request(byte(10+i)), uint64(100*i)
+		strikes(b, 1000*i, cause, endpoint, endpoint+1, endpoint+2)
+		b.Crashed(at(1000*i+300), cause, endpoint+3, young, true)
+		strike(b, 1000*i+300, request(1), endpoint+3)
+		refused := b.Refuses(at(1000*i+400), request(1), first) != nil
+		if want := i+1 >= crashesEver; refused != want {
+			t.Errorf("after %d crashes beside others: quarantined: got %v, want %v", i+1, refused, want)
+		}
+	}
+}
+
 // What is in a wave is struck by chance: three crashes of it are no proof, five are. What crashes
 // its endpoints at other moments than the wave is told by three.
 func TestWave(t *testing.T) {
--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -53,6 +53,10 @@
 	// than crashesLeast. Of the requests of a day whose waves crashed a third of the endpoints
 	// every 3.5 s, one in two hundred met three crashes by chance.
 	crashesMost = 5
+	// crashesEver is how many are enough though requests that are quarantined explain each of them,
+	// as where a hundred crash endpoints at once: the users' bound allows no more than three
+	// beyond crashesLeast.
+	crashesEver = 6
 	// sure is how unlikely it must be, as a natural logarithm, that a request was merely
 	// there: one in a thousand.
 	sure = 6.9
@@ -104,6 +108,8 @@
 		}
 	}
 	switch {
+	case len(s.crashes) >= crashesEver:
+		return true
 	case len(s.crashes) >= crashesMost:
 		return open > 0
 	case len(s.crashes) > crashesLeast:
