--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -146,6 +146,7 @@
 		rolls:       make(map[string]*rollout),
 		counts:      newCounts(scope),
 	}
+	e.crashes.Held = e.logHeld
 	e.lines.init()
 	e.still = clock.Still{Boot: func() time.Duration { return e.Boot() }, Now: func() time.Time { return e.Now() }, Least: stillLeast}
 	e.startedAt = time.Now()
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -254,6 +254,15 @@
 	e.Log.Info(message, zap.Stringer("fingerprint", v.Fingerprint), zap.Int("round", v.Round), zap.Time("until", v.Until), zap.Int("crashes", len(v.Crashes)), zap.String("why", why))
 }
 
+// logHeld tells that a request would be quarantined but for others that were at its crashes; mu is held.
+func (e *Engine) logHeld(p poison.Fingerprint, crashes int) {
+	if !e.lines.crashes.AllowN(e.Now(), 1) {
+		e.counts.count("unlogged_crashes", "", "")
+		return
+	}
+	e.Log.Info("relay: A suspect is held, as others were at its crashes.", zap.Stringer("fingerprint", p), zap.Int("crashes", crashes))
+}
+
 // tendQuarantines tells again what other routers may have missed, and forgets what is old.
 func (e *Engine) tendQuarantines(now time.Time) {
 	e.mu.Lock()
--- a/pkg/poison/book.go
+++ b/pkg/poison/book.go
@@ -11,6 +11,9 @@
 
 // Book is what one process knows of requests and the crashes of endpoints. Use NewBook.
 type Book struct {
+	// Held is called when a suspect is found to be held: others were at its crashes, which keep
+	// it from being quarantined. Set it before the first crash; nil tells nobody.
+	Held     func(p Fingerprint, crashes int)
 	suspects map[Fingerprint]*suspect
 	records  map[Fingerprint]*record
 	// causes holds the requests under whose verdicts the crashes of an endpoint are, by its
--- a/pkg/poison/book_test.go
+++ b/pkg/poison/book_test.go
@@ -130,12 +130,17 @@
 func TestTwinsAreToldApart(t *testing.T) {
 	for _, order := range [][]Fingerprint{{request(1), request(2)}, {request(2), request(1)}} {
 		b := NewBook()
+		held := 0
+		b.Held = func(Fingerprint, int) { held++ }
 		for i, e := range []uint64{10, 11, 12} {
 			for _, p := range order {
 				b.Crashed(at(100*i), p, e, young, true)
 			}
 			b.Judge(at(100*i+99), view)
 		}
+		if held != 2 {
+			t.Errorf("order %v: told to be held: got %d, want 2", order, held)
+		}
 		for _, p := range order {
 			if v := b.Refuses(at(300), p, first); v != nil {
 				t.Errorf("order %v: request %v after three crashes together: got %v, want no verdict", order, p, v)
--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -124,7 +124,11 @@
 		least = 2
 	}
 	proven := open >= least && weight >= sure
+	was := s.held
 	s.held = proven && open-disputed < least
+	if s.held && !was && b.Held != nil {
+		b.Held(p, n)
+	}
 	return proven && !s.held
 }
 
