--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -102,36 +102,50 @@
 	if n < crashesLeast {
 		return false
 	}
-	open, disputed, weight := 0, 0, 0.0
-	for i, e := range s.crashes {
-		if b.explaining(e, p, 0) != nil {
-			continue
-		}
-		open++
-		weight -= math.Log(b.chance(s, e, s.ages[i], v, held))
-		if b.disputed(p, e, n) {
-			disputed++
-		}
-	}
+	f := b.weigh(p, s, v, held)
 	switch {
 	case n >= crashesEver:
 		return true
 	case n >= crashesMost:
-		return open > 0
+		return f.open > 0
 	}
 	least := 1
 	if n == crashesLeast {
 		least = 2
 	}
-	proven := open >= least && weight >= sure
+	proven := f.open >= least && f.weight >= sure
 	was := s.held
-	s.held = proven && open-disputed < least
+	s.held = proven && f.open-f.disputed < least
 	if s.held && !was && b.Held != nil {
 		b.Held(p, n)
 	}
 	return proven && !s.held
 }
 
+// findings are what the crashes under a suspect come to.
+type findings struct {
+	// open is how many no quarantined request explains, and disputed how many of these came to
+	// another suspect of as many crashes.
+	open, disputed int
+	// weight is how unlikely the open ones are together by chance, as a natural logarithm.
+	weight float64
+}
+
+// weigh weighs the crashes under a suspect.
+func (b *Book) weigh(p Fingerprint, s *suspect, v View, held []Crash) (f findings) {
+	for i, e := range s.crashes {
+		if b.explaining(e, p, 0) != nil {
+			continue
+		}
+		f.open++
+		f.weight -= math.Log(b.chance(s, e, s.ages[i], v, held))
+		if b.disputed(p, e, len(s.crashes)) {
+			f.disputed++
+		}
+	}
+	return f
+}
+
 // disputed reports whether a crash came to another suspect as well, of so many crashes at least.
 func (b *Book) disputed(p Fingerprint, e Crash, least int) bool {
 	for q, s := range b.suspects {
