--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// may reports whether it may be what crashed the endpoint that was found gone at a time. One that
+// mayHaveCrashed reports whether it may be what crashed the endpoint that was found gone at a time. One that
 // was still opening its connection then is not: it would be blamed for a crash that it came after.
-func (s *sentRequest) may(goneAt time.Time) bool {
+func (s *sentRequest) mayHaveCrashed(goneAt time.Time) bool {
 	return !s.openedAt.IsZero() && !s.openedAt.After(goneAt)
 }
 
@@ -95,9 +95,9 @@
 	asked int
 }
 
-// open reports whether there are requests that the endpoint's crash was not counted for.
-func (b *inFlight) open(now time.Time) bool {
-	return slices.ContainsFunc(b.requests, func(s *sentRequest) bool { return !s.counted && s.may(now) && !s.forgotten(now) })
+// uncounted reports whether there are requests that the endpoint's crash was not counted for.
+func (b *inFlight) uncounted(now time.Time) bool {
+	return slices.ContainsFunc(b.requests, func(s *sentRequest) bool { return !s.counted && s.mayHaveCrashed(now) && !s.forgotten(now) })
 }
 
 // drop takes a request out.
@@ -181,11 +181,11 @@
 		a.sent.opened(a.sent.sentAt)
 	}
 	now := e.Now()
-	if !b.open(now) {
+	if !b.uncounted(now) {
 		e.mu.Unlock()
 		return
 	}
-	if now.Sub(b.goneAt) <= crashedFor && (a.harmless || a.sent.may(b.goneAt)) {
+	if now.Sub(b.goneAt) <= crashedFor && (a.harmless || a.sent.mayHaveCrashed(b.goneAt)) {
 		e.countCrash(&a.Endpoint, b, now)
 		e.mu.Unlock()
 		return
@@ -230,7 +230,7 @@
 // counted for; mu is held. Where too many wait already, it is left out: what follows shows it.
 func (e *Engine) probe(hash uint64) {
 	b, p := e.inFlight[hash], e.book.ByHash(hash)
-	if b == nil || p == nil || !b.open(e.Now()) {
+	if b == nil || p == nil || !b.uncounted(e.Now()) {
 		return
 	}
 	select {
@@ -271,7 +271,7 @@
 func (e *Engine) runProbe(ctx context.Context, p pool.Entry) {
 	e.mu.Lock()
 	b, now := e.inFlight[pool.HashOf(p.ID)], e.Now()
-	if b == nil || b.asking != nil || !b.open(now) {
+	if b == nil || b.asking != nil || !b.uncounted(now) {
 		e.mu.Unlock()
 		return
 	}
@@ -288,7 +288,7 @@
 		return
 	}
 	for _, s := range b.requests {
-		if s.counted || s.forgotten(now) || !s.may(b.goneAt) {
+		if s.counted || s.forgotten(now) || !s.mayHaveCrashed(b.goneAt) {
 			continue
 		}
 		s.counted = true
