Count a starting router's wait from when it started, in its test

Cause: the test took the time before it made its ten routers, which draw their wait from the moment they are made; one that drew the last milliseconds of the 700 was not due yet. Change: the upper bound counts from after the router was made; the lower one is now the full wait, from before it was made, in place of its beginning.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -251,14 +251,15 @@
 	for i := range 9 {
 		names = append(names, fmt.Sprint("p", i))
 	}
-	now := time.Now()
 	first := 0
 	for _, self := range names {
 		f := NewFleet(self)
 		for _, name := range names {
 			f.Put(Peer{Name: name})
 		}
+		before := time.Now()
 		a := NewAsker(zap.NewNop(), f, mirror.New("config", "k"), "config", "config", "k")
+		now := time.Now() // It waits from some moment between these two on.
 		a.Introduce()
 		if f.First() {
 			first++
@@ -267,7 +268,7 @@
 			}
 			continue
 		}
-		if a.may("k", now) {
+		if a.may("k", before.Add(time.Duration(readsAfter)-1)) {
 			t.Errorf("%s, not one of the first: got the store's turn, want the peers'", self)
 		}
 		if !a.may("k", now.Add(time.Duration(readsAfter)+readsSpread)) {
