Test that a repeat is known by the host that it is routed by: it fails

Routes are found by the host in lower case without its port, fingerprints by the host as it came: repeats that write it in another way, or name the port of the router that they go to, are strangers to each other.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/pkg/poison"
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
@@ -74,3 +75,28 @@
 		}
 	}
 }
+
+// A request is the same however its caller writes the host that it is routed by: a repeat at
+// another router may name that one's port.
+//
+// Found by reading, not seen: a route is found by the host in lower case and without its port, a
+// quarantine by the host as it came. Each spelling of a request that crashes what runs it would have
+// crashed three endpoints of its own.
+func TestRepeatIsKnownByTheHostThatItIsRoutedBy(t *testing.T) {
+	table := NewTable(1, Bounds{}, []Route{{Name: "r", Host: "h.example", Prefix: "/"}}, nil)
+	named := func(host string) poison.Fingerprint {
+		r := &Request{Method: "POST", Host: host, Path: "/a", Target: "/a", Body: []byte("body")}
+		return r.fingerprintFor("ws")
+	}
+	for _, host := range []string{"H.Example", "h.example:17010", "H.EXAMPLE:17011"} {
+		if table.Match(host, "/a") == nil {
+			t.Fatalf("%s: got no route", host)
+		}
+		if got, want := named(host), named("h.example"); got != want {
+			t.Errorf("%s: got fingerprint %v, want %v", host, got, want)
+		}
+	}
+	if got := named("g.example"); got == named("h.example") {
+		t.Errorf("another host: got the same fingerprint %v", got)
+	}
+}
