Name a request by the host that it is routed by

Cause: the fingerprint took the host as the caller wrote it. Change: one plainHost for routes and fingerprints.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -135,7 +135,7 @@
 // fingerprintFor returns what repeats of a workspace's request have in common; the engine's mu is held.
 func (r *Request) fingerprintFor(workspace string) poison.Fingerprint {
 	if r.fingerprint == (poison.Fingerprint{}) {
-		req := poison.Request{Method: r.Method, Host: r.Host, Path: r.Path, Query: r.Target[min(len(r.Path), len(r.Target)):], Caller: workspace, Body: r.Body}
+		req := poison.Request{Method: r.Method, Host: plainHost(r.Host), Path: r.Path, Query: r.Target[min(len(r.Path), len(r.Target)):], Caller: workspace, Body: r.Body}
 		r.fingerprint = req.Fingerprint()
 	}
 	return r.fingerprint
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -135,11 +135,7 @@
 // Match returns the route of a host and path: the one with the longest prefix of
 // the path; nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	host = strings.ToLower(host)
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	for _, r := range t.byHost[host] {
+	for _, r := range t.byHost[plainHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -147,6 +143,15 @@
 	return nil
 }
 
+// plainHost returns a host as routes are found by it: in lower case, without a port.
+func plainHost(host string) string {
+	host = strings.ToLower(host)
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
 // ByKey returns the workspace of an API key; nil if there is none.
 func (t *Table) ByKey(key string) *Workspace { return t.byKey[key] }
 
