Test that waves of crashes far apart blame nobody: it fails

Found by reading, while it was asked what is forgotten when: what else crashed at a moment is kept for 20 s, the crashes under a suspect for ten minutes, so that the third wave finds the first two without anything beside them.

--- a/pkg/poison/book_test.go
+++ b/pkg/poison/book_test.go
@@ -227,6 +227,24 @@
 	}
 }
 
+// What else crashed at a moment is remembered as long as the crashes under a request are: waves that are
+// far apart blame nobody either.
+func TestWavesFarApart(t *testing.T) {
+	const apart = 40_000
+	b := NewBook()
+	for i := range crashesMost - 1 {
+		for k := range uint64(6) {
+			b.Crashed(at(apart*i), request(byte(100+6*i)+byte(k)), uint64(20*i)+k, young, true)
+		}
+		strike(b, apart*i+1, request(1), uint64(20*i+10))
+		if v := b.Refuses(at(apart*i+100), request(1), first); v != nil {
+			t.Errorf("struck in %d waves: got %v, want no verdict", i+1, v)
+		}
+		b.Expire(at(apart*i + apart/2))
+		b.Expire(at(apart*(i+1) - 1))
+	}
+}
+
 // A request at three endpoints at once, two of which were left a moment ago, is struck three
 // times by one wave.
 func TestWaveThatStrikesThreeTimes(t *testing.T) {
