Keep what else crashed as long as the suspects that were at it

Cause: crashes that tell a wave were kept for 20 s, suspects for ten minutes; older crashes of a suspect were weighed as if they had come alone. Change: both are kept as long; 256 crashes at most, as before. TestWavesFarApart fails without it after the third wave and passes now.

--- a/pkg/poison/book.go
+++ b/pkg/poison/book.go
@@ -19,8 +19,7 @@
 	// causes holds the requests under whose verdicts the crashes of an endpoint are, by its
 	// hash.
 	causes map[uint64][]Fingerprint
-	// recent holds the crashes that word of came lately, whatever ran there; at most
-	// recentMost.
+	// recent holds the crashes that word of came, whatever ran there; at most recentMost.
 	recent []sighting
 	// pending holds the suspects that are to be judged, and from when on: later crashes don't
 	// put that off.
@@ -44,7 +43,8 @@
 	// crashes each take 0.9 MB, records of three 0.5 MB and of crashesKept 5.5 MB.
 	suspectsMost = 4096
 	recordsMost  = 1024
-	// recentMost bounds the crashes that are told apart from one another at a time.
+	// recentMost bounds the crashes that are told apart from one another. They are kept as long as
+	// suspects, whose older crashes would else seem to have come alone.
 	recentMost = 256
 	// tryEvery is how often a request is let through by one process once its time is over:
 	// it crashes its endpoint and all processes know of it sooner.
@@ -322,7 +322,7 @@
 // Expire forgets what is old, and returns the requests whose verdicts the store still holds.
 func (b *Book) Expire(now time.Time) (stored []Fingerprint) {
 	maps.DeleteFunc(b.suspects, func(_ Fingerprint, s *suspect) bool { return now.Sub(s.at) > suspectFor })
-	b.recent = slices.DeleteFunc(b.recent, func(e sighting) bool { return now.Sub(e.At) > 2*waveFor })
+	b.recent = slices.DeleteFunc(b.recent, func(e sighting) bool { return now.Sub(e.At) > suspectFor })
 	for p, r := range b.records {
 		if now.Before(r.forgottenAt()) {
 			continue
