Tell a starting router what others suspect of requests

Cause: a router that starts was told verdicts, which need three crashes, and no suspicions. One whose repeats are rarer than the restarts of all routers was a stranger to them each time. Change: a router that registers asks four others, which tell it their suspects (64, the latest) and what else crashed of late, by the datagrams that verdicts come in; the first answer of a peer holds them as well. A suspicion is judged with its next crash, so that being told blames nobody. Left: large fleets, where eight routers know of a suspect and four are asked.

--- a/internal/peers/crash.go
+++ b/internal/peers/crash.go
@@ -129,6 +129,21 @@
 	n.sendVerdicts(list, some(n.fleet.others(), againTo))
 }
 
+// startingTo is how many routers one that has just started asks for what they know of requests that crash
+// endpoints: in a fleet of nine each knows all of it, and an answer takes up to 30 KB after a wave of
+// crashes.
+const startingTo = 4
+
+// AskStarting asks some routers for what a router that starts should know, to be told under its token.
+func (n *Notes) AskStarting(token string) {
+	if len(token) < tokenBytes {
+		return
+	}
+	buf := make([]byte, bodyAt, bodyAt+tokenBytes)
+	buf[kindAt] = kindStarting
+	n.Traffic.Quarantines.Add(n.sendTo(some(n.fleet.others(), startingTo), append(buf, token[:tokenBytes]...)))
+}
+
 func (n *Notes) sendVerdicts(list []poison.Verdict, to []Peer) {
 	for part := range slices.Chunk(list, verdictsMost) {
 		buf := make([]byte, bodyAt, datagramMost)
--- a/internal/peers/crash_test.go
+++ b/internal/peers/crash_test.go
@@ -4,13 +4,18 @@
 package peers
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
+	"net"
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/traildrift/traildrift/pkg/poison"
 )
 
@@ -53,6 +58,52 @@
 	}
 }
 
+// A router that has just started asks some others, and is told by them alone; who does not show its
+// token is told nothing.
+func TestStartingRouterIsTold(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	want := poison.Verdict{Fingerprint: poison.Fingerprint{7}, Crashes: []poison.Crash{{Endpoint: 9}}}
+	heard := make(chan poison.Verdict, 1)
+	var list [2]*Notes
+	var all [2]Peer
+	for i := range list {
+		all[i] = Peer{Name: fmt.Sprint(i), Token: fmt.Sprintf("%016d-and-more", i)}
+		n, err := NewNotes(zap.NewNop(), NewFleet(all[i].Name), netip.MustParseAddrPort("127.0.0.1:0"), secretOf(all[i].Token), func(Note) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[i].Addr = n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		list[i] = n
+	}
+	starting, other := list[0], list[1]
+	other.ForStarting = func() []poison.Verdict { return []poison.Verdict{want} }
+	starting.OnVerdicts = func(list []poison.Verdict) { heard <- list[0] }
+	starting.fleet.Put(all[1])
+	for _, n := range list {
+		go func() { ended <- n.Run(ctx) }()
+	}
+	starting.AskStarting(strings.Repeat("?", tokenBytes))
+	starting.AskStarting(all[0].Token)
+	select {
+	case got := <-heard:
+		if got.Fingerprint != want.Fingerprint || len(got.Crashes) != 1 || got.Crashes[0].Endpoint != 9 {
+			t.Errorf("told: got %+v, want %+v", got, want)
+		}
+	case <-time.After(patience):
+		t.Error("nothing was told")
+	}
+	cancel()
+	for range list {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	if len(heard) > 0 {
+		t.Error("told more than once: the answer under a wrong token was taken")
+	}
+}
+
 func FuzzDecodeVerdicts(f *testing.F) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	b, err := encodeVerdicts(nil, []poison.Verdict{{Fingerprint: poison.Fingerprint{1}, Round: 1, Until: now.Add(time.Minute), Crashes: []poison.Crash{{Endpoint: 7, At: now}}}}, now)
--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -50,6 +50,8 @@
 	// crashed; set them before Run.
 	OnCrash    func(s CrashReport)
 	OnVerdicts func(list []poison.Verdict)
+	// ForStarting returns what a router that starts should know of such requests; set before Run.
+	ForStarting func() []poison.Verdict
 	// Traffic counts the notes and reports; set before the first.
 	Traffic *Traffic
 }
@@ -66,6 +68,9 @@
 	// kindCrash is followed by a CrashReport, kindVerdicts by verdicts; see encodeVerdicts.
 	kindCrash    = 3
 	kindVerdicts = 4
+	// kindStarting is followed by the token of a router that has just started and wants to know
+	// what others do of such requests.
+	kindStarting = 5
 	// A note is the endpoint, the milliseconds that it is busy, a byte of flags, and
 	// the prefix, which routers of an earlier release leave out.
 	flagsAt   = bodyAt + 8 + 4
@@ -83,7 +88,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	return &Notes{Log: log, fleet: f, conn: conn, secret: secret, OnNote: onNote, OnReport: func(roll.Report) {}, OnCrash: func(CrashReport) {}, OnVerdicts: func([]poison.Verdict) {}, Traffic: &Traffic{}}, nil
+	return &Notes{Log: log, fleet: f, conn: conn, secret: secret, OnNote: onNote, OnReport: func(roll.Report) {}, OnCrash: func(CrashReport) {}, OnVerdicts: func([]poison.Verdict) {}, ForStarting: func() []poison.Verdict { return nil }, Traffic: &Traffic{}}, nil
 }
 
 // Run hears notes until ctx is done.
@@ -102,16 +107,16 @@
 		if size < bodyAt || !n.secret.begins(buf[:size]) {
 			continue
 		}
-		n.hear(buf[:size], from.Addr().Unmap())
+		n.hear(buf[:size], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
 // hear decodes a datagram with the right token.
-func (n *Notes) hear(b []byte, from netip.Addr) {
+func (n *Notes) hear(b []byte, from netip.AddrPort) {
 	switch {
 	case b[kindAt] == kindNote && len(b) >= prefixAt:
 		ms := binary.BigEndian.Uint32(b[bodyAt+8:])
-		note := Note{From: from, Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: min(time.Duration(ms)*time.Millisecond, busyMost), Failed: b[flagsAt]&flagFailed != 0}
+		note := Note{From: from.Addr(), Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: min(time.Duration(ms)*time.Millisecond, busyMost), Failed: b[flagsAt]&flagFailed != 0}
 		if len(b) >= noteBytes {
 			note.Prefix = binary.BigEndian.Uint64(b[prefixAt:])
 		}
@@ -137,6 +142,8 @@
 			return
 		}
 		n.OnVerdicts(list)
+	case b[kindAt] == kindStarting && len(b) == bodyAt+tokenBytes:
+		n.sendVerdicts(n.ForStarting(), []Peer{{Name: from.String(), Addr: from, Token: string(b[bodyAt:])}})
 	}
 }
 
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -299,15 +299,21 @@
 	}
 }
 
-// startersMost bounds the verdicts that a starting router is told: it has the stored ones
-// already, and they take a hundred bytes each.
-const startersMost = 256
+const (
+	// startersMost bounds the verdicts that a starting router is told: it has the stored ones
+	// already, and they take a hundred bytes each.
+	startersMost = 256
+	// suspectsTold bounds the suspects that it is told, some fifty bytes each: those that crashed
+	// something last. Of a request that crashes what runs it, a repeat is not long ago.
+	suspectsTold = 64
+)
 
-// FreshVerdicts returns the verdicts that a starting router may not find in the store.
-func (e *Engine) FreshVerdicts() []poison.Verdict {
+// ForStarting returns what a starting router may not find in the store: verdicts that are new, and
+// suspicions.
+func (e *Engine) ForStarting() []poison.Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.crashes.Fresh(e.Now(), startersMost)
+	return append(e.crashes.Fresh(e.Now(), startersMost), e.crashes.Suspicions(suspectsTold)...)
 }
 
 // Unstored returns a verdict that this router should store, or remove from the store if it was
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -220,6 +220,7 @@
 	}
 	r.fleet.Put(p)
 	r.asker.Introduce()
+	r.notes.AskStarting(p.Token)
 	r.Log.Info("router: Registered.", zap.Bool("continued", p.Revision > 0), zap.Int("neighbours", len(list)))
 	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,6 +99,7 @@
 	r.notes = notes
 	r.notes.Traffic, r.asker.Traffic = &r.traffic, &r.traffic
 	notes.OnVerdicts, r.asker.OnVerdicts = r.Engine.HeardVerdicts, r.Engine.HeardVerdicts
+	notes.ForStarting = r.Engine.ForStarting
 	notes.OnCrash = func(s peers.CrashReport) {
 		r.Engine.HeardCrash(relay.CrashReport{Fingerprint: s.Fingerprint, Endpoint: s.Endpoint, Age: time.Duration(s.AgeMs) * time.Millisecond, Whole: s.Whole})
 	}
@@ -190,7 +191,7 @@
 	r.tasks.Go(ctx, "crashes of endpoints", r.Engine.WatchCrashes)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
 	answers := peers.NewServer(r.Log, r.mirror, r.wire.ConfigKind, &r.secret)
-	answers.Traffic, answers.OnStarting, answers.Verdicts = &r.traffic, r.asker.Want, r.Engine.FreshVerdicts
+	answers.Traffic, answers.OnStarting, answers.Verdicts = &r.traffic, r.asker.Want, r.Engine.ForStarting
 	answers.Age = r.Engine.Age
 	r.tasks.Go(ctx, "traffic", func(ctx context.Context) error { return r.traffic.Run(ctx, r.Log) })
 	shared := &http.Server{Handler: answers, ReadHeaderTimeout: plainWithin, IdleTimeout: idleReady, ErrorLog: logs.Standard(r.Log, "peers")}
--- a/pkg/poison/book.go
+++ b/pkg/poison/book.go
@@ -118,6 +118,18 @@
 // suspect notes a crash under a request that is not quarantined, and reports whether it is to be
 // judged for that.
 func (b *Book) suspect(now time.Time, p Fingerprint, e Crash, age time.Duration) (pending bool) {
+	s := b.suspectOf(p)
+	if !s.add(e, age) || len(s.crashes) < crashesLeast {
+		return false
+	}
+	if _, ok := b.pending[p]; !ok {
+		b.pending[p] = now.Add(SettleFor)
+	}
+	return true
+}
+
+// suspectOf returns what is known of a suspect, for which room is made if it is new.
+func (b *Book) suspectOf(p Fingerprint) *suspect {
 	s := b.suspects[p]
 	if s == nil {
 		s = &suspect{}
@@ -126,17 +138,7 @@
 		}
 		b.suspects[p] = s
 	}
-	if !s.add(e, age) {
-		return false
-	}
-	s.at = now
-	if len(s.crashes) < crashesLeast {
-		return false
-	}
-	if _, ok := b.pending[p]; !ok {
-		b.pending[p] = now.Add(SettleFor)
-	}
-	return true
+	return s
 }
 
 // JudgedAt returns when a request is to be judged; ok is false if it is not.
@@ -226,10 +228,11 @@
 	delete(b.records, p)
 }
 
-// Learn takes over what another process or the store holds, and reports whether that is new.
-// Until is bounded by how long a verdict of its round may last.
+// Learn takes over what another process or the store holds, and reports whether that is a new
+// verdict. Until is bounded by how long a verdict of its round may last.
 func (b *Book) Learn(now time.Time, v Verdict) bool {
 	if v.Round <= 0 {
+		b.recall(v)
 		return false
 	}
 	if most := now.Add(v.hold()); v.Until.After(most) {
--- a/pkg/poison/book_test.go
+++ b/pkg/poison/book_test.go
@@ -245,6 +245,42 @@
 	}
 }
 
+// A process that starts anew is told what others suspect: the next crash counts for it as for them, and
+// what came in a wave is known as such.
+func TestSuspicionsAreToldOn(t *testing.T) {
+	old, anew := NewBook(), NewBook()
+	strikes(old, 0, request(1), 10, 11)
+	for k := range uint64(6) {
+		old.Crashed(at(500), request(byte(100+k)), 20+k, young, true)
+	}
+	old.Crashed(at(501), request(2), 30, young, true)
+	old.Crashed(at(502), request(2), 31, young, true)
+	for range 2 { // It may be told more than once.
+		for _, v := range old.Suspicions(100) {
+			if anew.Learn(at(5000), v) {
+				t.Errorf("told %v: got news of a verdict, want a suspicion", v)
+			}
+		}
+	}
+	if got, want := anew.Crashes(request(1)), 2; got != want {
+		t.Errorf("crashes: got %d, want %d", got, want)
+	}
+	for k := range uint64(6) {
+		anew.Crashed(at(6000), request(byte(110+k)), 40+k, young, true)
+	}
+	strike(anew, 6001, request(2), 32)
+	if v := anew.Refuses(at(6100), request(2), first); v != nil {
+		t.Errorf("struck twice by a wave and once by another: got %v, want no verdict", v)
+	}
+	strike(anew, 16_000, request(1), 12)
+	if anew.Refuses(at(16_100), request(1), first) == nil {
+		t.Error("a third crash: got no verdict")
+	}
+	if anew.Expire(at(700_000)); anew.Crashes(request(1)) != 0 || !anew.Empty() && anew.Crashes(request(2)) != 0 {
+		t.Error("ten minutes later: got suspects")
+	}
+}
+
 // A request at three endpoints at once, two of which were left a moment ago, is struck three
 // times by one wave.
 func TestWaveThatStrikesThreeTimes(t *testing.T) {
--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -15,7 +15,7 @@
 	// each of them then.
 	crashes []Crash
 	ages    []time.Duration
-	// at is when word of the last one came.
+	// at is when the last one was.
 	at time.Time
 	// held says that only other suspects, which were at the same crashes, keep it from being
 	// quarantined: one of them all explains each.
@@ -27,6 +27,9 @@
 	list, grown := join(s.crashes, e)
 	if s.crashes = list; grown {
 		s.ages = append(s.ages, age)
+		if e.At.After(s.at) {
+			s.at = e.At
+		}
 	}
 	return grown
 }
