Test that a signed failure clears no suspect: it fails

Found by reading: what an endpoint answers without running the request, as one that fails by itself or turns a long request away, made all routers forget the crashes under it.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -5,8 +5,13 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -159,3 +164,28 @@
 		t.Error(err)
 	}
 }
+
+// A failure that an endpoint signs says nothing of whether the request crashes what runs it: the endpoint
+// may have failed before it began. Only an answer clears a suspect.
+//
+// Found by reading, not seen: a failed answer that was passed on whole cleared, so that one endpoint
+// which fails by itself made all routers forget the crashes.
+func TestFailureDoesNotClear(t *testing.T) {
+	for _, c := range []struct{ status, want int }{{http.StatusOK, 0}, {http.StatusNotFound, 2}, {http.StatusInternalServerError, 2}} {
+		e := engine(Route{Kind: Safe, MaxAttempts: 1}, func(context.Context, *Attempt) (*Reply, error) {
+			return &Reply{Status: c.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x")), Length: 1, Ours: true, Whole: true}, nil
+		})
+		r := &Request{ID: "x", Method: "GET", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: time.Now()}
+		for endpoint := range uint64(2) {
+			e.HeardCrash(CrashReport{Fingerprint: r.fingerprintFor(""), Endpoint: endpoint})
+		}
+		w := httptest.NewRecorder()
+		e.Serve(t.Context(), w, r)
+		if got := w.Code; got != c.status {
+			t.Fatalf("answer: got %d, want %d", got, c.status)
+		}
+		if got := e.crashes.Crashes(r.fingerprintFor("")); got != c.want {
+			t.Errorf("crashes known after an answer of %d: got %d, want %d", c.status, got, c.want)
+		}
+	}
+}
