Clear a suspect for an answer, not for a failure

Cause: any answer that was passed on whole cleared, also one of 500 that an endpoint gave before it ran the request. Change: success alone clears; a whole failure still says that the run has ended.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -29,7 +29,7 @@
 		t.Outcome = "delivered"
 		x.e.ended(x.route, x.e.Now().Sub(began))
 		x.e.whole(a)
-		x.e.harmless(a)
+		x.e.harmless(a, reply.Status)
 		x.log(x.e.Now(), reply.Status, nil)
 		return false
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -243,10 +244,14 @@
 	return known
 }
 
-// harmless notes that an endpoint answered an attempt's request whole: it does not crash what
-// runs it.
-func (e *Engine) harmless(a *Attempt) {
+// harmless notes that an endpoint answered an attempt's request whole: it is there no more. With success
+// it does not crash what runs it; a failure says nothing, as the endpoint may have failed, or turned it
+// away, before it ran.
+func (e *Engine) harmless(a *Attempt, status int) {
 	a.harmless = true
+	if status >= http.StatusMultipleChoices {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.crashes.Empty() {
