Try one endpoint of a new version under a peak, and take the last step of a good one later

Cause: a version was tried under the load of its trial alone; one that fails beyond that was proven, and a burst after the proof met it at all endpoints with no other version left. Change: from a fifth before its end to the last step, one endpoint bears 2.5 times the usual load (up to 0.8 of the share); signed failures there are weighed in a row of their own, beside the old version's of the same seconds; slowness and silence there say nothing. Where that endpoint rests, the next one bears it. The last step of a version that is known as good before it comes at 0.945 of the time (0.915), and waits for a margin of 5 % in what is reckoned.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -47,6 +47,7 @@
 	if r := x.e.weighedFor(a.Endpoint.Service); r != nil {
 		r.judge.Sent(r.isNew(&a.Endpoint))
 		a.loaded = x.loaded(r, now)
+		a.peaks = r.trial.Peaks(now) && x.wanted.Single()
 	}
 }
 
@@ -67,7 +68,11 @@
 	if r == nil {
 		return
 	}
+	e.peakEvidence(r, a, failed)
 	slow := r.trial.State != roll.Proven && route.Kind != Stream && !a.warming && roll.Slow(head, time.Duration(a.expected*float64(time.Second)))
+	if a.peaks && (failed || slow) {
+		return
+	}
 	e.addRoute(r, a, route, failed, slow)
 }
 
@@ -77,19 +82,32 @@
 // hangs on four of ten requests is proven.
 func (e *Engine) missed(a *Attempt, route *Route, err *fault.Error, t *try, now time.Time) {
 	r := e.weighedFor(a.Endpoint.Service)
-	if r == nil || !a.owed(route, err, t, now) || r.trial.State == roll.Proven && t.Outcome == outcomeSilent {
+	if r == nil || a.peaks && err.Run != fault.Ran || !a.owed(route, err, t, now) || r.trial.State == roll.Proven && t.Outcome == outcomeSilent {
 		return
 	}
 	if a.headed {
 		e.addAspect(r, a, endsOfAnswers, true, false)
 		return
 	}
-	e.addRoute(r, a, route, true, false)
+	e.peakEvidence(r, a, true)
+	if !a.peaks {
+		e.addRoute(r, a, route, true, false)
+	}
+}
+
+// peakEvidence notes whether an answer failed under a peak, in a row of its own: what the version did
+// under lighter loads would outweigh it. Old answers of the same seconds stand beside it. mu is held.
+func (e *Engine) peakEvidence(r *rollout, a *Attempt, failed bool) {
+	if a.peaks || r.trial.Peaks(e.Now()) && !r.isNew(&a.Endpoint) {
+		e.addAspect(r, a, answersInPeak, failed, false)
+	}
 }
 
 // What is compared between the versions beside routes: the paces of streams, by a single
-// time between pieces and by some in a row, and whether answers came whole whose head came.
+// time between pieces and by some in a row, whether answers came whole whose head came, and whether
+// they failed under a peak.
 const (
+	answersInPeak = "answers in a peak"
 	paceOfStreams = "pace of streams"
 	paceInARow    = "pace in a row"
 	endsOfAnswers = "ends of answers"
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -179,3 +179,51 @@
 		}
 	}
 }
+
+// Under a peak an endpoint of the new version is slow for that and may be silent for long, which says
+// nothing; its failures do, also of a version that has answered well under lighter loads. What the old
+// version failed at meanwhile stands beside it.
+func TestPeakShowsFailures(t *testing.T) {
+	failed := fault.New(fault.EndpointFailed, fault.Ran, "failed")
+	silent := fault.New(fault.EndpointLost, fault.MayHaveRun, "silent")
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		answer func(e *Engine, a *Attempt, route *Route)
+		want   roll.Verdict
+	}{
+		{"good", Stream, func(e *Engine, a *Attempt, route *Route) { e.evidence(a, route, false, time.Millisecond) }, roll.Good},
+		{"slow", Safe, func(e *Engine, a *Attempt, route *Route) {
+			a.expected = 0.01
+			e.evidence(a, route, false, time.Second)
+		}, roll.Good},
+		{"silent", Stream, func(e *Engine, a *Attempt, route *Route) {
+			e.missed(a, route, silent, &try{At: e.Now(), Outcome: outcomeSilent}, e.Now())
+		}, roll.Good},
+		{"failing", Stream, func(e *Engine, a *Attempt, route *Route) { e.missed(a, route, failed, &try{At: e.Now()}, e.Now()) }, roll.Doubtful},
+	} {
+		e, route, old, latest := onTrial(2)
+		route.Kind = c.kind
+		begun := e.rolls["s"].trial.Begun
+		for i := range 200 {
+			a := attemptAt(latest[i%8])
+			a.loaded = i%2 == 0
+			e.evidence(a, route, false, time.Millisecond)
+			e.evidence(attemptAt(old[i%8]), route, false, time.Millisecond)
+		}
+		e.Now = func() time.Time { return begun.Add(20 * time.Second) }
+		for i := range 60 {
+			e.evidence(attemptAt(old[i%8]), route, false, time.Millisecond)
+			a := attemptAt(latest[0])
+			a.loaded, a.peaks = true, true
+			if i%3 == 0 {
+				c.answer(e, a, route)
+			} else {
+				e.evidence(a, route, false, time.Millisecond)
+			}
+		}
+		if got := e.rolls["s"].judge.Verdict(); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -93,6 +93,8 @@
 	warming bool
 	// loaded says that the endpoint bears the load that its service's usually do.
 	loaded bool
+	// peaks says that it bears more than that, as the one endpoint under a peak.
+	peaks bool
 	// unread is how many tokens of the prompt are expected to be read.
 	unread int
 	// sent is the request's place among those that the endpoint may be running.
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -170,7 +170,7 @@
 	r.flow.note(now, of)
 	rest := r.flow.perSecond * max(r.trial.Ends.Sub(now).Seconds(), 0)
 	used, expected := e.exposed(float64(n), float64(of)), e.exposed(float64(n)+rest, float64(of)+rest)
-	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: used > 1, Crowded: r.all && expected > 1, Burst: r.all && expected > burst}
+	f := roll.Findings{Verdict: r.judge.Verdict(), StepAt: r.stepAt, Spent: used > 1, Crowded: r.all && expected > crowded, Burst: r.all && expected > burst}
 	if f.Verdict != r.verdict {
 		r.verdict = f.Verdict
 		e.Log.Info("relay: What is known of a new version has changed.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
@@ -186,6 +186,10 @@
 	return n / max(l.ExposeShare*of+l.ExposeSlack*exposeKept, 1)
 }
 
+// crowded is the part of the allowed requests from which on the last step waits: what is left of the
+// trial is reckoned up to a twentieth too low, as reports come late.
+const crowded = 0.95
+
 // burst is the part of the allowed requests from which on those that are expected are no
 // accident: even requests, counted over half a second, stay within a tenth of it.
 const burst = 1.2
@@ -226,7 +230,7 @@
 // loads reports whether a session is one of those that load one endpoint of the version
 // on trial as the old version's are; mu is held.
 func (e *Engine) loads(r *rollout, draw float64) bool {
-	return draw < r.trial.Loaded(e.book.Count(r.trial.Service, r.hasVersion))
+	return draw < r.trial.Loaded(e.book.Count(r.trial.Service, r.hasVersion), e.Now())
 }
 
 // failedAnswer reports whether a status is a failure of the endpoint itself.
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -19,8 +19,8 @@
 	// Fit reports whether a version of the endpoints' software may serve the
 	// request; nil allows all.
 	Fit func(version string) bool
-	// One says that the request goes to the first of the endpoints that fit, in the
-	// order of their hashes, as long as it is trusted.
+	// One says that the request goes to the first of the endpoints that fit and are
+	// trusted, in the order of their hashes.
 	One bool
 	// one is its hash; 0 for all.
 	one uint64
@@ -111,13 +111,16 @@
 		return 0
 	}
 	for _, p := range list {
-		if p.allowed(now, w) && p.ready(now) {
+		if p.allowed(now, w) && p.ready(now) && p.open(now) {
 			return p.hash
 		}
 	}
 	return 0
 }
 
+// Single reports whether Pick took the one endpoint that One asks for.
+func (w *Want) Single() bool { return w.one != 0 }
+
 // trusted appends the endpoints of a list that may serve a request and are trusted
 // with it, as far as there are any, and returns the test that they passed; nil for
 // none.
--- a/pkg/pool/pick_test.go
+++ b/pkg/pool/pick_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -236,3 +237,23 @@
 		})
 	}
 }
+
+// A request that goes to one endpoint goes to the next of them once the first rests, and to any where none
+// is trusted.
+func TestOneMovesOnFromWhatRests(t *testing.T) {
+	b, now := book(4), time.Now()
+	var met []string
+	for range 4 {
+		w := Want{Service: "s", One: true}
+		p, _ := b.Pick(now, &w)
+		if !w.Single() || slices.Contains(met, p.ID) {
+			t.Fatalf("after %v: got %s, single %v, want the next one", met, p.ID, w.Single())
+		}
+		met = append(met, p.ID)
+		p.Trust.Fail(now, true)
+	}
+	w := Want{Service: "s", One: true}
+	if p, _ := b.Pick(now, &w); p == nil || w.Single() {
+		t.Errorf("all rest: got %v, single %v, want any of them", p, w.Single())
+	}
+}
--- a/pkg/roll/trial_test.go
+++ b/pkg/roll/trial_test.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -189,3 +190,48 @@
 		}
 	}
 }
+
+// One endpoint bears the usual load from the second step on, and a peak from a fifth before the end until
+// the last step; a peak leaves a part of the share for all, and endpoints that are few get no more than
+// they would of all requests.
+func TestOneEndpointBearsAPeak(t *testing.T) {
+	t0 := time.Unix(0, 0)
+	tr := Trial{State: Trying, Begun: t0, Ends: t0.Add(20 * time.Second)}
+	for _, c := range []struct {
+		step, endpoints int
+		at              time.Duration
+		want            float64
+		peaks           bool
+	}{
+		{1, 30, 17 * time.Second, 0, false},
+		{2, 30, 15 * time.Second, 1. / 30, false},
+		{2, 30, 17 * time.Second, peak / 30, true},
+		{2, 4, 15 * time.Second, 0.09, false},
+		{2, 4, 17 * time.Second, 0.18 * peakMost, true},
+		{2, 0, 17 * time.Second, 0, true},
+		{3, 30, 19 * time.Second, 0, false},
+	} {
+		tr.Step = c.step
+		if got := tr.Loaded(c.endpoints, t0.Add(c.at)); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("step %d, %d endpoints, %v: got %.3f of the sessions, want %.3f", c.step, c.endpoints, c.at, got, c.want)
+		}
+		if got := tr.Peaks(t0.Add(c.at)); got != c.peaks {
+			t.Errorf("step %d, %v: peaks: got %v, want %v", c.step, c.at, got, c.peaks)
+		}
+	}
+}
+
+// What a trial exposes by even requests, with the last step of a good version later than that of one
+// that is merely fair.
+func TestGoodVersionTakesTheLastStepLater(t *testing.T) {
+	for _, c := range []struct {
+		verdict Verdict
+		want    time.Duration
+	}{{Fair, 18300 * time.Millisecond}, {Good, 18900 * time.Millisecond}} {
+		play([]found{{0, c.verdict}}, func(at time.Duration, tr Trial) {
+			if tr.State == Trying && tr.Step == len(steps) && (at < c.want || at > c.want+100*time.Millisecond) {
+				t.Errorf("%v: last step at %v, want %v", c.verdict, at, c.want)
+			}
+		})
+	}
+}
