--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -199,13 +199,17 @@
 	e.takeCrash(r, false, e.Now())
 }
 
-// HeardVerdicts takes over verdicts of another router.
+// HeardVerdicts takes over verdicts and suspicions of another router.
 func (e *Engine) HeardVerdicts(list []poison.Verdict) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	before, _ := e.crashes.Counts()
 	for i := range list {
 		e.learnVerdict(&list[i], "another router told it")
 	}
+	if suspects, _ := e.crashes.Counts(); suspects > before {
+		e.Log.Info("relay: Another router told what it suspects.", zap.Int("new", suspects-before), zap.Int("suspects", suspects))
+	}
 }
 
 // TakeVerdict takes over a verdict that the store holds.
