--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,8 +26,7 @@
 func TestFailureAsSilenceEndsIsNoLeaving(t *testing.T) {
 	const passesWithin = 60 * time.Microsecond
 	lost := fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
-	var mu sync.Mutex
-	gone := 0
+	var gone atomic.Int64
 	var callers sync.WaitGroup
 	for range 8 {
 		callers.Go(func() {
@@ -41,15 +41,13 @@
 				w := httptest.NewRecorder()
 				e.Serve(t.Context(), w, &Request{ID: "x", Method: "GET", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: time.Now()})
 				if w.Code == 499 {
-					mu.Lock()
-					gone++
-					mu.Unlock()
+					gone.Add(1)
 				}
 			}
 		})
 	}
 	callers.Wait()
-	if gone > 0 {
-		t.Errorf("told that the caller has left: got %d, want none", gone)
+	if got := gone.Load(); got > 0 {
+		t.Errorf("told that the caller has left: got %d, want none", got)
 	}
 }
--- a/pkg/poison/recall.go
+++ b/pkg/poison/recall.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// toldTogether is how many crashes stand in one of the values that Suspicions returns; a datagram
-	// takes as many of each.
-	toldTogether = 12
+	// ToldTogether is how many crashes are told of one request at most, and stand in one of the values
+	// that Suspicions returns for crashes alone.
+	ToldTogether = 12
 	// recalledAge is how long a request is taken to have been at an endpoint under a crash that was told
 	// later, which does not say so: longer than most, so that crashes that come often are rather put
 	// down to chance.
@@ -29,7 +29,7 @@
 	for _, r := range b.recent {
 		crashes = append(crashes, r.Crash)
 	}
-	for part := range slices.Chunk(crashes, toldTogether) {
+	for part := range slices.Chunk(crashes, ToldTogether) {
 		list = append(list, Verdict{Crashes: part})
 	}
 	names := make([]Fingerprint, 0, len(b.suspects))
--- a/pkg/roll/trial_test.go
+++ b/pkg/roll/trial_test.go
@@ -221,8 +221,8 @@
 	}
 }
 
-// What a trial exposes by even requests, with the last step of a good version later than that of one
-// that is merely fair.
+// A version that is known as good takes the last step later than one that is merely fair, which needs
+// the time for its proof.
 func TestGoodVersionTakesTheLastStepLater(t *testing.T) {
 	for _, c := range []struct {
 		verdict Verdict
