Tell in the log which endpoints name a limit, and at which attempts it was known

An answer to an attempt that was sent before the last word of a limit is no evidence that it has ended; what can't be read neither names nor ends one, and another runner at the address says nothing of the one that was asked.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -71,6 +71,7 @@
 	t.Far = p.Zone != zone
 	t.Unread, t.Wait, t.Reading = a.unread, a.wait, a.reading
 	t.Sent = len(x.r.Body)
+	t.Limit, t.Limited = p.Limit()
 	if passed := x.wanted.Passed; passed != nil {
 		t.Passed, t.Cost, t.PassedCost = passed.ID, t.Wait+t.Reading, x.wanted.Wait(passed, now)+x.wanted.Rest
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -278,8 +278,9 @@
 // gauge tells the metrics what the router believes.
 func (e *Engine) gauge() {
 	e.mu.Lock()
-	endpoints, closed := e.book.Len(), e.book.ClosedZones()
+	endpoints, closed, limited := e.book.Len(), e.book.ClosedZones(), e.book.Limited()
 	e.mu.Unlock()
+	e.counts.limited.Update(float64(limited))
 	e.counts.closed.Update(float64(closed))
 	e.counts.under.Update(float64(e.under.Load()))
 	e.counts.endpoints.Update(float64(endpoints))
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -14,16 +14,19 @@
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
-// heard takes over what the head of an answer tells of its endpoint.
-func (e *Engine) heard(a *Attempt, reply *Reply, now time.Time) {
-	if !reply.Told {
-		return
-	}
+// heard takes over what the head of an answer tells of its endpoint, whatever becomes of the
+// answer.
+func (e *Engine) heard(a *Attempt, t *try, reply *Reply, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if p := e.book.Get(a.Endpoint.ID); p != nil {
+	p := e.book.Get(a.Endpoint.ID)
+	if p == nil {
+		return
+	}
+	if reply.Told {
 		p.Load.Report(now, reply.Running, reply.Waiting)
 	}
+	e.noted(p, a.Request.ID, reply.Notice, t.At, now)
 }
 
 // answered notes an answer that may be passed on.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -130,6 +130,8 @@
 	// Running and Waiting are the endpoint's load; Told says that it told it.
 	Running, Waiting int
 	Told             bool
+	// Notice is what else the endpoint says of itself.
+	Notice pool.Notice
 }
 
 // Send makes an attempt and returns once the head of the answer is there. The
@@ -166,6 +168,9 @@
 	// one, in seconds.
 	Passed           string
 	Cost, PassedCost float64
+	// Limit is the requests a second that the endpoint takes from all routers, if Limited.
+	Limit   float64
+	Limited bool
 	// Sent and Got are the bytes of the body and of the answer.
 	Sent, Got int
 	// Head is how long the head took, in milliseconds.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -114,7 +114,7 @@
 	}
 	defer func() { _ = reply.Body.Close() }()
 	t.Status, t.Confidence = reply.Status, reply.Confidence
-	x.e.heard(a, reply, now)
+	x.e.heard(a, t, reply, now)
 	if err := x.judge(reply); err != nil {
 		x.note(a, t, err, now)
 		if x.again(ctx, err) {
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -41,6 +41,7 @@
 	Trust Trust
 	hash  uint64
 	warming
+	limit limit
 	// area, warmup and senders are what it shares with others of the book.
 	area    *zone
 	warmup  *Warmup
