Share the limit that an endpoint names among the routers

Callers saw nothing of it; endpoints in need got as many requests as before they named a limit (2.6 and 2.8 a second, 21 and 22 in 4 s), and took longer over each.

Cause: of what an endpoint says of itself in an answer, only its load was taken in. Ruled out: that each router kept to the limit as if alone (one router broke it as well), and that only repeats were beyond it (first attempts alone broke it).

Change: a limit is shared as the allowance of endpoints that warm up is: which routers send, and how often, follows from rendezvous hashes of the registered routers, so that nobody has to hear of the others. Few routers hold a share of a low limit, as each may be one request early; the others find out in turn, seldom, whether it still holds. Every send counts, as all are picked in one place. What can't be served is refused at once, with the time at which the first share allows a request.

--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -42,6 +42,7 @@
 	hash  uint64
 	warming
 	limit limit
+	place place
 	// area, warmup and senders are what it shares with others of the book.
 	area    *zone
 	warmup  *Warmup
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -32,24 +32,52 @@
 	// named says that there is one, of perSecond requests a second.
 	named     bool
 	perSecond float64
-	// saidAt is when the last word that named it came.
+	// saidAt is when the last word that named it came, from the endpoint or from another
+	// process.
 	saidAt time.Time
+	// sentAt is when this process sent its last request, limited or not.
+	sentAt time.Time
 }
 
+const (
+	// holdersLeast is how many processes share even the lowest limit, and holdersPerRequest how
+	// many more do for each request a second. Each sends evenly, so that over any time the
+	// endpoint gets what its limit allows, and at most one request more from each of them. Users
+	// bear half as much again as the limit allows in 4 s, and 5 requests more: with the limit
+	// itself and these that leaves a margin of 3/2 of a second's requests and 2 for processes
+	// whose lists differ.
+	holdersLeast      = 3
+	holdersPerRequest = 0.5
+	// limitLeast is the least limit that is kept to, in requests a second: one request in 10 s
+	// finds out whether an endpoint that takes none takes some again.
+	limitLeast = 0.1
+	// doubtAfter is how long without a word of a limit a process that has no share in it waits at
+	// least, before it sends one request to find out whether it still holds; doubtShare is the part
+	// of the limit that all such requests together take.
+	doubtAfter = 10 * time.Second
+	doubtShare = 1. / 8
+)
+
 // Notes takes in what the endpoint says in an answer that came at now, to an attempt that was
 // sent at sentAt. It reports whether that changed what is known of its limit.
 func (p *Endpoint) Notes(n Notice, sentAt, now time.Time) (changed bool) {
+	// An answer to an attempt from before the last word may be older than that.
+	if n.Limit == Unlimited && !sentAt.After(p.limit.saidAt) {
+		return false
+	}
+	return p.Told(n, now)
+}
+
+// Told is Notes for what another process was told by the endpoint later than what it knew.
+func (p *Endpoint) Told(n Notice, now time.Time) (changed bool) {
 	l := &p.limit
 	switch n.Limit {
 	case Limited:
 		changed = !l.named || l.perSecond != n.PerSecond
 		l.named, l.perSecond, l.saidAt = true, n.PerSecond, now
 	case Unlimited:
-		// An answer to an attempt from before that word may be older than the word.
-		changed = l.named && sentAt.After(l.saidAt)
-		if changed {
-			*l = limit{}
-		}
+		changed = l.named
+		l.named, l.perSecond = false, 0
 	}
 	return changed
 }
@@ -58,6 +86,45 @@
 // its last word; ok is false if it named no limit.
 func (p *Endpoint) Limit() (perSecond float64, ok bool) { return p.limit.perSecond, p.limit.named }
 
+// within reports whether this process may send a request to an endpoint now, as far as the
+// endpoint has named a limit.
+//
+// The processes share a limit without asking each other: what one sent is known to the others
+// too late, and not at all to one that is cut off or has just started.
+func (p *Endpoint) within(now time.Time) bool {
+	return !p.limit.named || !now.Before(p.limitedUntil())
+}
+
+// limitedUntil returns when this process may send its next request under the endpoint's limit;
+// zero for an endpoint that has none.
+func (p *Endpoint) limitedUntil() time.Time {
+	l := &p.limit
+	if !l.named {
+		return time.Time{}
+	}
+	perSecond := max(l.perSecond, limitLeast)
+	rank, n := p.rank()
+	if holders := min(n, holdersOf(perSecond)); rank < holders {
+		return later(l.sentAt.Add(apart(holders, perSecond)), p.senders.From)
+	}
+	// Without a share: each in its turn, as what they know of the limit may be of one time.
+	turn := l.saidAt.Add(doubtAfter + apart(rank+1, doubtShare*perSecond))
+	return later(turn, l.sentAt.Add(apart(n, doubtShare*perSecond)))
+}
+
+// holdersOf returns how many processes share a limit, where there are as many.
+func holdersOf(perSecond float64) int {
+	return holdersLeast + int(min(holdersPerRequest*perSecond, processesMost))
+}
+
+// processesMost is more processes than there are.
+const processesMost = 1 << 20
+
+// apart returns the time between the requests of each of n processes that share a limit.
+func apart(n int, perSecond float64) time.Duration {
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
+}
+
 // Limited returns how many endpoints have named a limit.
 func (b *Book) Limited() (n int) {
 	for _, p := range b.byID {
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -4,8 +4,11 @@
 package pool
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"github.com/traildrift/traildrift/pkg/mixer"
 )
 
 // A limit holds for as long as answers name it: an answer to an attempt that was sent before the
@@ -35,3 +38,133 @@
 		t.Error("limit: got one, want none")
 	}
 }
+
+const (
+	// limitWindow, limitOverage and limitSlack are the users' bound: an endpoint gets in any such
+	// time no more than so many times what its limit allows, and some more.
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+)
+
+// limitedFleet is processes that send to one endpoint whenever they may.
+type limitedFleet struct {
+	books []*Book
+	// sent holds when the endpoint got a request.
+	sent []time.Time
+}
+
+// limitedProcess returns the book of a process that knows some of the others.
+func limitedProcess(self uint64, knows []uint64, perSecond float64) *Book {
+	b := NewBook()
+	b.SetSenders(Senders{Self: self, All: knows})
+	b.Put(entry("e0", 1))
+	b.Get("e0").Notes(Notice{Limit: Limited, PerSecond: perSecond}, t0, t0)
+	return b
+}
+
+// limitedFleetOf returns a fleet whose processes know all of each other but for those that lacks names.
+func limitedFleetOf(n int, perSecond float64, lacks func(self, other int) bool) *limitedFleet {
+	f := &limitedFleet{}
+	for i := range n {
+		var knows []uint64
+		for j := range n {
+			if i == j || !lacks(i, j) {
+				knows = append(knows, mixer.Mix(uint64(j+1)))
+			}
+		}
+		f.books = append(f.books, limitedProcess(mixer.Mix(uint64(i+1)), knows, perSecond))
+	}
+	return f
+}
+
+// send has all processes send whenever they may, for a time.
+func (f *limitedFleet) send(from, to time.Time) {
+	const step = 20 * time.Millisecond
+	for now := from; now.Before(to); now = now.Add(step) {
+		for _, b := range f.books {
+			if p := b.Get("e0"); p.ready(now) {
+				p.Sends(now)
+				f.sent = append(f.sent, now)
+			}
+		}
+	}
+}
+
+// most returns the most requests in a window of those sent since a time.
+func (f *limitedFleet) most(since time.Time) (most int) {
+	for i, at := range f.sent {
+		n := 0
+		for j := i; j >= 0 && at.Sub(f.sent[j]) < limitWindow && !f.sent[j].Before(since); j-- {
+			n++
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// An endpoint gets no more than the users' bound on what its limit allows, and most of that, from
+// processes that never hear of one another and send whenever they may; also with lists that lack a
+// fifth of the processes.
+func TestLimitIsSharedWithoutAWord(t *testing.T) {
+	const lasts = 40 * time.Second
+	all := func(int, int) bool { return false }
+	fifth := func(self, other int) bool { return mixer.Mix(uint64(self*1000+other))%5 == 0 }
+	for _, n := range []int{1, 2, 6, 12, 300} {
+		for _, perSecond := range []float64{0, 0.7, 2.5, 50} {
+			for name, lacks := range map[string]func(self, other int) bool{"all": all, "fifthLacks": fifth} {
+				f := limitedFleetOf(n, perSecond, lacks)
+				f.send(t0, t0.Add(lasts))
+				bound := limitOverage*perSecond*limitWindow.Seconds() + limitSlack
+				if got := f.most(t0); float64(got) > bound {
+					t.Errorf("%d processes, %s, limit %v: in %v: got %d, want %.1f at most", n, name, perSecond, limitWindow, got, bound)
+				}
+				if got, want := float64(len(f.sent)), 0.9*perSecond*lasts.Seconds(); got < want {
+					t.Errorf("%d processes, %s, limit %v: in %v: got %.0f, want %.0f", n, name, perSecond, lasts, got, want)
+				}
+				if len(f.sent) == 0 {
+					t.Errorf("%d processes, %s, limit %v: got none, want one now and then", n, name, perSecond)
+				}
+			}
+		}
+	}
+}
+
+// A process that knows of no other yet sends nothing to an endpoint that has named a limit until
+// it has waited for so long that any number of them may.
+func TestLimitWithoutAListOfProcesses(t *testing.T) {
+	p := limitedProcess(1, nil, 2.5).Get("e0")
+	if p.ready(t0.Add(doubtAfter)) {
+		t.Error("before its turn: got a request, want none")
+	}
+	if !p.ready(p.limitedUntil()) {
+		t.Error("in its turn: got none, want one request")
+	}
+}
+
+// A limit beyond what can be sent bounds nothing.
+func TestHugeLimit(t *testing.T) {
+	p := limitedProcess(1, []uint64{1, 2, 3}, math.MaxFloat64).Get("e0")
+	p.Sends(t0)
+	if !p.ready(t0) {
+		t.Error("at once: got none, want another request")
+	}
+}
+
+// A request that finds all endpoints limited is told when the first may be asked.
+func TestLackOfLimited(t *testing.T) {
+	b := limitedProcess(1, []uint64{1}, 2)
+	p := b.Get("e0")
+	p.Sends(t0)
+	w := Want{Service: "s"}
+	if got, why := b.Pick(t0.Add(100*time.Millisecond), &w); got != nil {
+		t.Errorf("picked: got %v (%s), want none", got.ID, why)
+	}
+	l := b.Lack(t0.Add(100*time.Millisecond), &w)
+	if want := t0.Add(500 * time.Millisecond); l.Limited != 1 || !l.At.Equal(want) {
+		t.Errorf("lack: got %+v, want one limited until %v", l, want)
+	}
+	if got, _ := b.Pick(l.At, &w); got != p {
+		t.Error("picked then: got none, want the endpoint")
+	}
+}
--- /dev/null
+++ b/pkg/pool/ready.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package pool
+
+import "time"
+
+// ready reports whether this process may send a request to an endpoint now, as far as the
+// endpoint bounds what it gets.
+func (p *Endpoint) ready(now time.Time) bool { return p.warm(now) && p.within(now) }
+
+// Sends notes that this process sends a request to an endpoint that it picked.
+func (p *Endpoint) Sends(now time.Time) {
+	p.Load.Sent++
+	p.limit.sentAt = now
+	if p.Warming(now) {
+		p.nextAt = now.Add(spacing / time.Duration(max(p.quota(), 1)))
+	}
+}
+
+// Lack says why a request found no endpoint.
+type Lack struct {
+	// Closed, Warming and Limited count the endpoints that would have served it but for their
+	// closed availability zone, for what they may get while they warm up, or for the limit
+	// that they have named.
+	Closed, Warming, Limited int
+	// At is when one of those that warm up or are limited may get a request again; zero if
+	// there is none.
+	At time.Time
+}
+
+// Lack returns why no endpoint was found for a request.
+func (b *Book) Lack(now time.Time, w *Want) (l Lack) {
+	for _, p := range b.byService[w.Service] {
+		switch {
+		case !p.listed(now) || w.Fit != nil && !w.Fit(p.Version):
+		case p.area.closed:
+			l.Closed++
+		case !p.warm(now):
+			l.Warming++
+			if p.quota() > 0 {
+				l.from(later(later(p.nextAt, p.senders.From), p.limitedUntil()))
+			}
+		case !p.within(now):
+			l.Limited++
+			l.from(p.limitedUntil())
+		}
+	}
+	return l
+}
+
+// from notes when an endpoint may get a request again.
+func (l *Lack) from(at time.Time) {
+	if l.At.IsZero() || at.Before(l.At) {
+		l.At = at
+	}
+}
--- a/pkg/pool/warm.go
+++ b/pkg/pool/warm.go
@@ -3,11 +3,7 @@
 
 package pool
 
-import (
-	"time"
-
-	"github.com/traildrift/traildrift/pkg/mixer"
-)
+import "time"
 
 // Warmup is how the endpoints of a service are spared after a start. The zero value spares
 // none.
@@ -19,30 +15,6 @@
 	Lasts time.Duration
 }
 
-// Senders are the processes that share what an endpoint may get while it warms up. They need
-// not hear one another: who may send to an endpoint, and how often, follows from their
-// hashes. The zero value lets this process send nothing to such an endpoint.
-type Senders struct {
-	// Self is this process's hash, All those of every process, this one's too unless it is
-	// about to end.
-	Self uint64
-	All  []uint64
-	// From is when this process may begin: an earlier life of it may have sent just before.
-	From time.Time
-}
-
-// senders are the Senders of a book, with a number that changes with them.
-type senders struct {
-	Senders
-	generation uint64
-}
-
-// SetSenders takes over who shares the endpoints that warm up.
-func (b *Book) SetSenders(s Senders) {
-	b.senders.Senders = s
-	b.senders.generation++
-}
-
 // SetWarmup takes over how endpoints of a service are spared.
 func (b *Book) SetWarmup(service string, w Warmup) { *b.warmup(service) = w }
 
@@ -96,20 +68,12 @@
 	return a
 }
 
-// ready reports whether this process may send a request to an endpoint now, as far as it may
+// warm reports whether this process may send a request to an endpoint now, as far as it may
 // be warming up.
-func (p *Endpoint) ready(now time.Time) bool {
+func (p *Endpoint) warm(now time.Time) bool {
 	return !p.Warming(now) || p.quota() > 0 && !now.Before(p.nextAt) && !now.Before(p.senders.From)
 }
 
-// Sends notes that this process sends a request to an endpoint that it picked.
-func (p *Endpoint) Sends(now time.Time) {
-	p.Load.Sent++
-	if p.Warming(now) {
-		p.nextAt = now.Add(spacing / time.Duration(max(p.quota(), 1)))
-	}
-}
-
 // quota returns how many requests a second this process may send to an endpoint that warms
 // up.
 func (p *Endpoint) quota() int {
@@ -125,20 +89,8 @@
 // where there are fewer, what is left goes around. With the same list everywhere the shares
 // add up to the allowance; with other lists a process may be a few ranks too far ahead.
 func (s *Senders) quota(endpoint uint64, allowance int) int {
-	if len(s.All) == 0 {
-		return 0
-	}
-	own, rank, n := mixer.Mix(endpoint^s.Self), 0, 1
-	for _, q := range s.All {
-		if q == s.Self {
-			continue
-		}
-		n++
-		if mixer.Mix(endpoint^q) > own {
-			rank++
-		}
-	}
-	if rank >= allowance {
+	rank, n := s.rank(endpoint)
+	if n == 0 || rank >= allowance {
 		return 0
 	}
 	of := min(n, allowance)
@@ -149,32 +101,6 @@
 	return share
 }
 
-// Lack says why a request found no endpoint.
-type Lack struct {
-	// Closed and Warming count the endpoints that would have served it but for their closed
-	// availability zone, or for what they may get while they warm up.
-	Closed, Warming int
-	// At is when one that warms up may get a request again; zero if there is none.
-	At time.Time
-}
-
-// Lack returns why no endpoint was found for a request.
-func (b *Book) Lack(now time.Time, w *Want) (l Lack) {
-	for _, p := range b.byService[w.Service] {
-		switch {
-		case !p.listed(now) || w.Fit != nil && !w.Fit(p.Version):
-		case p.area.closed:
-			l.Closed++
-		case !p.ready(now):
-			l.Warming++
-			if at := later(p.nextAt, p.senders.From); p.quota() > 0 && (l.At.IsZero() || at.Before(l.At)) {
-				l.At = at
-			}
-		}
-	}
-	return l
-}
-
 // Warming returns how many endpoints are warming up.
 func (b *Book) Warming(now time.Time) (n int) {
 	for _, p := range b.byID {
