A limit is of the life of the endpoint that named it

Cause, by reading: an endpoint may start again under its ID; its entry then names another moment of its start. What the earlier life said of itself would have held for the later. The moment is decoded with the entry and names the life; an answer to an attempt at another life than the listed one says nothing. pool.TestLimitIsOfOneLife fails without it.

--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -26,7 +26,9 @@
 	if reply.Told {
 		p.Load.Report(now, reply.Running, reply.Waiting)
 	}
-	e.noted(p, a.Request.ID, reply.Notice, t.At, now)
+	if a.Endpoint.Born.Equal(p.Born) {
+		e.noted(p, a.Request.ID, reply.Notice, t.At, now)
+	}
 }
 
 // answered notes an answer that may be passed on.
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -15,8 +15,11 @@
 
 // Entry is an endpoint as it is listed.
 type Entry struct {
-	// ID names one life of an endpoint; no other one has the same.
-	ID      string
+	// ID names an endpoint; no other one has the same.
+	ID string
+	// Born is when this life of the endpoint began, by its own clock, and names the life; zero
+	// where endpoints have one life only.
+	Born    time.Time
 	Service string
 	Addr    netip.AddrPort
 	Zone    string
@@ -102,6 +105,10 @@
 		return false
 	}
 	changed := !p.lapsedUntil.IsZero() || e.Leaving && !p.leaving
+	if !e.Born.Equal(p.Born) {
+		// What an earlier life said of itself does not hold for this one.
+		changed, p.limit = true, limit{}
+	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
 	p.lapsedUntil = time.Time{}
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -168,3 +168,24 @@
 		t.Error("picked then: got none, want the endpoint")
 	}
 }
+
+// A limit is of the life that named it: an endpoint that starts again under its ID has none.
+func TestLimitIsOfOneLife(t *testing.T) {
+	b := NewBook()
+	e := entry("e0", 1)
+	e.Born = t0
+	b.Put(e)
+	b.Get("e0").Notes(Notice{Limit: Limited, PerSecond: 2}, t0, t0)
+	e.Revision = 2
+	b.Put(e)
+	if _, ok := b.Get("e0").Limit(); !ok {
+		t.Error("the same life, listed again: got no limit, want one")
+	}
+	e.Revision, e.Born = 3, t0.Add(time.Second)
+	if !b.Put(e) {
+		t.Error("another life: got no change")
+	}
+	if _, ok := b.Get("e0").Limit(); ok {
+		t.Error("another life: got a limit, want none")
+	}
+}
