Lend what is left of a limit, and tell of its end

Callers were refused while endpoints had room: six routers of which callers asked one sent 10 of 40 requests that the limits allow, as the shares of the other five were lost. Twelve routers went on to keep to limits of 0.7 that had ended: 2.5 s later 12 of 48 pairs of router and endpoint were in use.

Cause: a share is its router's, whether its callers need it or not, and a router without one is told nothing by the endpoint. Weighed: shares by demand (the sum may exceed the limit where the routers' views of it differ); one router that keeps each limit (nothing can be sent while it is away, or twice as much while two think that they are it); lists of who is idle (10 KB a second for each of 300 routers). Chosen: a router that has no endpoint left asks one that has a share, which spends it and lends it; what is lost on the way is not sent. A request waits 25 ms for that at most, as all are asked of what is a few milliseconds away. Those who have shares tell all of a limit's end, and some, once a second, that it is still named.

--- /dev/null
+++ b/internal/peers/limits.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/pkg/pool"
+)
+
+// LimitNote is word of the limit that an endpoint has named: what a router was told by the
+// endpoint, or its answer to a LimitQuestion.
+type LimitNote struct {
+	// Endpoint is the hash of the endpoint's ID, and Life names the life that named the limit.
+	Endpoint, Life uint64
+	// Named says that there is a limit, of PerSecond requests a second.
+	Named     bool
+	PerSecond float64
+	// Granted says that the hearer may send one request in the teller's place, which was asked
+	// for that; Answers says that this is an answer, whether granted or not.
+	Answers, Granted bool
+	// WaitMs is how long the teller has nothing more to grant, in milliseconds.
+	WaitMs uint32
+}
+
+// LimitQuestion asks a router to grant a request out of its share of a limit.
+type LimitQuestion struct {
+	Endpoint, Life uint64
+	// PerSecond is the limit as the asker knows it.
+	PerSecond float64
+	// Token is the asker's, for the answer.
+	Token [tokenBytes]byte
+}
+
+// limitBytes and questionBytes are the lengths of an encoded LimitNote and LimitQuestion.
+const (
+	limitBytes    = 8 + 8 + 1 + 8 + 1 + 1 + 4
+	questionBytes = 8 + 8 + 8 + tokenBytes
+)
+
+// SendLimit tells other routers of a limit: some of them, or all.
+func (n *Notes) SendLimit(l LimitNote, all bool) {
+	buf := n.encode(kindLimit, l, limitBytes)
+	if all {
+		n.Traffic.Limits.Add(n.sendTo(n.fleet.others(), buf))
+		return
+	}
+	n.Traffic.Limits.Add(n.send(buf, everybody))
+}
+
+// AskLimit asks one of the routers that share an endpoint's limit, of which there are so many; draw
+// chooses. The answer comes under this router's token.
+func (n *Notes) AskLimit(q LimitQuestion, holders int, draw uint64) {
+	list := n.fleet.holders(q.Endpoint, holders)
+	if len(list) == 0 || !n.secret.copyTo(q.Token[:]) {
+		return
+	}
+	to := list[draw%uint64(len(list))]
+	n.Traffic.Limits.Add(n.sendOne(to, n.encode(kindLimitQuestion, q, questionBytes)))
+}
+
+// encode returns a datagram with room for the hearer's token.
+func (n *Notes) encode(kind byte, body any, size int) []byte {
+	buf := make([]byte, bodyAt, bodyAt+size)
+	buf[kindAt] = kind
+	buf, err := binary.Append(buf, binary.BigEndian, body)
+	if err != nil {
+		n.Log.Error("peers: A datagram could not be encoded.", logs.Err(err))
+	}
+	return buf
+}
+
+// hearLimit decodes a LimitNote.
+func (n *Notes) hearLimit(b []byte, from netip.AddrPort) {
+	var l LimitNote
+	if _, err := binary.Decode(b, binary.BigEndian, &l); err != nil {
+		n.Log.Warn("peers: Word of a limit could not be decoded.", logs.Err(err))
+		return
+	}
+	n.OnLimit(from.Addr(), l)
+}
+
+// hearQuestion decodes a LimitQuestion and answers it.
+func (n *Notes) hearQuestion(b []byte, from netip.AddrPort) {
+	var q LimitQuestion
+	if _, err := binary.Decode(b, binary.BigEndian, &q); err != nil {
+		n.Log.Warn("peers: A question about a limit could not be decoded.", logs.Err(err))
+		return
+	}
+	l, ok := n.OnLimitQuestion(q)
+	if !ok {
+		return
+	}
+	asker := Peer{Name: from.String(), Addr: from, Token: string(q.Token[:])}
+	n.Traffic.Limits.Add(n.sendOne(asker, n.encode(kindLimit, l, limitBytes)))
+}
+
+// holders returns the other routers among those that share an endpoint's limit, of which there are
+// so many: the first by rendezvous hash, as each of them finds for itself.
+func (f *Fleet) holders(endpoint uint64, most int) []Peer {
+	f.mu.Lock()
+	list := slices.Clone(f.ranked())
+	f.mu.Unlock()
+	weight := func(p Peer) uint64 { return pool.Weight(endpoint, xxhash.Sum64String(p.Name)) }
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(weight(b), weight(a)) })
+	list = list[:min(len(list), most)]
+	return slices.DeleteFunc(list, func(p Peer) bool { return p.Name == f.self })
+}
--- /dev/null
+++ b/internal/peers/limits_test.go
@@ -0,0 +1,116 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package peers
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/pool"
+)
+
+func TestLimitDatagramsHaveTheirLength(t *testing.T) {
+	for _, c := range []struct {
+		body any
+		want int
+	}{{LimitNote{}, limitBytes}, {LimitQuestion{}, questionBytes}} {
+		if got := binary.Size(c.body); got != c.want {
+			t.Errorf("%T: got %d bytes, want %d", c.body, got, c.want)
+		}
+	}
+}
+
+// The routers that are asked for a grant are those that find for themselves that they have a share.
+func TestHoldersAreThoseThatHaveAShare(t *testing.T) {
+	const routers, endpoints, most = 12, 20, 4
+	fleets := make([]*Fleet, routers)
+	for i := range fleets {
+		fleets[i] = NewFleet(fmt.Sprint("vm-", i))
+		for j := range routers {
+			fleets[i].Put(Peer{Name: fmt.Sprint("vm-", j)})
+		}
+	}
+	for k := range endpoints {
+		id := fmt.Sprint("e-", k)
+		share := make(map[string]bool)
+		for _, f := range fleets {
+			b := pool.NewBook()
+			self, all, _ := f.Hashes()
+			b.SetSenders(pool.Senders{Self: self, All: all})
+			b.Put(pool.Entry{ID: id, Revision: 1})
+			// Three share a limit of 0, and one more for each two requests a second.
+			b.Get(id).Told(pool.Notice{Limit: pool.Limited, PerSecond: 2 * (most - 3)}, b.Get(id).HeardAt)
+			if holders, self := b.Get(id).Holders(); self {
+				share[f.self] = true
+			} else if holders != most {
+				t.Fatalf("%s: got %d that have a share, want %d", id, holders, most)
+			}
+		}
+		if len(share) != most {
+			t.Errorf("%s: %d find that they have a share, want %d", id, len(share), most)
+		}
+		for _, f := range fleets {
+			for _, p := range f.holders(pool.HashOf(id), most) {
+				if !share[p.Name] || p.Name == f.self {
+					t.Errorf("%s: %s would ask %s (%x), which has no share", id, f.self, p.Name, xxhash.Sum64String(p.Name))
+				}
+			}
+		}
+	}
+}
+
+// A question is answered under the asker's token, word of a limit comes through, and a question
+// without an answer gets none.
+func TestLimitQuestionIsAnswered(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	var list [2]*Notes
+	var all [2]Peer
+	heard := make(chan LimitNote, 4)
+	for i := range list {
+		all[i] = Peer{Name: fmt.Sprint(i), Token: fmt.Sprintf("%016d-and-more", i)}
+		n, err := NewNotes(zap.NewNop(), NewFleet(all[i].Name), netip.MustParseAddrPort("127.0.0.1:0"), secretOf(all[i].Token), func(Note) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[i].Addr = n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		list[i] = n
+	}
+	asker, holder := list[0], list[1]
+	asker.OnLimit = func(_ netip.Addr, l LimitNote) { heard <- l }
+	want := LimitNote{Endpoint: 7, Life: 8, Named: true, PerSecond: 2.5, Answers: true, Granted: true, WaitMs: 400}
+	holder.OnLimitQuestion = func(q LimitQuestion) (LimitNote, bool) {
+		return want, q.Life == want.Life && q.PerSecond == want.PerSecond
+	}
+	for _, n := range list {
+		n.fleet.Put(all[0])
+		n.fleet.Put(all[1])
+		go func() { ended <- n.Run(ctx) }()
+	}
+	asker.AskLimit(LimitQuestion{Endpoint: 7, Life: 9, PerSecond: 2.5}, 2, 0)
+	asker.AskLimit(LimitQuestion{Endpoint: 7, Life: 8, PerSecond: 2.5}, 2, 1)
+	if got := <-heard; got != want {
+		t.Errorf("answer: got %+v, want %+v", got, want)
+	}
+	told := LimitNote{Endpoint: 7, Life: 8, Named: true, PerSecond: 3}
+	for _, all := range []bool{true, false} {
+		holder.SendLimit(told, all)
+		if got := <-heard; got != told {
+			t.Errorf("told to all: %v: got %+v, want %+v", all, got, told)
+		}
+	}
+	cancel()
+	for range list {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -50,6 +50,10 @@
 	// crashed; set them before Run.
 	OnCrash    func(s CrashReport)
 	OnVerdicts func(list []poison.Verdict)
+	// OnLimit is called for word of a limit and for answers to questions, OnLimitQuestion for
+	// questions, with what to answer, if anything; set them before Run.
+	OnLimit         func(by netip.Addr, l LimitNote)
+	OnLimitQuestion func(q LimitQuestion) (l LimitNote, ok bool)
 	// ForStarting returns what a router that starts should know of such requests; set before Run.
 	ForStarting func() []poison.Verdict
 	// Traffic counts the notes and reports; set before the first.
@@ -71,6 +75,9 @@
 	// kindStarting is followed by the token of a router that has just started and wants to know
 	// what others do of such requests.
 	kindStarting = 5
+	// kindLimit is followed by a LimitNote, kindLimitQuestion by a LimitQuestion.
+	kindLimit         = 6
+	kindLimitQuestion = 7
 	// A note is the endpoint, the milliseconds that it is busy, a byte of flags, and
 	// the prefix, which routers of an earlier release leave out.
 	flagsAt   = bodyAt + 8 + 4
@@ -88,7 +95,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	return &Notes{Log: log, fleet: f, conn: conn, secret: secret, OnNote: onNote, OnReport: func(roll.Report) {}, OnCrash: func(CrashReport) {}, OnVerdicts: func([]poison.Verdict) {}, ForStarting: func() []poison.Verdict { return nil }, Traffic: &Traffic{}}, nil
+	return &Notes{Log: log, fleet: f, conn: conn, secret: secret, OnNote: onNote, OnReport: func(roll.Report) {}, OnCrash: func(CrashReport) {}, OnVerdicts: func([]poison.Verdict) {}, ForStarting: func() []poison.Verdict { return nil },
+		OnLimit: func(netip.Addr, LimitNote) {}, OnLimitQuestion: func(LimitQuestion) (l LimitNote, ok bool) { return l, false }, Traffic: &Traffic{}}, nil
 }
 
 // Run hears notes until ctx is done.
@@ -142,6 +150,10 @@
 			return
 		}
 		n.OnVerdicts(list)
+	case b[kindAt] == kindLimit:
+		n.hearLimit(b[bodyAt:], from)
+	case b[kindAt] == kindLimitQuestion:
+		n.hearQuestion(b[bodyAt:], from)
 	case b[kindAt] == kindStarting && len(b) == bodyAt+tokenBytes:
 		n.sendVerdicts(n.ForStarting(), []Peer{{Name: from.String(), Addr: from, Token: string(b[bodyAt:])}})
 	}
--- a/internal/peers/secret.go
+++ b/internal/peers/secret.go
@@ -26,3 +26,9 @@
 	want := s.text.Load()
 	return want != nil && len(*want) >= tokenBytes && len(b) >= tokenBytes && subtle.ConstantTimeCompare(b[:tokenBytes], []byte((*want)[:tokenBytes])) == 1
 }
+
+// copyTo copies the first bytes of the token; false if there are fewer.
+func (s *Secret) copyTo(dst []byte) bool {
+	text := s.text.Load()
+	return text != nil && copy(dst, *text) == len(dst)
+}
--- /dev/null
+++ b/internal/relay/borrow.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
+)
+
+// LimitWord is what routers tell one another of the limit that an endpoint has named.
+type LimitWord struct {
+	// Endpoint is the hash of its ID, Life what names the life that has the limit.
+	Endpoint, Life uint64
+	// Named says that there is a limit, of PerSecond requests a second.
+	Named     bool
+	PerSecond float64
+	// Answers says that this answers a question, and Granted that the hearer may send one request
+	// in the teller's place.
+	Answers, Granted bool
+	// Wait is how long the teller has nothing more to grant, from when the word is heard.
+	Wait time.Duration
+}
+
+// Limiting tells and asks other routers of the limits that endpoints have named. Its functions are
+// seams.
+type Limiting struct {
+	// Tell tells some of the other routers, or all.
+	Tell func(w LimitWord, all bool)
+	// Ask asks one of the routers that share the limit, of which there are so many, to grant a
+	// request; draw chooses.
+	Ask func(w LimitWord, holders int, draw uint64)
+}
+
+// aloneLimits are those of a router alone.
+var aloneLimits = Limiting{Tell: func(LimitWord, bool) {}, Ask: func(LimitWord, int, uint64) {}}
+
+const (
+	// limitToldEvery is how often a router tells of a limit that answers go on naming: routers that
+	// have just started hear of it within about that.
+	limitToldEvery = time.Second
+	// grantWithin is how long a request that no endpoint takes waits for a grant of another router:
+	// an answer takes 3 ms between zones, and some more from a busy one.
+	grantWithin = config.Span(25 * time.Millisecond)
+	// grantFor is how long a grant may be used after it came.
+	grantFor = config.Span(50 * time.Millisecond)
+	// askAgain is how long after a question about an endpoint the next one follows where no answer
+	// comes, and the most that an answer delays it.
+	askAgain = config.Span(time.Second)
+	// asksMost is how many endpoints are asked about for one request.
+	asksMost = 3
+	// asksPerSecond bounds the questions of a router: with their answers 6 KB a second.
+	asksPerSecond = 60
+)
+
+// limitWord returns what is known of an endpoint's limit.
+func limitWord(p *pool.Endpoint) LimitWord {
+	perSecond, named := p.Limit()
+	return LimitWord{Endpoint: p.Hash(), Life: p.Life(), Named: named, PerSecond: perSecond}
+}
+
+// borrow asks other routers to grant what they may send, where limits leave this one nothing, and
+// chooses again once one does; it returns err if none does in time. The shares of routers whose
+// callers need them less would be lost otherwise.
+func (x *run) borrow(ctx context.Context, now time.Time, err *fault.Error) (*Attempt, *try, *fault.Error) {
+	granted, asked := x.ask(now)
+	if !asked {
+		return nil, nil, err
+	}
+	within := time.NewTimer(time.Duration(grantWithin))
+	defer within.Stop()
+	for {
+		select {
+		case <-granted:
+		case <-within.C:
+			return nil, nil, err
+		case <-ctx.Done():
+			return nil, nil, err
+		}
+		x.e.mu.Lock()
+		granted = x.e.granted
+		x.e.mu.Unlock()
+		if a, t, again := x.choose(x.e.Now()); again == nil {
+			return a, t, nil
+		}
+	}
+}
+
+// ask asks about some of the endpoints whose limits keep the request from them, drawn at random. It
+// reports whether it asked, and returns a channel that is closed when an answer has come.
+func (x *run) ask(now time.Time) (granted <-chan struct{}, asked bool) {
+	e := x.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := x.want()
+	list := e.book.Askable(nil, now, &w)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, p := range list[:min(len(list), asksMost)] {
+		if !e.asks.AllowN(now, 1) {
+			break
+		}
+		p.Asks(askAgain.After(now))
+		holders, _ := p.Holders()
+		e.Limits.Ask(limitWord(p), holders, e.draw())
+		e.counts.count("limit_questions", x.route.Name, "")
+		asked = true
+	}
+	return e.granted, asked
+}
+
+// AnswerLimit answers a router that asks for a request out of this one's share of a limit; ok is
+// false where there is nothing to say.
+func (e *Engine) AnswerLimit(q LimitWord) (w LimitWord, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.book.ByHash(q.Endpoint)
+	if p == nil || p.Life() != q.Life {
+		return w, false
+	}
+	now := e.Now()
+	if _, named := p.Limit(); !named && !p.LimitEnded() {
+		p.Told(pool.Notice{Limit: pool.Limited, PerSecond: q.PerSecond}, now)
+		e.logLimit(p, zap.Skip())
+	}
+	w = limitWord(p)
+	w.Answers = true
+	if !w.Named {
+		return w, true
+	}
+	granted, at := p.Grant(now)
+	w.Granted, w.Wait = granted, max(at.Sub(now), 0)
+	return w, true
+}
+
+// HeardLimit takes over what another router, known by its address, told of a limit.
+func (e *Engine) HeardLimit(by netip.Addr, w LimitWord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.book.ByHash(w.Endpoint)
+	if p == nil || p.Life() != w.Life || !(w.PerSecond >= 0) {
+		return
+	}
+	now := e.Now()
+	n := pool.Notice{Limit: pool.Unlimited}
+	if w.Named {
+		n = pool.Notice{Limit: pool.Limited, PerSecond: w.PerSecond}
+	}
+	if p.Told(n, now) {
+		e.logLimit(p, zap.Stringer("by", by))
+	}
+	if !w.Answers {
+		return
+	}
+	if w.Granted {
+		p.Granted(grantFor.After(now))
+		p.Asks(now)
+		e.counts.count("limit_grants", "", "")
+	} else {
+		// Of several that share the limit another one may have something sooner.
+		holders, _ := p.Holders()
+		p.Asks(now.Add(min(w.Wait, time.Duration(askAgain)) / time.Duration(max(holders, 1))))
+	}
+	close(e.granted)
+	e.granted = make(chan struct{})
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -16,13 +16,12 @@
 	e := x.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	x.limited = false
 	if err := x.quarantined(now); err != nil {
-		x.giveBack(now)
 		return nil, nil, err
 	}
 	p, why := x.pick(now)
 	if p == nil {
-		x.giveBack(now)
 		return nil, nil, x.lack(now)
 	}
 	x.tries = append(x.tries, try{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -42,6 +42,8 @@
 	Gone Gone
 	// Quarantines tells other routers of requests that crash endpoints.
 	Quarantines Quarantines
+	// Limits tells and asks other routers of the limits that endpoints have named.
+	Limits Limiting
 	// Boot is a clock that counts the time for which the VM was suspended; see still.
 	Boot func() time.Duration
 	// Proven returns when the table in force was the newest, for sure.
@@ -87,6 +89,10 @@
 	lapsed  []poison.Fingerprint
 	// judging says that suspects are to be judged once word of crashes has settled.
 	judging chan struct{}
+	// granted is closed, and made anew, whenever another router has answered a question about a
+	// limit; asks bounds these questions.
+	granted chan struct{}
+	asks    *rate.Limiter
 	// probes are the endpoints of which it is to be asked whether they have ended.
 	probes chan pool.Entry
 	// inFlight holds what endpoints may be running, by their hashes.
@@ -132,6 +138,9 @@
 		judging:     make(chan struct{}, 1),
 		probes:      make(chan pool.Entry, probesMost),
 		Quarantines: aloneQuarantines,
+		Limits:      aloneLimits,
+		granted:     make(chan struct{}),
+		asks:        rate.NewLimiter(asksPerSecond, asksPerSecond),
 		inFlight:    make(map[uint64]*inFlight),
 		Boot:        clock.Boot,
 		Gone:        func(context.Context, pool.Entry) (gone, known bool) { return false, true },
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -37,6 +37,8 @@
 	opinion opinion
 	// made counts the attempts that reached an endpoint.
 	made int
+	// limited says that the last choice found no endpoint, but some that have named a limit.
+	limited bool
 	// prepaid says that the next attempt is paid for.
 	prepaid bool
 	// mayHaveRun says that an attempt may have run; it never goes back.
@@ -70,7 +72,11 @@
 			return
 		}
 		a, t, err := x.choose(now)
+		if err != nil && x.limited {
+			a, t, err = x.borrow(ctx, now, err)
+		}
 		if err != nil {
+			x.giveBack(now)
 			x.end(ctx, err)
 			return
 		}
@@ -240,6 +246,8 @@
 
 // giveBack returns what was paid for an attempt that was not made.
 func (x *run) giveBack(now time.Time) {
+	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
 	if x.prepaid {
 		x.e.budget(x.service).Give(now)
 		x.prepaid = false
--- a/internal/relay/zones.go
+++ b/internal/relay/zones.go
@@ -85,6 +85,7 @@
 func (x *run) lack(now time.Time) *fault.Error {
 	w := x.want()
 	l := x.e.book.Lack(now, &w)
+	x.limited = l.Limited > 0
 	switch {
 	case l.Warming > 0 || l.Limited > 0:
 		at := soon.After(now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,6 +109,19 @@
 		},
 		Changed: notes.SendVerdicts, Again: notes.SendAgain, AgainMost: peers.VerdictsAgain, Rank: r.fleet.Rank, Alone: r.Alone,
 	}
+	notes.OnLimit = func(by netip.Addr, l peers.LimitNote) {
+		r.Engine.HeardLimit(by, relay.LimitWord{Endpoint: l.Endpoint, Life: l.Life, Named: l.Named, PerSecond: l.PerSecond, Answers: l.Answers, Granted: l.Granted, Wait: time.Duration(l.WaitMs) * time.Millisecond})
+	}
+	notes.OnLimitQuestion = func(q peers.LimitQuestion) (peers.LimitNote, bool) {
+		w, ok := r.Engine.AnswerLimit(relay.LimitWord{Endpoint: q.Endpoint, Life: q.Life, Named: true, PerSecond: q.PerSecond})
+		return limitNote(w), ok
+	}
+	r.Engine.Limits = relay.Limiting{
+		Tell: func(w relay.LimitWord, all bool) { notes.SendLimit(limitNote(w), all) },
+		Ask: func(w relay.LimitWord, holders int, draw uint64) {
+			notes.AskLimit(peers.LimitQuestion{Endpoint: w.Endpoint, Life: w.Life, PerSecond: w.PerSecond}, holders, draw)
+		},
+	}
 	notes.OnReport, r.Engine.TellReport = r.Engine.HeardReport, notes.SendReport
 	r.Engine.Tell = func(w relay.Word) {
 		notes.Send(peers.Note{Endpoint: w.Endpoint, Busy: w.Busy, Failed: w.Failed, Prefix: w.Prefix}, peers.Audience{Zone: w.Zone, Others: w.Others})
@@ -116,6 +129,11 @@
 	return r, nil
 }
 
+// limitNote returns word of a limit as it is told to other routers.
+func limitNote(w relay.LimitWord) peers.LimitNote {
+	return peers.LimitNote{Endpoint: w.Endpoint, Life: w.Life, Named: w.Named, PerSecond: w.PerSecond, Answers: w.Answers, Granted: w.Granted, WaitMs: uint32(w.Wait.Milliseconds())}
+}
+
 // listen opens the listeners.
 func (r *Router) listen() error {
 	s := &r.settings
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -175,6 +175,14 @@
 // Hash returns what other processes know the endpoint by.
 func (p *Endpoint) Hash() uint64 { return p.hash }
 
+// Life returns what other processes know this life of the endpoint by.
+func (p *Endpoint) Life() uint64 {
+	if p.Born.IsZero() {
+		return p.hash
+	}
+	return mixer.Mix(p.hash ^ uint64(p.Born.UnixMilli()))
+}
+
 // Count returns how many endpoints of a service have software of a version that fits.
 func (b *Book) Count(service string, fit func(version string) bool) (n int) {
 	for _, p := range b.byService[service] {
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -35,8 +35,18 @@
 	// saidAt is when the last word that named it came, from the endpoint or from another
 	// process.
 	saidAt time.Time
-	// sentAt is when this process sent its last request, limited or not.
+	// sentAt is when this process sent its last request out of its own share, or granted it to
+	// another process; it is kept without a limit too.
 	sentAt time.Time
+	// endedAt is when the last limit ended; zero if none did.
+	endedAt time.Time
+	// grantedUntil is until when this process may send one request in the place of another one
+	// that has a share; zero for none.
+	grantedUntil time.Time
+	// askAt is when another process may be asked for that again.
+	askAt time.Time
+	// toldAt is when the others were told of the limit last.
+	toldAt time.Time
 }
 
 const (
@@ -76,8 +86,9 @@
 		changed = !l.named || l.perSecond != n.PerSecond
 		l.named, l.perSecond, l.saidAt = true, n.PerSecond, now
 	case Unlimited:
-		changed = l.named
-		l.named, l.perSecond = false, 0
+		if changed = l.named; changed {
+			l.named, l.perSecond, l.endedAt = false, 0, now
+		}
 	}
 	return changed
 }
@@ -92,7 +103,66 @@
 // The processes share a limit without asking each other: what one sent is known to the others
 // too late, and not at all to one that is cut off or has just started.
 func (p *Endpoint) within(now time.Time) bool {
-	return !p.limit.named || !now.Before(p.limitedUntil())
+	return !p.limit.named || !now.Before(p.limitedUntil()) || now.Before(p.limit.grantedUntil)
+}
+
+// sends counts a request that this process sends, as granted by another one if there is nothing
+// left of its own share.
+func (l *limit) sends(own bool, now time.Time) {
+	if !own && now.Before(l.grantedUntil) {
+		l.grantedUntil = time.Time{}
+		return
+	}
+	l.sentAt = now
+}
+
+// Holders returns how many of the processes that are known share the endpoint's limit, and whether
+// this one does.
+func (p *Endpoint) Holders() (holders int, self bool) {
+	rank, n := p.rank()
+	holders = min(n, holdersOf(max(p.limit.perSecond, limitLeast)))
+	return holders, rank < holders
+}
+
+// Grant gives another process a request out of this one's share. Otherwise at is when there is one
+// to give. A process that gives all away has nothing left for its own callers until then.
+func (p *Endpoint) Grant(now time.Time) (granted bool, at time.Time) {
+	at = p.limitedUntil()
+	if _, self := p.Holders(); !self || now.Before(at) {
+		return false, at
+	}
+	p.limit.sentAt = now
+	return true, p.limitedUntil()
+}
+
+// Granted notes that another process granted a request that may be sent until a time.
+func (p *Endpoint) Granted(until time.Time) { p.limit.grantedUntil = until }
+
+// Asks notes that another process is asked for a grant and is not asked again before a time.
+func (p *Endpoint) Asks(again time.Time) { p.limit.askAt = again }
+
+// LimitEnded reports whether the endpoint has had a limit, and has none any more.
+func (p *Endpoint) LimitEnded() bool { return !p.limit.named && !p.limit.endedAt.IsZero() }
+
+// TellsLimit reports whether the others are to be told of the limit again, at most once in a time,
+// and notes that they are.
+func (p *Endpoint) TellsLimit(now time.Time, every time.Duration) bool {
+	if !p.limit.named || now.Before(p.limit.toldAt.Add(every)) {
+		return false
+	}
+	p.limit.toldAt = now
+	return true
+}
+
+// Askable appends the endpoints that would take a request but for their limits, as far as others
+// may be asked for a grant.
+func (b *Book) Askable(dst []*Endpoint, now time.Time, w *Want) []*Endpoint {
+	for _, p := range b.byService[w.Service] {
+		if p.allowed(now, w) && p.warm(now) && !p.within(now) && !now.Before(p.limit.askAt) {
+			dst = append(dst, p)
+		}
+	}
+	return dst
 }
 
 // limitedUntil returns when this process may send its next request under the endpoint's limit;
@@ -103,10 +173,10 @@
 		return time.Time{}
 	}
 	perSecond := max(l.perSecond, limitLeast)
-	rank, n := p.rank()
-	if holders := min(n, holdersOf(perSecond)); rank < holders {
+	if holders, self := p.Holders(); self {
 		return later(l.sentAt.Add(apart(holders, perSecond)), p.senders.From)
 	}
+	rank, n := p.rank()
 	// Without a share: each in its turn, as what they know of the limit may be of one time.
 	turn := l.saidAt.Add(doubtAfter + apart(rank+1, doubtShare*perSecond))
 	return later(turn, l.sentAt.Add(apart(n, doubtShare*perSecond)))
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -189,3 +189,38 @@
 		t.Error("another life: got a limit, want none")
 	}
 }
+
+// What a process grants to another is gone from its own share, and is used once, in time.
+func TestGrantIsSpent(t *testing.T) {
+	const perSecond = 2.5
+	giver, taker := limitedProcess(1, []uint64{1, 2}, perSecond).Get("e0"), limitedProcess(2, []uint64{1, 2}, perSecond).Get("e0")
+	now := t0.Add(time.Minute)
+	taker.Sends(now)
+	if taker.ready(now) {
+		t.Error("after its own request: got another one, want none")
+	}
+	granted, at := giver.Grant(now)
+	if want := now.Add(800 * time.Millisecond); !granted || !at.Equal(want) {
+		t.Errorf("grant: got %v, the next at %v, want one and the next at %v", granted, at, want)
+	}
+	if giver.ready(now) {
+		t.Error("the giver after its grant: got a request, want none")
+	}
+	if again, _ := giver.Grant(now); again {
+		t.Error("second grant: got one, want none")
+	}
+	taker.Granted(now.Add(50 * time.Millisecond))
+	if taker.ready(now.Add(50 * time.Millisecond)) {
+		t.Error("after the grant's time: got a request, want none")
+	}
+	if !taker.ready(now) {
+		t.Error("with a grant: got none, want a request")
+	}
+	taker.Sends(now)
+	if taker.ready(now) {
+		t.Error("after the granted request: got another one, want none")
+	}
+	if own := now.Add(800 * time.Millisecond); !taker.ready(own) {
+		t.Error("its own share once it is due: got none, want a request")
+	}
+}
--- a/pkg/pool/ready.go
+++ b/pkg/pool/ready.go
@@ -12,7 +12,7 @@
 // Sends notes that this process sends a request to an endpoint that it picked.
 func (p *Endpoint) Sends(now time.Time) {
 	p.Load.Sent++
-	p.limit.sentAt = now
+	p.limit.sends(!now.Before(p.limitedUntil()), now)
 	if p.Warming(now) {
 		p.nextAt = now.Add(spacing / time.Duration(max(p.quota(), 1)))
 	}
--- a/pkg/pool/senders.go
+++ b/pkg/pool/senders.go
@@ -57,16 +57,20 @@
 	if len(s.All) == 0 {
 		return 0, 0
 	}
-	own := mixer.Mix(endpoint ^ s.Self)
+	own := Weight(endpoint, s.Self)
 	n = 1
 	for _, q := range s.All {
 		if q == s.Self {
 			continue
 		}
 		n++
-		if mixer.Mix(endpoint^q) > own {
+		if Weight(endpoint, q) > own {
 			rank++
 		}
 	}
 	return rank, n
 }
+
+// Weight orders processes, known by their hashes, for an endpoint: the one with the greatest comes
+// first (rendezvous hashing: Thaler and Ravishankar, 1998).
+func Weight(endpoint, process uint64) uint64 { return mixer.Mix(endpoint ^ process) }
