A router whose registration is removed keeps its part of what routers share for 15 s

Cause: routers that do not reach one another take one another for gone after 12 s and remove the registrations; each is registered again at once, but the others' lists lack it meanwhile, and its shares are taken. So are those of a router that stops: it answers for seconds after it has left the list. Now either counts among those that may send until it can send no more. Price: nobody uses the shares of a router that is truly gone for 15 s more.

--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -21,8 +22,12 @@
 	byName map[string]Peer
 	// order holds them by rank; nil after a change. See rank.
 	order []Peer
-	// generation grows whenever a router comes or goes.
+	// generation grows whenever a router that may send comes or goes; see Hashes.
 	generation uint64
+	// removed holds until when a router that is not registered any more may still send.
+	removed map[string]time.Time
+	// Now is the clock.
+	Now func() time.Time
 	// shunned holds until when a peer that did not answer well is not asked.
 	shunned map[string]time.Time
 	// leaving says that this router stops and leaves the store to the others.
@@ -54,16 +59,19 @@
 
 // NewFleet returns a fleet of one.
 func NewFleet(self string) *Fleet {
-	return &Fleet{self: self, byName: make(map[string]Peer), shunned: make(map[string]time.Time), silent: make(map[string]time.Time)}
+	return &Fleet{self: self, byName: make(map[string]Peer), shunned: make(map[string]time.Time), silent: make(map[string]time.Time), removed: make(map[string]time.Time), Now: time.Now}
 }
 
 // Put takes over a registered router.
 func (f *Fleet) Put(p Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.byName[p.Name]; !ok {
+	_, listed := f.byName[p.Name]
+	_, sends := f.removed[p.Name]
+	if !listed && !sends {
 		f.generation++
 	}
+	delete(f.removed, p.Name)
 	f.byName[p.Name] = p
 	f.order = nil
 	delete(f.shunned, p.Name)
@@ -75,7 +83,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.byName[name]; ok {
-		f.generation++
+		f.removed[name] = f.Now().Add(sendsOn)
 	}
 	delete(f.byName, name)
 	f.order = nil
@@ -110,21 +118,41 @@
 	return list
 }
 
-// Generation returns a number that grows whenever a router comes or goes.
+// sendsOn is how long a router that is not registered any more counts among those that may send:
+// one that stops answers for some seconds more, and one that others removed as silent may be well
+// and only not reach them, until it has registered again.
+const sendsOn = 15 * time.Second
+
+// Generation returns a number that grows whenever a router that may send comes or goes.
 func (f *Fleet) Generation() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.forgetRemoved()
 	return f.generation
 }
 
+// forgetRemoved forgets the routers that send no more; mu is held.
+func (f *Fleet) forgetRemoved() {
+	now := f.Now()
+	for name, until := range f.removed {
+		if !now.Before(until) {
+			delete(f.removed, name)
+			f.generation++
+		}
+	}
+}
+
 // Hashes returns what the routers are known by where each works out for itself what its part
-// is, this one and all that are registered, of which generation they are.
+// is, this one and all that may send, of which generation they are.
 func (f *Fleet) Hashes() (self uint64, all []uint64, generation uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all = make([]uint64, 0, len(f.byName))
-	for name := range f.byName {
-		all = append(all, xxhash.Sum64String(name))
+	f.forgetRemoved()
+	all = make([]uint64, 0, len(f.byName)+len(f.removed))
+	for _, names := range []iter.Seq[string]{maps.Keys(f.byName), maps.Keys(f.removed)} {
+		for name := range names {
+			all = append(all, xxhash.Sum64String(name))
+		}
 	}
 	return xxhash.Sum64String(f.self), all, f.generation
 }
--- a/internal/peers/limits_test.go
+++ b/internal/peers/limits_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -114,3 +115,27 @@
 		}
 	}
 }
+
+// A router whose registration is removed keeps its part of what routers share until it can send no
+// more: it stops, or does not reach those who removed it.
+func TestRemovedRouterKeepsItsShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet("vm-1")
+	f.Now = func() time.Time { return now }
+	f.Put(Peer{Name: "vm-1"})
+	f.Put(Peer{Name: "vm-2"})
+	_, _, before := f.Hashes()
+	f.Remove("vm-2")
+	if _, all, generation := f.Hashes(); len(all) != 2 || generation != before {
+		t.Errorf("removed: got %d routers, generation %d, want 2 and %d", len(all), generation, before)
+	}
+	f.Put(Peer{Name: "vm-2"})
+	if _, all, generation := f.Hashes(); len(all) != 2 || generation != before {
+		t.Errorf("registered again: got %d routers, generation %d, want 2 and %d", len(all), generation, before)
+	}
+	f.Remove("vm-2")
+	now = now.Add(sendsOn)
+	if _, all, generation := f.Hashes(); len(all) != 1 || generation == before {
+		t.Errorf("later: got %d routers, generation %d, want 1 and another", len(all), generation)
+	}
+}
