Count a router that has just left the list in the retry budget as well

The same cause elsewhere, by reading: the retry slack that all routers share is divided by how many are registered. Routers that stop make attempts for seconds more, and those that do not reach one another each took the whole of it. Not seen to break anything; the estimate of prompts a second and the sample of endpoints use the same count.

--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// Sending returns how many routers may send.
+func (f *Fleet) Sending() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgetRemoved()
+	return len(f.byName) + len(f.removed)
+}
+
 // Hashes returns what the routers are known by where each works out for itself what its part
 // is, this one and all that may send, of which generation they are.
 func (f *Fleet) Hashes() (self uint64, all []uint64, generation uint64) {
--- a/internal/peers/limits_test.go
+++ b/internal/peers/limits_test.go
@@ -126,8 +126,8 @@
 	f.Put(Peer{Name: "vm-2"})
 	_, _, before := f.Hashes()
 	f.Remove("vm-2")
-	if _, all, generation := f.Hashes(); len(all) != 2 || generation != before {
-		t.Errorf("removed: got %d routers, generation %d, want 2 and %d", len(all), generation, before)
+	if _, all, generation := f.Hashes(); len(all) != 2 || generation != before || f.Sending() != 2 {
+		t.Errorf("removed: got %d routers, generation %d, %d that send, want 2, %d and 2", len(all), generation, f.Sending(), before)
 	}
 	f.Put(Peer{Name: "vm-2"})
 	if _, all, generation := f.Hashes(); len(all) != 2 || generation != before {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -50,7 +50,8 @@
 	Proven func() time.Time
 	// Listed reports whether the endpoints are known.
 	Listed func() bool
-	// Routers returns how many routers share the operator's bounds.
+	// Routers returns how many routers share the operator's bounds: those that may send, also
+	// for a while after they have left the list.
 	Routers func() int
 	// Senders returns the routers that share endpoints which warm up, and a number that
 	// grows as they change; changed is false if that is still have, or nothing is known.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,7 +85,7 @@
 	w.OnStoreCall(r.storeCalled)
 	r.Engine.Proven = func() time.Time { return r.mirror.Proven(w.ConfigKind) }
 	r.Engine.Listed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
-	r.Engine.Routers = r.fleet.Len
+	r.Engine.Routers = r.fleet.Sending
 	r.Engine.Senders = r.senders
 	if err := r.listen(); err != nil {
 		return nil, err
