--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -18,15 +18,6 @@
 	Unlimited
 )
 
-// Notice is what an endpoint says of itself in the head of an answer. The zero value says
-// nothing.
-type Notice struct {
-	Limit LimitWord
-	// PerSecond is the requests a second that the endpoint takes from all processes
-	// together, 0 or more; it counts if Limit is Limited.
-	PerSecond float64
-}
-
 // limit is what is known of an endpoint's limit. The zero value is none.
 type limit struct {
 	// named says that there is one, of perSecond requests a second.
@@ -68,9 +59,9 @@
 	doubtShare = 1. / 8
 )
 
-// Notes takes in what the endpoint says in an answer that came at now, to an attempt that was
+// notesLimit takes in what the endpoint says of its limit in an answer that came at now, to an attempt that was
 // sent at sentAt. It reports whether that changed what is known of its limit.
-func (p *Endpoint) Notes(n Notice, sentAt, now time.Time) (changed bool) {
+func (p *Endpoint) notesLimit(n Notice, sentAt, now time.Time) (changed bool) {
 	// An answer to an attempt from before the last word may be older than that.
 	if n.Limit == Unlimited && !sentAt.After(p.limit.saidAt) {
 		return false
@@ -78,7 +69,7 @@
 	return p.Told(n, now)
 }
 
-// Told is Notes for what another process was told by the endpoint later than what it knew.
+// Told is notesLimit for what another process was told by the endpoint later than what it knew.
 func (p *Endpoint) Told(n Notice, now time.Time) (changed bool) {
 	l := &p.limit
 	switch n.Limit {
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -16,7 +16,7 @@
 func TestLimitEndsByLaterAttempt(t *testing.T) {
 	at := time.Unix(1000, 0)
 	p := &Endpoint{}
-	if !p.Notes(Notice{Limit: Limited, PerSecond: 2.5}, at, at.Add(time.Second)) {
+	if !p.Notes(Notice{Limit: Limited, PerSecond: 2.5}, at, at.Add(time.Second)).Limit {
 		t.Error("first word: got no change")
 	}
 	for _, c := range []struct {
@@ -30,7 +30,7 @@
 		{"sent after the word", Unlimited, at.Add(2 * time.Second), true},
 		{"again", Unlimited, at.Add(2 * time.Second), false},
 	} {
-		if got := p.Notes(Notice{Limit: c.word}, c.sentAt, at.Add(3*time.Second)); got != c.changed {
+		if got := p.Notes(Notice{Limit: c.word}, c.sentAt, at.Add(3*time.Second)).Limit; got != c.changed {
 			t.Errorf("%s: changed: got %v, want %v", c.name, got, c.changed)
 		}
 	}
