Send nothing new to an endpoint whose answer says that it leaves

Callers' requests went to endpoints that were about to end, 2.6 and 12.6 s after these had said so; runs were cut and made again elsewhere.

Cause: that an endpoint leaves was known from the list alone, which lags, and stands still while the store is silent. Ruled out: that the word was taken in and lost when the store came back (requests arrived while the list did not change), and that only what had been chosen before arrived (requests arrived for seconds).

Change: the word is taken from any answer of that life of the endpoint: whole, the head of a stream, a refusal, a failure, one that is dropped. It holds until another life is listed under the ID, also where the list says ready, lapses or lists the endpoint again.

--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -21,6 +21,9 @@
 	defer e.mu.Unlock()
 	p := e.book.Get(a.Endpoint.ID)
 	if p == nil {
+		if reply.Notice.Leaving {
+			e.book.Left(a.Endpoint)
+		}
 		return
 	}
 	if reply.Told {
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -50,9 +50,11 @@
 	area    *zone
 	warmup  *Warmup
 	senders *senders
-	// leaving is set once the endpoint was listed as leaving or was removed in
-	// calm times; it never goes back while the entry lives.
+	// leaving is set once the endpoint was listed as leaving, said so itself or was removed in
+	// calm times; it never goes back while the endpoint lives.
 	leaving bool
+	// saidLeaving says that the endpoint said so itself.
+	saidLeaving bool
 	// lapsedUntil is when an entry that lapsed while the list could not be
 	// read counts as gone; zero for one that is listed.
 	lapsedUntil time.Time
@@ -74,12 +76,14 @@
 	// gone remembers the revisions at which endpoints were removed, so that a
 	// late word of one does not bring it back.
 	gone map[string]int64
+	// left remembers the lives that said that they leave and are not listed any more.
+	left map[string]time.Time
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
-		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64),
+		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64), left: make(map[string]time.Time),
 		zones: make(map[string]*zone), warmups: make(map[string]*Warmup), senders: new(senders),
 	}
 }
@@ -97,6 +101,10 @@
 	if !ok {
 		p = &Endpoint{Entry: e, leaving: e.Leaving, area: b.zone(e.Zone), warmup: b.warmup(e.Service), senders: b.senders}
 		p.heardAt = e.HeardAt
+		if born, ok := b.left[e.ID]; ok && born.Equal(e.Born) {
+			// It may be listed as it was before it knew: the list lags, also for long.
+			p.saysLeaving()
+		}
 		b.byID[e.ID] = p
 		b.insert(p)
 		return true
@@ -107,7 +115,7 @@
 	changed := !p.lapsedUntil.IsZero() || e.Leaving && !p.leaving
 	if !e.Born.Equal(p.Born) {
 		// What an earlier life said of itself does not hold for this one.
-		changed, p.limit = true, limit{}
+		changed, p.limit, p.leaving, p.saidLeaving = true, limit{}, false, false
 	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
@@ -141,15 +149,23 @@
 }
 
 func (b *Book) drop(p *Endpoint, revision int64) {
-	if len(b.gone) >= goneMost {
-		clear(b.gone)
+	remember(b.gone, p.ID, revision)
+	if p.saidLeaving {
+		remember(b.left, p.ID, p.Born)
 	}
-	b.gone[p.ID] = revision
 	delete(b.byID, p.ID)
 	delete(b.byHash, p.hash)
 	b.byService[p.Service] = slices.DeleteFunc(b.byService[p.Service], func(q *Endpoint) bool { return q == p })
 }
 
+// remember notes something of an endpoint that is not listed any more.
+func remember[T any](m map[string]T, id string, v T) {
+	if len(m) >= goneMost {
+		clear(m)
+	}
+	m[id] = v
+}
+
 // Expire drops the endpoints that lapsed and were not listed again in time. It
 // returns their IDs.
 func (b *Book) Expire(now time.Time) []string {
@@ -208,7 +224,14 @@
 // Len returns how many endpoints are known.
 func (b *Book) Len() int { return len(b.byID) }
 
-// Leaves reports whether the endpoint was listed as leaving, or removed in calm times.
+// saysLeaving notes that the endpoint said that it leaves. It needs no list for that: the list may
+// lag behind by any time.
+func (p *Endpoint) saysLeaving() { p.leaving, p.saidLeaving = true, true }
+
+// Left notes that an endpoint which is not listed any more said that it leaves.
+func (b *Book) Left(e Entry) { remember(b.left, e.ID, e.Born) }
+
+// Leaves reports whether the endpoint was listed as leaving, said so, or was removed in calm times.
 func (p *Endpoint) Leaves() bool { return p.leaving }
 
 // usable reports whether the endpoint may get new work.
--- a/pkg/pool/notice.go
+++ b/pkg/pool/notice.go
@@ -25,7 +25,9 @@
 // sent at sentAt.
 func (p *Endpoint) Notes(n Notice, sentAt, now time.Time) (c Changes) {
 	c.Limit = p.notesLimit(n, sentAt, now)
-	c.Leaving = n.Leaving && !p.leaving
+	if c.Leaving = n.Leaving && !p.leaving; n.Leaving {
+		p.saysLeaving()
+	}
 	c.Rest = now.Before(n.RestUntil)
 	return c
 }
