Leave an endpoint alone for as long as it asks to rest

Callers' requests used up their attempts at endpoints that refuse everything: four tenths of the attempts at a service of which five endpoints of 18 did so, and up to ten of one router within the 3 s for which such an endpoint had asked.

Cause: the time in a refusal was not read, and a refusal counts against no endpoint; one that refuses looks idle, and is chosen again.

Change: a refusal with a time keeps that router away until then, for every request alike. The first request after it goes alone, until an answer shows that the endpoint takes requests again. Where all rest, requests are refused at once with the end of the first rest.

--- a/internal/relay/counts.go
+++ b/internal/relay/counts.go
@@ -16,9 +16,9 @@
 type counts struct {
 	scope tally.Scope
 	// These are what the router believes now: the requests under way, the age of the
-	// table's proof in seconds, the known endpoints, those of them that warm up and that named
-	// a limit, the closed availability zones and the registered routers.
-	under, age, endpoints, warming, limited, closed, routers tally.Gauge
+	// table's proof in seconds, the known endpoints, those of them that warm up, that named
+	// a limit and that asked for rest, the closed availability zones and the routers that may send.
+	under, age, endpoints, warming, limited, resting, closed, routers tally.Gauge
 	// suspects and quarantined are requests under which endpoints crashed, and those of them
 	// that are not sent to any more.
 	suspects, quarantined tally.Gauge
@@ -35,7 +35,7 @@
 	s := scope.SubScope("relay")
 	return counts{
 		scope: s, under: s.Gauge("under_way"), age: s.Gauge("configuration_age_seconds"), endpoints: s.Gauge("endpoints"),
-		warming: s.Gauge("endpoints_warming"), limited: s.Gauge("endpoints_limited"), closed: s.Gauge("zones_closed"), routers: s.Gauge("routers"),
+		warming: s.Gauge("endpoints_warming"), limited: s.Gauge("endpoints_limited"), resting: s.Gauge("endpoints_resting"), closed: s.Gauge("zones_closed"), routers: s.Gauge("routers"),
 		suspects: s.Gauge("requests_suspected"), quarantined: s.Gauge("requests_quarantined"),
 		counters: make(map[tagged]tally.Counter), times: make(map[string]tally.Histogram),
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -267,7 +267,7 @@
 			}
 			e.gauge()
 			if n%everySecond == 0 {
-				e.gaugeWarming()
+				e.gaugeBounded()
 				e.sweepInFlight(e.Now())
 				e.tendQuarantines(e.Now())
 			}
@@ -288,9 +288,8 @@
 // gauge tells the metrics what the router believes.
 func (e *Engine) gauge() {
 	e.mu.Lock()
-	endpoints, closed, limited := e.book.Len(), e.book.ClosedZones(), e.book.Limited()
+	endpoints, closed := e.book.Len(), e.book.ClosedZones()
 	e.mu.Unlock()
-	e.counts.limited.Update(float64(limited))
 	e.counts.closed.Update(float64(closed))
 	e.counts.under.Update(float64(e.under.Load()))
 	e.counts.endpoints.Update(float64(endpoints))
@@ -300,12 +299,15 @@
 	}
 }
 
-// gaugeWarming tells the metrics how many endpoints warm up.
-func (e *Engine) gaugeWarming() {
+// gaugeBounded tells the metrics how many endpoints bound what they get.
+func (e *Engine) gaugeBounded() {
+	now := e.Now()
 	e.mu.Lock()
-	warming := e.book.Warming(e.Now())
+	warming, limited, resting := e.book.Warming(now), e.book.Limited(), e.book.Resting(now)
 	e.mu.Unlock()
 	e.counts.warming.Update(float64(warming))
+	e.counts.limited.Update(float64(limited))
+	e.counts.resting.Update(float64(resting))
 }
 
 func (e *Engine) expire() {
--- a/internal/relay/zones.go
+++ b/internal/relay/zones.go
@@ -87,12 +87,12 @@
 	l := x.e.book.Lack(now, &w)
 	x.limited = l.Limited > 0
 	switch {
-	case l.Warming > 0 || l.Limited > 0:
+	case l.Warming > 0 || l.Limited > 0 || l.Resting > 0:
 		at := soon.After(now)
 		if l.At.After(at) {
 			at = l.At
 		}
-		return fault.New(fault.NoVersion, fault.NotRun, "The endpoints of the service that take requests are warming up: %d, or have named a limit that is used up: %d; in closed availability zones: %d.", l.Warming, l.Limited, l.Closed).At(at)
+		return fault.New(fault.NoVersion, fault.NotRun, "The endpoints of the service that take requests are warming up: %d, have named a limit that is used up: %d, or have asked for rest: %d; in closed availability zones: %d.", l.Warming, l.Limited, l.Resting, l.Closed).At(at)
 	case l.Closed > 0:
 		return fault.New(fault.NoVersion, fault.NotRun, "All endpoints of the service are in closed availability zones: %d.", l.Closed).At(closedFor.After(now))
 	default:
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -45,6 +45,7 @@
 	hash  uint64
 	warming
 	limit limit
+	rest  rest
 	place place
 	// area, warmup and senders are what it shares with others of the book.
 	area    *zone
@@ -115,7 +116,7 @@
 	changed := !p.lapsedUntil.IsZero() || e.Leaving && !p.leaving
 	if !e.Born.Equal(p.Born) {
 		// What an earlier life said of itself does not hold for this one.
-		changed, p.limit, p.leaving, p.saidLeaving = true, limit{}, false, false
+		changed, p.limit, p.rest, p.leaving, p.saidLeaving = true, limit{}, rest{}, false, false
 	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -149,7 +149,7 @@
 // may be asked for a grant.
 func (b *Book) Askable(dst []*Endpoint, now time.Time, w *Want) []*Endpoint {
 	for _, p := range b.byService[w.Service] {
-		if p.allowed(now, w) && p.warm(now) && !p.within(now) && !now.Before(p.limit.askAt) {
+		if p.allowed(now, w) && p.rest.over(now) && p.warm(now) && !p.within(now) && !now.Before(p.limit.askAt) {
 			dst = append(dst, p)
 		}
 	}
--- a/pkg/pool/notice.go
+++ b/pkg/pool/notice.go
@@ -28,6 +28,6 @@
 	if c.Leaving = n.Leaving && !p.leaving; n.Leaving {
 		p.saysLeaving()
 	}
-	c.Rest = now.Before(n.RestUntil)
+	c.Rest = p.rest.note(n.RestUntil, sentAt, now)
 	return c
 }
--- a/pkg/pool/ready.go
+++ b/pkg/pool/ready.go
@@ -7,11 +7,14 @@
 
 // ready reports whether this process may send a request to an endpoint now, as far as the
 // endpoint bounds what it gets.
-func (p *Endpoint) ready(now time.Time) bool { return p.warm(now) && p.within(now) }
+func (p *Endpoint) ready(now time.Time) bool {
+	return p.rest.over(now) && p.warm(now) && p.within(now)
+}
 
 // Sends notes that this process sends a request to an endpoint that it picked.
 func (p *Endpoint) Sends(now time.Time) {
 	p.Load.Sent++
+	p.rest.sends(now)
 	p.limit.sends(!now.Before(p.limitedUntil()), now)
 	if p.Warming(now) {
 		p.nextAt = now.Add(spacing / time.Duration(max(p.quota(), 1)))
@@ -20,12 +23,12 @@
 
 // Lack says why a request found no endpoint.
 type Lack struct {
-	// Closed, Warming and Limited count the endpoints that would have served it but for their
-	// closed availability zone, for what they may get while they warm up, or for the limit
-	// that they have named.
-	Closed, Warming, Limited int
-	// At is when one of those that warm up or are limited may get a request again; zero if
-	// there is none.
+	// Closed, Warming, Limited and Resting count the endpoints that would have served it but for
+	// their closed availability zone, for what they may get while they warm up, for the limit
+	// that they have named, or for the rest that they have asked for.
+	Closed, Warming, Limited, Resting int
+	// At is when one of those that warm up, are limited or rest may get a request again; zero
+	// if there is none.
 	At time.Time
 }
 
@@ -36,21 +39,29 @@
 		case !p.listed(now) || w.Fit != nil && !w.Fit(p.Version):
 		case p.area.closed:
 			l.Closed++
+		case !p.rest.over(now):
+			l.Resting++
+			l.from(p)
 		case !p.warm(now):
 			l.Warming++
-			if p.quota() > 0 {
-				l.from(later(later(p.nextAt, p.senders.From), p.limitedUntil()))
-			}
+			l.from(p)
 		case !p.within(now):
 			l.Limited++
-			l.from(p.limitedUntil())
+			l.from(p)
 		}
 	}
 	return l
 }
 
 // from notes when an endpoint may get a request again.
-func (l *Lack) from(at time.Time) {
+func (l *Lack) from(p *Endpoint) {
+	at := later(p.rest.until, p.limitedUntil())
+	if !p.warm(at) {
+		if p.quota() == 0 {
+			return
+		}
+		at = later(at, later(p.nextAt, p.senders.From))
+	}
 	if l.At.IsZero() || at.Before(l.At) {
 		l.At = at
 	}
