Tell other routers that an endpoint leaves, and a router that starts what endpoints have said

Each router learned that an endpoint leaves by a request of its own, which may be cut. What an answer says to all, limits and leaving alike, is told under the life of the endpoint that said it, and noted for one that a router has not listed yet; routers that start are told with the requests that crash endpoints.

--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -50,10 +50,12 @@
 	// crashed; set them before Run.
 	OnCrash    func(s CrashReport)
 	OnVerdicts func(list []poison.Verdict)
-	// OnLimit is called for word of a limit and for answers to questions, OnLimitQuestion for
-	// questions, with what to answer, if anything; set them before Run.
-	OnLimit         func(by netip.Addr, l LimitNote)
-	OnLimitQuestion func(q LimitQuestion) (l LimitNote, ok bool)
+	// OnNotice is called for what endpoints said and for answers to questions, OnQuestion for
+	// questions, with what to answer, if anything; Notices returns what a router that starts should
+	// know of that. Set them before Run.
+	OnNotice   func(by netip.Addr, l NoticeNote)
+	OnQuestion func(q LimitQuestion) (l NoticeNote, ok bool)
+	Notices    func() []NoticeNote
 	// ForStarting returns what a router that starts should know of such requests; set before Run.
 	ForStarting func() []poison.Verdict
 	// Traffic counts the notes and reports; set before the first.
@@ -75,9 +77,9 @@
 	// kindStarting is followed by the token of a router that has just started and wants to know
 	// what others do of such requests.
 	kindStarting = 5
-	// kindLimit is followed by a LimitNote, kindLimitQuestion by a LimitQuestion.
-	kindLimit         = 6
-	kindLimitQuestion = 7
+	// kindNotice is followed by a NoticeNote, kindQuestion by a LimitQuestion.
+	kindNotice   = 6
+	kindQuestion = 7
 	// A note is the endpoint, the milliseconds that it is busy, a byte of flags, and
 	// the prefix, which routers of an earlier release leave out.
 	flagsAt   = bodyAt + 8 + 4
@@ -96,7 +98,7 @@
 		return nil, errors.Wrap(err, "peers")
 	}
 	return &Notes{Log: log, fleet: f, conn: conn, secret: secret, OnNote: onNote, OnReport: func(roll.Report) {}, OnCrash: func(CrashReport) {}, OnVerdicts: func([]poison.Verdict) {}, ForStarting: func() []poison.Verdict { return nil },
-		OnLimit: func(netip.Addr, LimitNote) {}, OnLimitQuestion: func(LimitQuestion) (l LimitNote, ok bool) { return l, false }, Traffic: &Traffic{}}, nil
+		OnNotice: func(netip.Addr, NoticeNote) {}, OnQuestion: func(LimitQuestion) (l NoticeNote, ok bool) { return l, false }, Notices: func() []NoticeNote { return nil }, Traffic: &Traffic{}}, nil
 }
 
 // Run hears notes until ctx is done.
@@ -150,12 +152,14 @@
 			return
 		}
 		n.OnVerdicts(list)
-	case b[kindAt] == kindLimit:
-		n.hearLimit(b[bodyAt:], from)
-	case b[kindAt] == kindLimitQuestion:
+	case b[kindAt] == kindNotice:
+		n.hearNotice(b[bodyAt:], from)
+	case b[kindAt] == kindQuestion:
 		n.hearQuestion(b[bodyAt:], from)
 	case b[kindAt] == kindStarting && len(b) == bodyAt+tokenBytes:
-		n.sendVerdicts(n.ForStarting(), []Peer{{Name: from.String(), Addr: from, Token: string(b[bodyAt:])}})
+		to := Peer{Name: from.String(), Addr: from, Token: string(b[bodyAt:])}
+		n.sendVerdicts(n.ForStarting(), []Peer{to})
+		n.sendNotices(n.Notices(), to)
 	}
 }
 
--- a/internal/peers/limits.go
+++ b/internal/peers/notices.go
@@ -15,14 +15,16 @@
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
-// LimitNote is word of the limit that an endpoint has named: what a router was told by the
-// endpoint, or its answer to a LimitQuestion.
-type LimitNote struct {
-	// Endpoint is the hash of the endpoint's ID, and Life names the life that named the limit.
+// NoticeNote is what an endpoint has said of itself: what a router was told by the endpoint, or its
+// answer to a LimitQuestion.
+type NoticeNote struct {
+	// Endpoint is the hash of the endpoint's ID, and Life names the life that said it.
 	Endpoint, Life uint64
-	// Named says that there is a limit, of PerSecond requests a second.
-	Named     bool
+	// Limit is a pool.LimitWord, and PerSecond the requests a second of a limit.
+	Limit     uint8
 	PerSecond float64
+	// Leaving says that the endpoint takes no new work any more.
+	Leaving bool
 	// Granted says that the hearer may send one request in the teller's place, which was asked
 	// for that; Answers says that this is an answer, whether granted or not.
 	Answers, Granted bool
@@ -39,20 +41,27 @@
 	Token [tokenBytes]byte
 }
 
-// limitBytes and questionBytes are the lengths of an encoded LimitNote and LimitQuestion.
+// noticeBytes and questionBytes are the lengths of an encoded NoticeNote and LimitQuestion.
 const (
-	limitBytes    = 8 + 8 + 1 + 8 + 1 + 1 + 4
+	noticeBytes    = 8 + 8 + 1 + 8 + 1 + 1 + 1 + 4
 	questionBytes = 8 + 8 + 8 + tokenBytes
 )
 
-// SendLimit tells other routers of a limit: some of them, or all.
-func (n *Notes) SendLimit(l LimitNote, all bool) {
-	buf := n.encode(kindLimit, l, limitBytes)
+// SendNotice tells other routers what an endpoint said: some of them, or all.
+func (n *Notes) SendNotice(l NoticeNote, all bool) {
+	buf := n.encode(kindNotice, l, noticeBytes)
 	if all {
-		n.Traffic.Limits.Add(n.sendTo(n.fleet.others(), buf))
+		n.Traffic.Notices.Add(n.sendTo(n.fleet.others(), buf))
 		return
 	}
-	n.Traffic.Limits.Add(n.send(buf, everybody))
+	n.Traffic.Notices.Add(n.send(buf, everybody))
+}
+
+// sendNotices tells a router that starts what endpoints said.
+func (n *Notes) sendNotices(list []NoticeNote, to Peer) {
+	for _, l := range list {
+		n.Traffic.Notices.Add(n.sendOne(to, n.encode(kindNotice, l, noticeBytes)))
+	}
 }
 
 // AskLimit asks one of the routers that share an endpoint's limit, of which there are so many; draw
@@ -63,7 +72,7 @@
 		return
 	}
 	to := list[draw%uint64(len(list))]
-	n.Traffic.Limits.Add(n.sendOne(to, n.encode(kindLimitQuestion, q, questionBytes)))
+	n.Traffic.Notices.Add(n.sendOne(to, n.encode(kindQuestion, q, questionBytes)))
 }
 
 // encode returns a datagram with room for the hearer's token.
@@ -77,14 +86,14 @@
 	return buf
 }
 
-// hearLimit decodes a LimitNote.
-func (n *Notes) hearLimit(b []byte, from netip.AddrPort) {
-	var l LimitNote
+// hearNotice decodes a NoticeNote.
+func (n *Notes) hearNotice(b []byte, from netip.AddrPort) {
+	var l NoticeNote
 	if _, err := binary.Decode(b, binary.BigEndian, &l); err != nil {
-		n.Log.Warn("peers: Word of a limit could not be decoded.", logs.Err(err))
+		n.Log.Warn("peers: What an endpoint said could not be decoded.", logs.Err(err))
 		return
 	}
-	n.OnLimit(from.Addr(), l)
+	n.OnNotice(from.Addr(), l)
 }
 
 // hearQuestion decodes a LimitQuestion and answers it.
@@ -94,12 +103,12 @@
 		n.Log.Warn("peers: A question about a limit could not be decoded.", logs.Err(err))
 		return
 	}
-	l, ok := n.OnLimitQuestion(q)
+	l, ok := n.OnQuestion(q)
 	if !ok {
 		return
 	}
 	asker := Peer{Name: from.String(), Addr: from, Token: string(q.Token[:])}
-	n.Traffic.Limits.Add(n.sendOne(asker, n.encode(kindLimit, l, limitBytes)))
+	n.Traffic.Notices.Add(n.sendOne(asker, n.encode(kindNotice, l, noticeBytes)))
 }
 
 // holders returns the other routers among those that share an endpoint's limit, of which there are
--- a/internal/peers/limits_test.go
+++ b/internal/peers/notices_test.go
@@ -22,7 +22,7 @@
 	for _, c := range []struct {
 		body any
 		want int
-	}{{LimitNote{}, limitBytes}, {LimitQuestion{}, questionBytes}} {
+	}{{NoticeNote{}, noticeBytes}, {LimitQuestion{}, questionBytes}} {
 		if got := binary.Size(c.body); got != c.want {
 			t.Errorf("%T: got %d bytes, want %d", c.body, got, c.want)
 		}
@@ -75,7 +75,7 @@
 	ended := make(chan error, 2)
 	var list [2]*Notes
 	var all [2]Peer
-	heard := make(chan LimitNote, 4)
+	heard := make(chan NoticeNote, 4)
 	for i := range list {
 		all[i] = Peer{Name: fmt.Sprint(i), Token: fmt.Sprintf("%016d-and-more", i)}
 		n, err := NewNotes(zap.NewNop(), NewFleet(all[i].Name), netip.MustParseAddrPort("127.0.0.1:0"), secretOf(all[i].Token), func(Note) {})
@@ -86,11 +86,13 @@
 		list[i] = n
 	}
 	asker, holder := list[0], list[1]
-	asker.OnLimit = func(_ netip.Addr, l LimitNote) { heard <- l }
-	want := LimitNote{Endpoint: 7, Life: 8, Named: true, PerSecond: 2.5, Answers: true, Granted: true, WaitMs: 400}
-	holder.OnLimitQuestion = func(q LimitQuestion) (LimitNote, bool) {
+	asker.OnNotice = func(_ netip.Addr, l NoticeNote) { heard <- l }
+	want := NoticeNote{Endpoint: 7, Life: 8, Limit: uint8(pool.Limited), PerSecond: 2.5, Answers: true, Granted: true, WaitMs: 400}
+	holder.OnQuestion = func(q LimitQuestion) (NoticeNote, bool) {
 		return want, q.Life == want.Life && q.PerSecond == want.PerSecond
 	}
+	told := NoticeNote{Endpoint: 7, Life: 8, Limit: uint8(pool.Limited), PerSecond: 3, Leaving: true}
+	holder.Notices = func() []NoticeNote { return []NoticeNote{told} }
 	for _, n := range list {
 		n.fleet.Put(all[0])
 		n.fleet.Put(all[1])
@@ -101,13 +103,16 @@
 	if got := <-heard; got != want {
 		t.Errorf("answer: got %+v, want %+v", got, want)
 	}
-	told := LimitNote{Endpoint: 7, Life: 8, Named: true, PerSecond: 3}
 	for _, all := range []bool{true, false} {
-		holder.SendLimit(told, all)
+		holder.SendNotice(told, all)
 		if got := <-heard; got != told {
 			t.Errorf("told to all: %v: got %+v, want %+v", all, got, told)
 		}
 	}
+	asker.AskStarting(all[0].Token)
+	if got := <-heard; got != told {
+		t.Errorf("told a router that starts: got %+v, want %+v", got, told)
+	}
 	cancel()
 	for range list {
 		if err := <-ended; err != nil {
--- a/internal/relay/borrow.go
+++ b/internal/relay/borrow.go
@@ -16,13 +16,11 @@
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
-// LimitWord is what routers tell one another of the limit that an endpoint has named.
-type LimitWord struct {
-	// Endpoint is the hash of its ID, Life what names the life that has the limit.
+// NoticeWord is what routers tell one another of what an endpoint said of itself.
+type NoticeWord struct {
+	// Endpoint is the hash of its ID, Life what names the life that said it.
 	Endpoint, Life uint64
-	// Named says that there is a limit, of PerSecond requests a second.
-	Named     bool
-	PerSecond float64
+	pool.Notice
 	// Answers says that this answers a question, and Granted that the hearer may send one request
 	// in the teller's place.
 	Answers, Granted bool
@@ -30,18 +28,18 @@
 	Wait time.Duration
 }
 
-// Limiting tells and asks other routers of the limits that endpoints have named. Its functions are
+// Limiting tells other routers what endpoints said, and asks them about limits. Its functions are
 // seams.
 type Limiting struct {
 	// Tell tells some of the other routers, or all.
-	Tell func(w LimitWord, all bool)
+	Tell func(w NoticeWord, all bool)
 	// Ask asks one of the routers that share the limit, of which there are so many, to grant a
 	// request; draw chooses.
-	Ask func(w LimitWord, holders int, draw uint64)
+	Ask func(w NoticeWord, holders int, draw uint64)
 }
 
 // aloneLimits are those of a router alone.
-var aloneLimits = Limiting{Tell: func(LimitWord, bool) {}, Ask: func(LimitWord, int, uint64) {}}
+var aloneLimits = Limiting{Tell: func(NoticeWord, bool) {}, Ask: func(NoticeWord, int, uint64) {}}
 
 const (
 	// limitToldEvery is how often a router tells of a limit that answers go on naming: routers that
@@ -63,10 +61,9 @@
 	asksPerSecond = 60
 )
 
-// limitWord returns what is known of an endpoint's limit.
-func limitWord(p *pool.Endpoint) LimitWord {
-	perSecond, named := p.Limit()
-	return LimitWord{Endpoint: p.Hash(), Life: p.Life(), Named: named, PerSecond: perSecond}
+// noticeWord returns what is known of what an endpoint said.
+func noticeWord(p *pool.Endpoint) NoticeWord {
+	return NoticeWord{Endpoint: p.Hash(), Life: p.Life(), Notice: p.Notice()}
 }
 
 // borrow asks other routers to grant what they may send, where limits leave this one nothing, and
@@ -122,16 +119,26 @@
 		}
 		p.Asks(askAgain.After(now))
 		holders, _ := p.Holders()
-		e.Limits.Ask(limitWord(p), holders, draw)
+		e.Limits.Ask(noticeWord(p), holders, draw)
 		e.counts.count("limit_questions", x.route.Name, "")
 		asked = append(asked, p)
 	}
 	return e.granted, asked
 }
 
+// Notices returns what endpoints said to all, for a router that starts.
+func (e *Engine) Notices() (list []NoticeWord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.book.Noticed() {
+		list = append(list, noticeWord(p))
+	}
+	return list
+}
+
 // AnswerLimit answers a router that asks for a request out of this one's share of a limit; ok is
 // false where there is nothing to say.
-func (e *Engine) AnswerLimit(q LimitWord) (w LimitWord, ok bool) {
+func (e *Engine) AnswerLimit(q NoticeWord) (w NoticeWord, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.book.ByHash(q.Endpoint)
@@ -139,13 +146,12 @@
 		return w, false
 	}
 	now := e.Now()
-	if _, named := p.Limit(); !named && !p.LimitEnded() {
-		p.Told(pool.Notice{Limit: pool.Limited, PerSecond: q.PerSecond}, now)
-		e.logLimit(p, zap.Skip())
+	if p.Notice().Limit == pool.NoWord {
+		e.logNotice(p, p.Told(q.Notice, now), zap.Skip())
 	}
-	w = limitWord(p)
+	w = noticeWord(p)
 	w.Answers = true
-	if !w.Named {
+	if w.Limit != pool.Limited {
 		return w, true
 	}
 	granted, at := p.Grant(now)
@@ -153,22 +159,19 @@
 	return w, true
 }
 
-// HeardLimit takes over what another router, known by its address, told of a limit.
-func (e *Engine) HeardLimit(by netip.Addr, w LimitWord) {
+// HeardNotice takes over what another router, known by its address, told of an endpoint.
+func (e *Engine) HeardNotice(by netip.Addr, w NoticeWord) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.book.ByHash(w.Endpoint)
-	if p == nil || p.Life() != w.Life || !(w.PerSecond >= 0) {
-		return
+	if !(w.PerSecond >= 0) {
+		w.Limit = pool.NoWord
 	}
 	now := e.Now()
-	n := pool.Notice{Limit: pool.Unlimited}
-	if w.Named {
-		n = pool.Notice{Limit: pool.Limited, PerSecond: w.PerSecond}
-	}
-	if p.Told(n, now) {
-		e.logLimit(p, zap.Stringer("by", by))
+	p, c := e.book.Told(w.Endpoint, w.Life, w.Notice, now)
+	if p == nil {
+		return
 	}
+	e.logNotice(p, c, zap.Stringer("by", by))
 	if !w.Answers {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,16 +109,23 @@
 		},
 		Changed: notes.SendVerdicts, Again: notes.SendAgain, AgainMost: peers.VerdictsAgain, Rank: r.fleet.Rank, Alone: r.Alone,
 	}
-	notes.OnLimit = func(by netip.Addr, l peers.LimitNote) {
-		r.Engine.HeardLimit(by, relay.LimitWord{Endpoint: l.Endpoint, Life: l.Life, Named: l.Named, PerSecond: l.PerSecond, Answers: l.Answers, Granted: l.Granted, Wait: time.Duration(l.WaitMs) * time.Millisecond})
+	notes.OnNotice = func(by netip.Addr, l peers.NoticeNote) {
+		n := pool.Notice{Limit: pool.LimitWord(l.Limit), PerSecond: l.PerSecond, Leaving: l.Leaving}
+		r.Engine.HeardNotice(by, relay.NoticeWord{Endpoint: l.Endpoint, Life: l.Life, Notice: n, Answers: l.Answers, Granted: l.Granted, Wait: time.Duration(l.WaitMs) * time.Millisecond})
 	}
-	notes.OnLimitQuestion = func(q peers.LimitQuestion) (peers.LimitNote, bool) {
-		w, ok := r.Engine.AnswerLimit(relay.LimitWord{Endpoint: q.Endpoint, Life: q.Life, Named: true, PerSecond: q.PerSecond})
-		return limitNote(w), ok
+	notes.OnQuestion = func(q peers.LimitQuestion) (peers.NoticeNote, bool) {
+		w, ok := r.Engine.AnswerLimit(relay.NoticeWord{Endpoint: q.Endpoint, Life: q.Life, Notice: pool.Notice{Limit: pool.Limited, PerSecond: q.PerSecond}})
+		return noticeNote(w), ok
+	}
+	notes.Notices = func() (list []peers.NoticeNote) {
+		for _, w := range r.Engine.Notices() {
+			list = append(list, noticeNote(w))
+		}
+		return list
 	}
 	r.Engine.Limits = relay.Limiting{
-		Tell: func(w relay.LimitWord, all bool) { notes.SendLimit(limitNote(w), all) },
-		Ask: func(w relay.LimitWord, holders int, draw uint64) {
+		Tell: func(w relay.NoticeWord, all bool) { notes.SendNotice(noticeNote(w), all) },
+		Ask: func(w relay.NoticeWord, holders int, draw uint64) {
 			notes.AskLimit(peers.LimitQuestion{Endpoint: w.Endpoint, Life: w.Life, PerSecond: w.PerSecond}, holders, draw)
 		},
 	}
@@ -129,9 +136,9 @@
 	return r, nil
 }
 
-// limitNote returns word of a limit as it is told to other routers.
-func limitNote(w relay.LimitWord) peers.LimitNote {
-	return peers.LimitNote{Endpoint: w.Endpoint, Life: w.Life, Named: w.Named, PerSecond: w.PerSecond, Answers: w.Answers, Granted: w.Granted, WaitMs: uint32(w.Wait.Milliseconds())}
+// noticeNote returns what an endpoint said as it is told to other routers.
+func noticeNote(w relay.NoticeWord) peers.NoticeNote {
+	return peers.NoticeNote{Endpoint: w.Endpoint, Life: w.Life, Limit: uint8(w.Limit), PerSecond: w.PerSecond, Leaving: w.Leaving, Answers: w.Answers, Granted: w.Granted, WaitMs: uint32(w.Wait.Milliseconds())}
 }
 
 // listen opens the listeners.
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -79,12 +79,15 @@
 	gone map[string]int64
 	// left remembers the lives that said that they leave and are not listed any more.
 	left map[string]time.Time
+	// early holds what other processes were told by lives of endpoints, by their hashes, that are
+	// not listed here yet.
+	early map[uint64]Notice
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
-		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64), left: make(map[string]time.Time),
+		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64), left: make(map[string]time.Time), early: make(map[uint64]Notice),
 		zones: make(map[string]*zone), warmups: make(map[string]*Warmup), senders: new(senders),
 	}
 }
@@ -108,6 +111,10 @@
 		}
 		b.byID[e.ID] = p
 		b.insert(p)
+		if n, ok := b.early[p.Life()]; ok {
+			p.Told(n, e.HeardAt)
+			delete(b.early, p.Life())
+		}
 		return true
 	}
 	if e.Revision < p.Revision {
@@ -160,7 +167,7 @@
 }
 
 // remember notes something of an endpoint that is not listed any more.
-func remember[T any](m map[string]T, id string, v T) {
+func remember[K comparable, T any](m map[K]T, id K, v T) {
 	if len(m) >= goneMost {
 		clear(m)
 	}
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -59,19 +59,8 @@
 	doubtShare = 1. / 8
 )
 
-// notesLimit takes in what the endpoint says of its limit in an answer that came at now, to an attempt that was
-// sent at sentAt. It reports whether that changed what is known of its limit.
-func (p *Endpoint) notesLimit(n Notice, sentAt, now time.Time) (changed bool) {
-	// An answer to an attempt from before the last word may be older than that.
-	if n.Limit == Unlimited && !sentAt.After(p.limit.saidAt) {
-		return false
-	}
-	return p.Told(n, now)
-}
-
-// Told is notesLimit for what another process was told by the endpoint later than what it knew.
-func (p *Endpoint) Told(n Notice, now time.Time) (changed bool) {
-	l := &p.limit
+// take takes in what the endpoint says of its limit. It reports whether that changed what is known.
+func (l *limit) take(n Notice, now time.Time) (changed bool) {
 	switch n.Limit {
 	case Limited:
 		changed = !l.named || l.perSecond != n.PerSecond
@@ -132,9 +121,6 @@
 // Asks notes that another process is asked for a grant and is not asked again before a time.
 func (p *Endpoint) Asks(again time.Time) { p.limit.askAt = again }
 
-// LimitEnded reports whether the endpoint has had a limit, and has none any more.
-func (p *Endpoint) LimitEnded() bool { return !p.limit.named && !p.limit.endedAt.IsZero() }
-
 // TellsLimit reports whether the others are to be told of the limit again, at most once in a time,
 // and notes that they are.
 func (p *Endpoint) TellsLimit(now time.Time, every time.Duration) bool {
--- a/pkg/pool/notice_test.go
+++ b/pkg/pool/notice_test.go
@@ -57,3 +57,33 @@
 		}
 	}
 }
+
+// What others were told holds for the life that said it alone, and is kept for an endpoint that is
+// not listed yet.
+func TestToldOfLives(t *testing.T) {
+	e := entry("e0", 1)
+	e.Born = t0
+	at := Endpoint{Entry: e, hash: HashOf(e.ID)}
+	said := Notice{Limit: Limited, PerSecond: 2, Leaving: true}
+	for _, c := range []struct {
+		name  string
+		life  uint64
+		early bool
+		want  Notice
+	}{
+		{"this life", at.Life(), false, said},
+		{"another life", at.Life() + 1, false, Notice{}},
+		{"this life, listed later", at.Life(), true, said},
+		{"another life, listed later", at.Life() + 1, true, Notice{}},
+	} {
+		b := NewBook()
+		if !c.early {
+			b.Put(e)
+		}
+		b.Told(HashOf(e.ID), c.life, said, t0)
+		b.Put(e)
+		if got := b.Get("e0").Notice(); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
