--- /dev/null
+++ b/internal/guard/rest_test.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package guard
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/internal/wire"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/stream"
+)
+
+// An engine that refuses a run and asks for rest gets no other run until that is over, and callers
+// are told when it is.
+//
+// Seen, by reading, after routers had sent requests to endpoints that had asked for rest: a guard sent each
+// run to its engine, and told callers nothing of the time. Cause: of a refusal only the status was read.
+func TestEngineThatAsksForRestGetsIt(t *testing.T) {
+	const rest = time.Second
+	var asked atomic.Int64
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.Header().Set("Retry-After", fmt.Sprint(rest.Seconds()))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer engine.Close()
+	b := startBench(t)
+	b.g.endpoint.Run = NewEndpoint(KindEngine, engine.Listener.Addr().(*net.TCPAddr).AddrPort()).Run
+	c := b.dial(t)
+	first := time.Now()
+	for i := range 5 {
+		got := b.run(t, c, fmt.Sprint("run-", i), 1)
+		check(t, fmt.Sprint("run ", i), got, fault.Overloaded, fault.NotRun)
+		if at := got.Err.RetryAt; at.Before(first.Add(rest)) || at.After(time.Now().Add(rest)) {
+			t.Errorf("run %d: come back at: got %v after the first, want %v", i, at.Sub(first), rest)
+		}
+	}
+	if got := asked.Load(); got != 1 {
+		t.Errorf("runs that reached the engine during its rest: got %d, want 1", got)
+	}
+	<-time.After(rest)
+	b.run(t, c, "run-later", 1)
+	if got := asked.Load(); got != 2 {
+		t.Errorf("runs that reached the engine after its rest: got %d, want 2", got)
+	}
+}
+
+// A run that waited for a slot when the engine asked for rest is refused too.
+func TestQueuedRunIsRefusedDuringRest(t *testing.T) {
+	b := startBench(t)
+	begun, refuse := make(chan struct{}), make(chan struct{})
+	var runs atomic.Int64
+	until := time.Now().Add(time.Minute)
+	b.g.endpoint.Run = func(context.Context, wire.RunKey, *wire.Work, *stream.Buffer) (wire.Usage, *fault.Error) {
+		if runs.Add(1) == 1 {
+			close(begun)
+		}
+		<-refuse
+		return wire.Usage{}, fault.New(fault.Overloaded, fault.NotRun, "The engine takes no more work.").At(until)
+	}
+	c := b.dial(t)
+	first := b.later(t, c, "first")
+	<-begun
+	second := b.later(t, c, "second")
+	b.waitQueued(t, 1)
+	close(refuse)
+	for name, reply := range map[string]<-chan wire.RunReply{"first": first, "second": second} {
+		got := <-reply
+		check(t, name, got, fault.Overloaded, fault.NotRun)
+		if !got.Err.RetryAt.Equal(until) {
+			t.Errorf("%s: come back at: got %v, want %v", name, got.Err.RetryAt, until)
+		}
+	}
+	if got := runs.Load(); got != 1 {
+		t.Errorf("runs that reached the engine: got %d, want 1", got)
+	}
+}
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -43,7 +43,7 @@
 
 // noticeBytes and questionBytes are the lengths of an encoded NoticeNote and LimitQuestion.
 const (
-	noticeBytes    = 8 + 8 + 1 + 8 + 1 + 1 + 1 + 4
+	noticeBytes   = 8 + 8 + 1 + 8 + 1 + 1 + 1 + 4
 	questionBytes = 8 + 8 + 8 + tokenBytes
 )
 
