A guard leaves an engine alone for as long as it asks to rest

Callers of the product's own fleet were sent, one after the other, to an engine that had asked for rest, and were told no time to come back. Cause: of a refusal only the status was read; the same as at the routers. The guard keeps the time, refuses what comes or has waited, at once and with that time; it is its engine's only sender, so nobody needs to be told.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -67,6 +67,8 @@
 	// leaving says that no new work is taken; it never goes back.
 	leaving bool
 	down    bool
+	// restsUntil is until when the engine wants no run; it only grows.
+	restsUntil time.Time
 	// versions lists what the engine has loaded; nil if it does not say.
 	versions []string
 	// loads holds the loads of versions that are under way.
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -123,6 +123,9 @@
 	if g.down {
 		return fault.New(fault.EndpointLost, fault.NotRun, "The endpoint takes no connection.")
 	}
+	if refused := g.resting(now); refused != nil {
+		return refused
+	}
 	return g.notAllowed(g.Holder.Current(), &p.Work)
 }
 
@@ -169,6 +172,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	refused := g.notAllowed(g.Holder.Current(), &r.work)
+	if refused == nil {
+		refused = g.resting(g.Now())
+	}
 	switch {
 	case refused != nil:
 	case r.ctx.Err() != nil:
@@ -198,6 +204,7 @@
 	r.work.Body = nil
 	r.reply = wire.RunReply{Length: r.buf.Len(), Usage: usage, Err: err}
 	r.buf.Finish(r.reply.Length, err)
+	g.rests(r, err)
 	if err != nil && err.Run == fault.NotRun {
 		r.settled = true
 	} else {
