--- a/internal/relay/borrow.go
+++ b/internal/relay/borrow.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,35 +15,7 @@
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
-// NoticeWord is what routers tell one another of what an endpoint said of itself.
-type NoticeWord struct {
-	// Endpoint is the hash of its ID, Life what names the life that said it.
-	Endpoint, Life uint64
-	pool.Notice
-	// Answers says that this answers a question, and Granted that the hearer may send one request
-	// in the teller's place.
-	Answers, Granted bool
-	// Wait is how long the teller has nothing more to grant, from when the word is heard.
-	Wait time.Duration
-}
-
-// Limiting tells other routers what endpoints said, and asks them about limits. Its functions are
-// seams.
-type Limiting struct {
-	// Tell tells some of the other routers, or all.
-	Tell func(w NoticeWord, all bool)
-	// Ask asks one of the routers that share the limit, of which there are so many, to grant a
-	// request; draw chooses.
-	Ask func(w NoticeWord, holders int, draw uint64)
-}
-
-// aloneLimits are those of a router alone.
-var aloneLimits = Limiting{Tell: func(NoticeWord, bool) {}, Ask: func(NoticeWord, int, uint64) {}}
-
 const (
-	// limitToldEvery is how often a router tells of a limit that answers go on naming: routers that
-	// have just started hear of it within about that.
-	limitToldEvery = time.Second
 	// grantWithin is how long a request that no endpoint takes waits for a grant of another router:
 	// an answer takes 3 ms between zones, and some more from a busy one.
 	grantWithin = config.Span(25 * time.Millisecond)
@@ -61,11 +32,6 @@
 	asksPerSecond = 60
 )
 
-// noticeWord returns what is known of what an endpoint said.
-func noticeWord(p *pool.Endpoint) NoticeWord {
-	return NoticeWord{Endpoint: p.Hash(), Life: p.Life(), Notice: p.Notice()}
-}
-
 // borrow asks other routers to grant what they may send, where limits leave this one nothing, and
 // chooses again once one does; it returns err if none does in time. The shares of routers whose
 // callers need them less would be lost otherwise.
@@ -119,23 +85,13 @@
 		}
 		p.Asks(askAgain.After(now))
 		holders, _ := p.Holders()
-		e.Limits.Ask(noticeWord(p), holders, draw)
+		e.Notifier.Ask(noticeWord(p), holders, draw)
 		e.counts.count("limit_questions", x.route.Name, "")
 		asked = append(asked, p)
 	}
 	return e.granted, asked
 }
 
-// Notices returns what endpoints said to all, for a router that starts.
-func (e *Engine) Notices() (list []NoticeWord) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.book.Noticed() {
-		list = append(list, noticeWord(p))
-	}
-	return list
-}
-
 // AnswerLimit answers a router that asks for a request out of this one's share of a limit; ok is
 // false where there is nothing to say.
 func (e *Engine) AnswerLimit(q NoticeWord) (w NoticeWord, ok bool) {
@@ -159,22 +115,8 @@
 	return w, true
 }
 
-// HeardNotice takes over what another router, known by its address, told of an endpoint.
-func (e *Engine) HeardNotice(by netip.Addr, w NoticeWord) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !(w.PerSecond >= 0) {
-		w.Limit = pool.NoWord
-	}
-	now := e.Now()
-	p, c := e.book.Told(w.Endpoint, w.Life, w.Notice, now)
-	if p == nil {
-		return
-	}
-	e.logNotice(p, c, zap.Stringer("by", by))
-	if !w.Answers {
-		return
-	}
+// heardAnswer takes over the answer to a question; mu is held.
+func (e *Engine) heardAnswer(p *pool.Endpoint, w NoticeWord, now time.Time) {
 	if w.Granted {
 		p.Granted(grantFor.After(now))
 		p.Asks(now)
--- a/internal/relay/counts.go
+++ b/internal/relay/counts.go
@@ -73,6 +73,8 @@
 	ended, failed *rate.Limiter
 	// crashes is for requests under which endpoints crashed.
 	crashes *rate.Limiter
+	// notices is for what endpoints said of themselves.
+	notices *rate.Limiter
 }
 
 const (
@@ -83,11 +85,15 @@
 	// crashesPerSecond bounds the requests that it tells endpoints crashed under: three crashes of
 	// busy ones.
 	crashesPerSecond = 200
+	// noticesPerSecond bounds the changes that it tells of what endpoints said of themselves: one that
+	// names another limit in each answer would fill the log.
+	noticesPerSecond = 50
 )
 
 func (l *lines) init() {
 	l.ended = rate.NewLimiter(endedPerSecond, endedPerSecond)
 	l.failed = rate.NewLimiter(failedPerSecond, failedPerSecond)
+	l.notices = rate.NewLimiter(noticesPerSecond, noticesPerSecond)
 	l.crashes = rate.NewLimiter(crashesPerSecond, crashesPerSecond)
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -42,8 +42,8 @@
 	Gone Gone
 	// Quarantines tells other routers of requests that crash endpoints.
 	Quarantines Quarantines
-	// Limits tells and asks other routers of the limits that endpoints have named.
-	Limits Limiting
+	// Notifier tells other routers what endpoints said of themselves.
+	Notifier Notifier
 	// Boot is a clock that counts the time for which the VM was suspended; see still.
 	Boot func() time.Duration
 	// Proven returns when the table in force was the newest, for sure.
@@ -139,7 +139,7 @@
 		judging:     make(chan struct{}, 1),
 		probes:      make(chan pool.Entry, probesMost),
 		Quarantines: aloneQuarantines,
-		Limits:      aloneLimits,
+		Notifier:    silentNotifier,
 		granted:     make(chan struct{}),
 		asks:        rate.NewLimiter(asksPerSecond, asksPerSecond),
 		inFlight:    make(map[uint64]*inFlight),
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,34 @@
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
+// NoticeWord is what routers tell one another of what an endpoint said of itself.
+type NoticeWord struct {
+	// Endpoint is the hash of its ID, Life what names the life that said it.
+	Endpoint, Life uint64
+	pool.Notice
+	// Answers says that this answers a question, and Granted that the hearer may send one request
+	// in the teller's place.
+	Answers, Granted bool
+	// Wait is how long the teller has nothing more to grant, from when the word is heard.
+	Wait time.Duration
+}
+
+// Notifier tells other routers what endpoints said, and asks them about limits. Its functions are seams.
+type Notifier struct {
+	// Tell tells some of the other routers, or all.
+	Tell func(w NoticeWord, all bool)
+	// Ask asks one of the routers that share the limit, of which there are so many, to grant a
+	// request; draw chooses.
+	Ask func(w NoticeWord, holders int, draw uint64)
+}
+
+// silentNotifier is that of a router alone.
+var silentNotifier = Notifier{Tell: func(NoticeWord, bool) {}, Ask: func(NoticeWord, int, uint64) {}}
+
+// limitToldEvery is how often a router tells of a limit that answers go on naming: routers that
+// have just started hear of it within about that.
+const limitToldEvery = time.Second
+
 // noted takes in what an endpoint says of itself in the answer to a request, whose attempt was
 // sent at sentAt; mu is held.
 func (e *Engine) noted(p *pool.Endpoint, request string, n pool.Notice, sentAt, now time.Time) {
@@ -19,18 +48,20 @@
 	if ended || c.Leaving || p.TellsLimit(now, limitToldEvery) {
 		// Routers without a share hear of a limit's end from those that have one.
 		_, holds := p.Holders()
-		e.Limits.Tell(noticeWord(p), ended && holds)
+		e.Notifier.Tell(noticeWord(p), ended && holds)
 	}
-	from := zap.String("request", request)
-	e.logNotice(p, c, from)
 	if c.Rest {
 		e.counts.count("rests_asked", "", "")
-		e.Log.Info("relay: An endpoint asks for rest.", zap.String("endpoint", p.ID), from, zap.Time("until", n.RestUntil))
 	}
+	e.logNotice(p, c, zap.String("request", request))
 }
 
-// logNotice tells what has changed of what an endpoint said to all, and who told; mu is held.
+// logNotice tells what has changed of what an endpoint said, and who told; mu is held.
 func (e *Engine) logNotice(p *pool.Endpoint, c pool.Changes, from zap.Field) {
+	if c != (pool.Changes{}) && !e.lines.notices.AllowN(e.Now(), 1) {
+		e.counts.count("unlogged_notices", "", "")
+		return
+	}
 	if c.Limit {
 		perSecond, named := p.Limit()
 		e.Log.Info("relay: An endpoint's limit has changed.", zap.String("endpoint", p.ID), zap.Bool("named", named), zap.Float64("perSecond", perSecond), from)
@@ -38,4 +69,40 @@
 	if c.Leaving {
 		e.Log.Info("relay: An endpoint says that it leaves.", zap.String("endpoint", p.ID), zap.Int64("revision", p.Revision), from)
 	}
+	if c.Rest {
+		e.Log.Info("relay: An endpoint asks for rest.", zap.String("endpoint", p.ID), zap.Time("until", p.RestUntil()), from)
+	}
+}
+
+// noticeWord returns what is known of what an endpoint said.
+func noticeWord(p *pool.Endpoint) NoticeWord {
+	return NoticeWord{Endpoint: p.Hash(), Life: p.Life(), Notice: p.Notice()}
+}
+
+// Notices returns what endpoints said to all, for a router that starts.
+func (e *Engine) Notices() (list []NoticeWord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.book.Noticed() {
+		list = append(list, noticeWord(p))
+	}
+	return list
+}
+
+// HeardNotice takes over what another router, known by its address, told of an endpoint.
+func (e *Engine) HeardNotice(by netip.Addr, w NoticeWord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !(w.PerSecond >= 0) {
+		w.Limit = pool.NoWord
+	}
+	now := e.Now()
+	p, c := e.book.Told(w.Endpoint, w.Life, w.Notice, now)
+	if p == nil {
+		return
+	}
+	e.logNotice(p, c, zap.Stringer("by", by))
+	if w.Answers {
+		e.heardAnswer(p, w, now)
+	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,7 +123,7 @@
 		}
 		return list
 	}
-	r.Engine.Limits = relay.Limiting{
+	r.Engine.Notifier = relay.Notifier{
 		Tell: func(w relay.NoticeWord, all bool) { notes.SendNotice(noticeNote(w), all) },
 		Ask: func(w relay.NoticeWord, holders int, draw uint64) {
 			notes.AskLimit(peers.LimitQuestion{Endpoint: w.Endpoint, Life: w.Life, PerSecond: w.PerSecond}, holders, draw)
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// RestUntil returns until when the endpoint wants nothing from this process; zero if it does not say.
+func (p *Endpoint) RestUntil() time.Time { return p.rest.until }
+
 // Resting returns how many endpoints want nothing from this process now.
 func (b *Book) Resting(now time.Time) (n int) {
 	for _, p := range b.byID {
