Tell callers when an endpoint that has named a limit may have room, at any router

Cause, by reading: a router without a share told its callers to come back when it may find out whether the limit still holds, 13 s later or more, while others had room within half a second. Entries that a router of an earlier release hands on do not name the life; they no longer count as another one.

--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -105,7 +105,7 @@
 	if !ok {
 		p = &Endpoint{Entry: e, leaving: e.Leaving, area: b.zone(e.Zone), warmup: b.warmup(e.Service), senders: b.senders}
 		p.heardAt = e.HeardAt
-		if born, ok := b.left[e.ID]; ok && born.Equal(e.Born) {
+		if born, ok := b.left[e.ID]; ok && (e.Born.IsZero() || born.Equal(e.Born)) {
 			// It may be listed as it was before it knew: the list lags, also for long.
 			p.saysLeaving()
 		}
@@ -121,7 +121,11 @@
 		return false
 	}
 	changed := !p.lapsedUntil.IsZero() || e.Leaving && !p.leaving
-	if !e.Born.Equal(p.Born) {
+	switch {
+	case e.Born.IsZero():
+		// A process of an earlier release hands entries on without it.
+		e.Born = p.Born
+	case !p.Born.IsZero() && !e.Born.Equal(p.Born):
 		// What an earlier life said of itself does not hold for this one.
 		changed, p.limit, p.rest, p.leaving, p.saidLeaving = true, limit{}, rest{}, false, false
 	}
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -159,6 +159,16 @@
 	return later(turn, l.sentAt.Add(apart(n, doubtShare*perSecond)))
 }
 
+// limitedFor returns when a request may find room under the endpoint's limit, of this process or of
+// another one, at the same time or earlier than limitedUntil.
+func (p *Endpoint) limitedFor(now time.Time) time.Time {
+	at := p.limitedUntil()
+	if room := now.Add(apart(1, max(p.limit.perSecond, limitLeast))); p.limit.named && room.Before(at) {
+		return room
+	}
+	return at
+}
+
 // holdersOf returns how many processes share a limit, where there are as many.
 func holdersOf(perSecond float64) int {
 	return holdersLeast + int(min(holdersPerRequest*perSecond, processesMost))
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -190,6 +190,23 @@
 	}
 }
 
+// A request at a process without a share is told when another one may have room, not when this one may.
+func TestLackWithoutAShare(t *testing.T) {
+	var knows []uint64
+	for i := range uint64(40) {
+		knows = append(knows, mixer.Mix(i+1))
+	}
+	for _, self := range knows {
+		b := limitedProcess(self, knows, 2)
+		if _, holds := b.Get("e0").Holders(); holds {
+			continue
+		}
+		if got, want := b.Lack(t0, &Want{Service: "s"}).At, t0.Add(500*time.Millisecond); !got.Equal(want) {
+			t.Errorf("process %x: got %v, want %v", self, got, want)
+		}
+	}
+}
+
 // What a process grants to another is gone from its own share, and is used once, in time.
 func TestGrantIsSpent(t *testing.T) {
 	const perSecond = 2.5
--- a/pkg/pool/notice_test.go
+++ b/pkg/pool/notice_test.go
@@ -22,6 +22,12 @@
 	}{
 		{"nothing", func(*Book, Entry) {}, false},
 		{"listed again", func(b *Book, e Entry) { e.Revision = 2; b.Put(e) }, false},
+		{"listed without its life", func(b *Book, e Entry) {
+			e.Revision, e.Born = 2, time.Time{}
+			b.Put(e)
+			e.Revision, e.Born = 3, t0
+			b.Put(e)
+		}, false},
 		{"removed and listed again", func(b *Book, e Entry) {
 			b.Remove(e.ID, 2, t0, time.Time{})
 			e.Revision = 3
--- a/pkg/pool/ready.go
+++ b/pkg/pool/ready.go
@@ -41,21 +41,21 @@
 			l.Closed++
 		case !p.rest.over(now):
 			l.Resting++
-			l.from(p)
+			l.from(p, now)
 		case !p.warm(now):
 			l.Warming++
-			l.from(p)
+			l.from(p, now)
 		case !p.within(now):
 			l.Limited++
-			l.from(p)
+			l.from(p, now)
 		}
 	}
 	return l
 }
 
 // from notes when an endpoint may get a request again.
-func (l *Lack) from(p *Endpoint) {
-	at := later(p.rest.until, p.limitedUntil())
+func (l *Lack) from(p *Endpoint, now time.Time) {
+	at := later(p.rest.until, p.limitedFor(now))
 	if !p.warm(at) {
 		if p.quota() == 0 {
 			return
