Remember what an endpoint said while its entry is away

Cause, by reading: entries lapse while the store is away, and are listed again within seconds; limits and rests went with them, as that an endpoint leaves did not. All that an endpoint said is kept for its life in one place. pool.TestWhatWasSaidOutlivesTheEntry fails without it. The log tells which attempts another router granted.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -32,7 +32,7 @@
 	x.explain(t, a, p, now)
 	a.warming = p.Warming(now)
 	x.sent(a, now)
-	p.Sends(now)
+	t.Granted = p.Sends(now)
 	x.made++
 	if x.workspace != nil {
 		a.Workspace = x.workspace.Name
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -171,6 +171,8 @@
 	// Limit is the requests a second that the endpoint takes from all routers, if Limited.
 	Limit   float64
 	Limited bool
+	// Granted says that the request was sent in the place of another router.
+	Granted bool
 	// Sent and Got are the bytes of the body and of the answer.
 	Sent, Got int
 	// Head is how long the head took, in milliseconds.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -207,7 +207,7 @@
 		zap.Time("at", t.At), zap.Int("status", t.Status), zap.Int("confidence", t.Confidence), zap.Float64("good", round(t.Good)), zap.Float64("keepWorth", round(t.Keep)), zap.Float64("askWorth", round(t.Ask)), zap.Int64("headMs", t.Head), zap.Int64("pauseMs", t.Pause), zap.Int("events", t.Events), zap.Int64("paceUs", t.Pace.Microseconds()), zap.String("weighed", t.Weighed),
 		zap.Int("sentBytes", t.Sent), zap.Int("gotBytes", t.Got), zap.String("outcome", t.Outcome), faultField(t.Err)}
 	if t.Limited {
-		f = append(f, zap.Float64("limit", t.Limit))
+		f = append(f, zap.Float64("limit", t.Limit), zap.Bool("granted", t.Granted))
 	}
 	if t.Passed == "" {
 		return f
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -44,8 +44,8 @@
 	Trust Trust
 	hash  uint64
 	warming
-	limit limit
-	rest  rest
+	// said is what the endpoint said of itself; place is this process's among its senders.
+	said  said
 	place place
 	// area, warmup and senders are what it shares with others of the book.
 	area    *zone
@@ -54,8 +54,6 @@
 	// leaving is set once the endpoint was listed as leaving, said so itself or was removed in
 	// calm times; it never goes back while the endpoint lives.
 	leaving bool
-	// saidLeaving says that the endpoint said so itself.
-	saidLeaving bool
 	// lapsedUntil is when an entry that lapsed while the list could not be
 	// read counts as gone; zero for one that is listed.
 	lapsedUntil time.Time
@@ -77,8 +75,9 @@
 	// gone remembers the revisions at which endpoints were removed, so that a
 	// late word of one does not bring it back.
 	gone map[string]int64
-	// left remembers the lives that said that they leave and are not listed any more.
-	left map[string]time.Time
+	// said remembers what lives said of themselves that are not listed any more: they may be again,
+	// as they were before they said it, as the list lags behind by any time.
+	said map[string]saidBy
 	// early holds what other processes were told by lives of endpoints, by their hashes, that are
 	// not listed here yet.
 	early map[uint64]Notice
@@ -87,7 +86,7 @@
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
-		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64), left: make(map[string]time.Time), early: make(map[uint64]Notice),
+		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), gone: make(map[string]int64), said: make(map[string]saidBy), early: make(map[uint64]Notice),
 		zones: make(map[string]*zone), warmups: make(map[string]*Warmup), senders: new(senders),
 	}
 }
@@ -105,9 +104,9 @@
 	if !ok {
 		p = &Endpoint{Entry: e, leaving: e.Leaving, area: b.zone(e.Zone), warmup: b.warmup(e.Service), senders: b.senders}
 		p.heardAt = e.HeardAt
-		if born, ok := b.left[e.ID]; ok && (e.Born.IsZero() || born.Equal(e.Born)) {
-			// It may be listed as it was before it knew: the list lags, also for long.
-			p.saysLeaving()
+		if s, ok := b.said[e.ID]; ok && (e.Born.IsZero() || s.born.Equal(e.Born)) {
+			p.said = s.said
+			p.leaving = p.leaving || p.said.leaving
 		}
 		b.byID[e.ID] = p
 		b.insert(p)
@@ -127,7 +126,7 @@
 		e.Born = p.Born
 	case !p.Born.IsZero() && !e.Born.Equal(p.Born):
 		// What an earlier life said of itself does not hold for this one.
-		changed, p.limit, p.rest, p.leaving, p.saidLeaving = true, limit{}, rest{}, false, false
+		changed, p.leaving, p.said = true, false, said{}
 	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
@@ -162,8 +161,8 @@
 
 func (b *Book) drop(p *Endpoint, revision int64) {
 	remember(b.gone, p.ID, revision)
-	if p.saidLeaving {
-		remember(b.left, p.ID, p.Born)
+	if p.said.anything() {
+		remember(b.said, p.ID, saidBy{p.Born, p.said})
 	}
 	delete(b.byID, p.ID)
 	delete(b.byHash, p.hash)
@@ -236,13 +235,6 @@
 // Len returns how many endpoints are known.
 func (b *Book) Len() int { return len(b.byID) }
 
-// saysLeaving notes that the endpoint said that it leaves. It needs no list for that: the list may
-// lag behind by any time.
-func (p *Endpoint) saysLeaving() { p.leaving, p.saidLeaving = true, true }
-
-// Left notes that an endpoint which is not listed any more said that it leaves.
-func (b *Book) Left(e Entry) { remember(b.left, e.ID, e.Born) }
-
 // Leaves reports whether the endpoint was listed as leaving, said so, or was removed in calm times.
 func (p *Endpoint) Leaves() bool { return p.leaving }
 
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -75,32 +75,36 @@
 
 // Limit returns the requests a second that the endpoint takes from all processes together, by
 // its last word; ok is false if it named no limit.
-func (p *Endpoint) Limit() (perSecond float64, ok bool) { return p.limit.perSecond, p.limit.named }
+func (p *Endpoint) Limit() (perSecond float64, ok bool) {
+	return p.said.limit.perSecond, p.said.limit.named
+}
 
 // within reports whether this process may send a request to an endpoint now, as far as the
 // endpoint has named a limit.
 //
-// The processes share a limit without asking each other: what one sent is known to the others
-// too late, and not at all to one that is cut off or has just started.
+// The processes share a limit without hearing of each other: what one sent is known to the others
+// too late, and not at all to one that is cut off or has just started. Only what is left of a share
+// is lent, by the process that has it.
 func (p *Endpoint) within(now time.Time) bool {
-	return !p.limit.named || !now.Before(p.limitedUntil()) || now.Before(p.limit.grantedUntil)
+	return !p.said.limit.named || !now.Before(p.limitedUntil()) || now.Before(p.said.limit.grantedUntil)
 }
 
 // sends counts a request that this process sends, as granted by another one if there is nothing
-// left of its own share.
-func (l *limit) sends(own bool, now time.Time) {
+// left of its own share. It reports whether it was.
+func (l *limit) sends(own bool, now time.Time) (granted bool) {
 	if !own && now.Before(l.grantedUntil) {
 		l.grantedUntil = time.Time{}
-		return
+		return true
 	}
 	l.sentAt = now
+	return false
 }
 
 // Holders returns how many of the processes that are known share the endpoint's limit, and whether
 // this one does.
 func (p *Endpoint) Holders() (holders int, self bool) {
 	rank, n := p.rank()
-	holders = min(n, holdersOf(max(p.limit.perSecond, limitLeast)))
+	holders = min(n, holdersOf(max(p.said.limit.perSecond, limitLeast)))
 	return holders, rank < holders
 }
 
@@ -111,23 +115,23 @@
 	if _, self := p.Holders(); !self || now.Before(at) {
 		return false, at
 	}
-	p.limit.sentAt = now
+	p.said.limit.sentAt = now
 	return true, p.limitedUntil()
 }
 
 // Granted notes that another process granted a request that may be sent until a time.
-func (p *Endpoint) Granted(until time.Time) { p.limit.grantedUntil = until }
+func (p *Endpoint) Granted(until time.Time) { p.said.limit.grantedUntil = until }
 
 // Asks notes that another process is asked for a grant and is not asked again before a time.
-func (p *Endpoint) Asks(again time.Time) { p.limit.askAt = again }
+func (p *Endpoint) Asks(again time.Time) { p.said.limit.askAt = again }
 
 // TellsLimit reports whether the others are to be told of the limit again, at most once in a time,
 // and notes that they are.
 func (p *Endpoint) TellsLimit(now time.Time, every time.Duration) bool {
-	if !p.limit.named || now.Before(p.limit.toldAt.Add(every)) {
+	if !p.said.limit.named || now.Before(p.said.limit.toldAt.Add(every)) {
 		return false
 	}
-	p.limit.toldAt = now
+	p.said.limit.toldAt = now
 	return true
 }
 
@@ -135,7 +139,7 @@
 // may be asked for a grant.
 func (b *Book) Askable(dst []*Endpoint, now time.Time, w *Want) []*Endpoint {
 	for _, p := range b.byService[w.Service] {
-		if p.allowed(now, w) && p.rest.over(now) && p.warm(now) && !p.within(now) && !now.Before(p.limit.askAt) {
+		if p.allowed(now, w) && p.said.rest.over(now) && p.warm(now) && !p.within(now) && !now.Before(p.said.limit.askAt) {
 			dst = append(dst, p)
 		}
 	}
@@ -145,7 +149,7 @@
 // limitedUntil returns when this process may send its next request under the endpoint's limit;
 // zero for an endpoint that has none.
 func (p *Endpoint) limitedUntil() time.Time {
-	l := &p.limit
+	l := &p.said.limit
 	if !l.named {
 		return time.Time{}
 	}
@@ -159,11 +163,11 @@
 	return later(turn, l.sentAt.Add(apart(n, doubtShare*perSecond)))
 }
 
-// limitedFor returns when a request may find room under the endpoint's limit, of this process or of
-// another one, at the same time or earlier than limitedUntil.
-func (p *Endpoint) limitedFor(now time.Time) time.Time {
+// roomAt returns when a request may find room under the endpoint's limit at this process, or sooner
+// at another one.
+func (p *Endpoint) roomAt(now time.Time) time.Time {
 	at := p.limitedUntil()
-	if room := now.Add(apart(1, max(p.limit.perSecond, limitLeast))); p.limit.named && room.Before(at) {
+	if room := now.Add(apart(1, max(p.said.limit.perSecond, limitLeast))); p.said.limit.named && room.Before(at) {
 		return room
 	}
 	return at
@@ -185,7 +189,7 @@
 // Limited returns how many endpoints have named a limit.
 func (b *Book) Limited() (n int) {
 	for _, p := range b.byID {
-		if p.limit.named {
+		if p.said.limit.named {
 			n++
 		}
 	}
--- a/pkg/pool/notice_test.go
+++ b/pkg/pool/notice_test.go
@@ -93,3 +93,28 @@
 		}
 	}
 }
+
+// What an endpoint said holds for its life, also where its entry lapses and is listed again meanwhile.
+func TestWhatWasSaidOutlivesTheEntry(t *testing.T) {
+	b, e := NewBook(), entry("e0", 1)
+	e.Born = t0
+	b.SetSenders(Senders{Self: 1, All: []uint64{1}})
+	b.Put(e)
+	b.Get("e0").Notes(Notice{Limit: Limited, PerSecond: 2, RestUntil: t0.Add(3 * time.Second)}, t0, t0)
+	b.Remove("e0", 2, t0, time.Time{})
+	e.Revision = 3
+	b.Put(e)
+	p := b.Get("e0")
+	if perSecond, ok := p.Limit(); !ok || perSecond != 2 {
+		t.Errorf("limit of an entry listed again: got %v, %v, want 2", perSecond, ok)
+	}
+	if p.ready(t0.Add(2 * time.Second)) {
+		t.Error("rest of an entry listed again: got a request, want none")
+	}
+	b.Remove("e0", 4, t0, time.Time{})
+	e.Revision, e.Born = 5, t0.Add(time.Second)
+	b.Put(e)
+	if _, ok := b.Get("e0").Limit(); ok || !b.Get("e0").ready(t0.Add(2*time.Second)) {
+		t.Error("the next life: got a limit or a rest, want neither")
+	}
+}
--- a/pkg/pool/ready.go
+++ b/pkg/pool/ready.go
@@ -8,17 +8,19 @@
 // ready reports whether this process may send a request to an endpoint now, as far as the
 // endpoint bounds what it gets.
 func (p *Endpoint) ready(now time.Time) bool {
-	return p.rest.over(now) && p.warm(now) && p.within(now)
+	return p.said.rest.over(now) && p.warm(now) && p.within(now)
 }
 
-// Sends notes that this process sends a request to an endpoint that it picked.
-func (p *Endpoint) Sends(now time.Time) {
+// Sends notes that this process sends a request to an endpoint that it picked. It reports whether
+// another process has granted that.
+func (p *Endpoint) Sends(now time.Time) (granted bool) {
 	p.Load.Sent++
-	p.rest.sends(now)
-	p.limit.sends(!now.Before(p.limitedUntil()), now)
+	p.said.rest.sends(now)
+	granted = p.said.limit.sends(!now.Before(p.limitedUntil()), now)
 	if p.Warming(now) {
 		p.nextAt = now.Add(spacing / time.Duration(max(p.quota(), 1)))
 	}
+	return granted
 }
 
 // Lack says why a request found no endpoint.
@@ -39,7 +41,7 @@
 		case !p.listed(now) || w.Fit != nil && !w.Fit(p.Version):
 		case p.area.closed:
 			l.Closed++
-		case !p.rest.over(now):
+		case !p.said.rest.over(now):
 			l.Resting++
 			l.from(p, now)
 		case !p.warm(now):
@@ -55,7 +57,7 @@
 
 // from notes when an endpoint may get a request again.
 func (l *Lack) from(p *Endpoint, now time.Time) {
-	at := later(p.rest.until, p.limitedFor(now))
+	at := later(p.said.rest.until, p.roomAt(now))
 	if !p.warm(at) {
 		if p.quota() == 0 {
 			return
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -45,12 +45,12 @@
 }
 
 // RestUntil returns until when the endpoint wants nothing from this process; zero if it does not say.
-func (p *Endpoint) RestUntil() time.Time { return p.rest.until }
+func (p *Endpoint) RestUntil() time.Time { return p.said.rest.until }
 
 // Resting returns how many endpoints want nothing from this process now.
 func (b *Book) Resting(now time.Time) (n int) {
 	for _, p := range b.byID {
-		if !p.rest.over(now) {
+		if !p.said.rest.over(now) {
 			n++
 		}
 	}
