--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -123,44 +123,76 @@
 
 // hear decodes a datagram with the right token.
 func (n *Notes) hear(b []byte, from netip.AddrPort) {
-	switch {
-	case b[kindAt] == kindNote && len(b) >= prefixAt:
-		ms := binary.BigEndian.Uint32(b[bodyAt+8:])
-		note := Note{From: from.Addr(), Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: min(time.Duration(ms)*time.Millisecond, busyMost), Failed: b[flagsAt]&flagFailed != 0}
-		if len(b) >= noteBytes {
-			note.Prefix = binary.BigEndian.Uint64(b[prefixAt:])
-		}
-		n.OnNote(note)
-	case b[kindAt] == kindReport:
-		r, err := decodeReport(b[bodyAt:])
-		if err != nil {
-			n.Log.Warn("peers: A report could not be decoded.", zap.Stringer("from", from), logs.Err(err))
-			return
-		}
-		n.OnReport(r)
-	case b[kindAt] == kindCrash:
-		var s CrashReport
-		if _, err := binary.Decode(b[bodyAt:], binary.BigEndian, &s); err != nil {
-			n.Log.Warn("peers: A crash report could not be decoded.", zap.Stringer("from", from), logs.Err(err))
-			return
-		}
-		n.OnCrash(s)
-	case b[kindAt] == kindVerdicts:
-		list, err := decodeVerdicts(b[bodyAt:], time.Now())
-		if err != nil {
-			n.Log.Warn("peers: Verdicts could not be decoded.", zap.Stringer("from", from), logs.Err(err))
-			return
-		}
-		n.OnVerdicts(list)
-	case b[kindAt] == kindNotice:
-		n.hearNotice(b[bodyAt:], from)
-	case b[kindAt] == kindQuestion:
-		n.hearQuestion(b[bodyAt:], from)
-	case b[kindAt] == kindStarting && len(b) == bodyAt+tokenBytes:
-		to := Peer{Name: from.String(), Addr: from, Token: string(b[bodyAt:])}
-		n.sendVerdicts(n.ForStarting(), []Peer{to})
-		n.sendNotices(n.Notices(), to)
+	body := b[bodyAt:]
+	switch b[kindAt] {
+	case kindNote:
+		n.hearNote(b, from)
+	case kindReport:
+		n.hearReport(body, from)
+	case kindCrash:
+		n.hearCrash(body, from)
+	case kindVerdicts:
+		n.hearVerdicts(body, from)
+	case kindNotice:
+		n.hearNotice(body, from)
+	case kindQuestion:
+		n.hearQuestion(body, from)
+	case kindStarting:
+		n.hearStarting(body, from)
+	}
+}
+
+// hearNote decodes a Note from a whole datagram.
+func (n *Notes) hearNote(b []byte, from netip.AddrPort) {
+	if len(b) < prefixAt {
+		return
+	}
+	ms := binary.BigEndian.Uint32(b[bodyAt+8:])
+	note := Note{From: from.Addr(), Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: min(time.Duration(ms)*time.Millisecond, busyMost), Failed: b[flagsAt]&flagFailed != 0}
+	if len(b) >= noteBytes {
+		note.Prefix = binary.BigEndian.Uint64(b[prefixAt:])
+	}
+	n.OnNote(note)
+}
+
+// hearReport decodes a report on a trial.
+func (n *Notes) hearReport(b []byte, from netip.AddrPort) {
+	r, err := decodeReport(b)
+	if err != nil {
+		n.Log.Warn("peers: A report could not be decoded.", zap.Stringer("from", from), logs.Err(err))
+		return
+	}
+	n.OnReport(r)
+}
+
+// hearCrash decodes a CrashReport.
+func (n *Notes) hearCrash(b []byte, from netip.AddrPort) {
+	var s CrashReport
+	if _, err := binary.Decode(b, binary.BigEndian, &s); err != nil {
+		n.Log.Warn("peers: A crash report could not be decoded.", zap.Stringer("from", from), logs.Err(err))
+		return
+	}
+	n.OnCrash(s)
+}
+
+// hearVerdicts decodes verdicts.
+func (n *Notes) hearVerdicts(b []byte, from netip.AddrPort) {
+	list, err := decodeVerdicts(b, time.Now())
+	if err != nil {
+		n.Log.Warn("peers: Verdicts could not be decoded.", zap.Stringer("from", from), logs.Err(err))
+		return
+	}
+	n.OnVerdicts(list)
+}
+
+// hearStarting tells a router that has just started, whose token follows, what it should know.
+func (n *Notes) hearStarting(token []byte, from netip.AddrPort) {
+	if len(token) != tokenBytes {
+		return
 	}
+	to := Peer{Name: from.String(), Addr: from, Token: string(token)}
+	n.sendVerdicts(n.ForStarting(), []Peer{to})
+	n.sendNotices(n.Notices(), to)
 }
 
 // Audience says which routers hear a note: those of an availability zone first, and with
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -102,29 +102,18 @@
 	}
 	p, ok := b.byID[e.ID]
 	if !ok {
-		p = &Endpoint{Entry: e, leaving: e.Leaving, area: b.zone(e.Zone), warmup: b.warmup(e.Service), senders: b.senders}
-		p.heardAt = e.HeardAt
-		if s, ok := b.said[e.ID]; ok && (e.Born.IsZero() || s.born.Equal(e.Born)) {
-			p.said = s.said
-			p.leaving = p.leaving || p.said.leaving
-		}
-		b.byID[e.ID] = p
-		b.insert(p)
-		if n, ok := b.early[p.Life()]; ok {
-			p.Told(n, e.HeardAt)
-			delete(b.early, p.Life())
-		}
+		b.add(e)
 		return true
 	}
 	if e.Revision < p.Revision {
 		return false
 	}
 	changed := !p.lapsedUntil.IsZero() || e.Leaving && !p.leaving
-	switch {
-	case e.Born.IsZero():
+	if e.Born.IsZero() {
 		// A process of an earlier release hands entries on without it.
 		e.Born = p.Born
-	case !p.Born.IsZero() && !e.Born.Equal(p.Born):
+	}
+	if !p.Born.IsZero() && !e.Born.Equal(p.Born) {
 		// What an earlier life said of itself does not hold for this one.
 		changed, p.leaving, p.said = true, false, said{}
 	}
@@ -134,6 +123,22 @@
 	return changed
 }
 
+// add takes over the entry of an endpoint that is not listed yet, or not any more.
+func (b *Book) add(e Entry) {
+	p := &Endpoint{Entry: e, area: b.zone(e.Zone), warmup: b.warmup(e.Service), senders: b.senders}
+	p.heardAt = e.HeardAt
+	if s, ok := b.said[e.ID]; ok && (e.Born.IsZero() || s.born.Equal(e.Born)) {
+		p.said = s.said
+	}
+	p.leaving = e.Leaving || p.said.leaving
+	b.byID[e.ID] = p
+	b.insert(p)
+	if n, ok := b.early[p.Life()]; ok {
+		p.Told(n, e.HeardAt)
+		delete(b.early, p.Life())
+	}
+}
+
 func (b *Book) insert(p *Endpoint) {
 	p.hash = HashOf(p.ID)
 	b.byHash[p.hash] = p
--- a/pkg/pool/rest_test.go
+++ b/pkg/pool/rest_test.go
@@ -4,51 +4,73 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
 
-// An endpoint that asked for rest gets nothing until it is over; then one request alone, until an
-// answer shows that it takes requests again.
-func TestRestIsKept(t *testing.T) {
+// restful is an endpoint that may ask for rest.
+type restful struct {
+	b *Book
+	p *Endpoint
+}
+
+func newRestful() *restful {
 	b := NewBook()
 	b.Put(entry("e0", 1))
-	p := b.Get("e0")
-	w := Want{Service: "s"}
-	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
-	sent := func(now time.Time) bool {
-		got, _ := b.Pick(now, &w)
-		if got != nil {
-			got.Sends(now)
+	return &restful{b, b.Get("e0")}
+}
+
+// at returns a moment, in milliseconds.
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// sends sends what may be sent at some moments, and returns when it was, in milliseconds.
+func (r *restful) sends(times ...int) (sent []int) {
+	for _, ms := range times {
+		if got, _ := r.b.Pick(at(ms), &Want{Service: "s"}); got != nil {
+			got.Sends(at(ms))
+			sent = append(sent, ms)
 		}
-		return got != nil
-	}
-	if !p.Notes(Notice{RestUntil: at(3000)}, t0, t0).Rest {
-		t.Error("refused: got no rest")
-	}
-	if p.Notes(Notice{RestUntil: at(1010)}, t0, at(10)).Rest {
-		t.Error("refused again by an attempt from before: got another rest")
 	}
-	p.Notes(Notice{}, t0, at(20))
-	if sent(at(2999)) {
-		t.Error("before the end, shorter rests and older answers notwithstanding: got a request, want none")
+	return sent
+}
+
+// An endpoint that asked for rest gets nothing until it is over, shorter rests and older answers
+// notwithstanding; then one request alone, until an answer shows that it takes requests again.
+func TestRestIsKept(t *testing.T) {
+	r := newRestful()
+	for _, c := range []struct {
+		name                  string
+		sentAt, heardAt, rest int
+		begun                 bool
+		tried, sent           []int
+	}{
+		{"refused", 0, 0, 3000, true, []int{5}, nil},
+		{"refused, by an attempt from before", 0, 10, 1010, false, []int{1010}, nil},
+		{"answered, by an attempt from before", 0, 20, 0, false, []int{21, 2999, 3000, 3001}, []int{3000}},
+		{"refused once more", 3000, 3003, 6003, true, []int{3300, 6002, 6003, 6004}, []int{6003}},
+		{"answered", 6003, 6010, 0, false, []int{6011, 6012}, []int{6011, 6012}},
+	} {
+		n := Notice{}
+		if c.rest > 0 {
+			n.RestUntil = at(c.rest)
+		}
+		if got := r.p.Notes(n, at(c.sentAt), at(c.heardAt)).Rest; got != c.begun {
+			t.Errorf("%s: rest has begun: got %v, want %v", c.name, got, c.begun)
+		}
+		if got := r.sends(c.tried...); !slices.Equal(got, c.sent) {
+			t.Errorf("%s: sent at: got %v, want %v", c.name, got, c.sent)
+		}
 	}
-	if l := b.Lack(at(1000), &w); l.Resting != 1 || !l.At.Equal(at(3000)) {
+}
+
+// A request that finds all endpoints resting is told when the first is over.
+func TestLackOfRested(t *testing.T) {
+	r := newRestful()
+	r.p.Notes(Notice{RestUntil: at(3000)}, at(0), at(0))
+	if l := r.b.Lack(at(1000), &Want{Service: "s"}); l.Resting != 1 || !l.At.Equal(at(3000)) {
 		t.Errorf("lack: got %+v, want one that rests until %v", l, at(3000))
 	}
-	if !sent(at(3000)) || sent(at(3001)) {
-		t.Error("at the end: want one request alone")
-	}
-	if !p.Notes(Notice{RestUntil: at(6003)}, at(3000), at(3003)).Rest {
-		t.Error("refused once more: got no rest")
-	}
-	if sent(at(6002)) || !sent(at(6003)) || sent(at(6004)) {
-		t.Error("at the second end: want one request alone")
-	}
-	p.Notes(Notice{}, at(6003), at(6010))
-	if !sent(at(6011)) || !sent(at(6012)) {
-		t.Error("after an answer: want requests as usual")
-	}
 }
 
 // A request that is not answered does not keep others away for long.
