Test that entries hear of an engine's rest: it fails

The guard keeps runs from an engine that rests, but looks idle to the entries meanwhile, which go on choosing it and lose an attempt each time.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -132,14 +132,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tried = true
-	p.setLoad(reply.Load)
+	p.setLoad(reply.Load, ps.e.Now())
 	p.suspectAt = ps.e.settings.SuspectAfter.After(ps.e.Now())
 	return true
 }
 
 // setLoad takes over what the guard says; p.mu is held. A guard that leaves is
 // told at once when this entry has no run there.
-func (p *peer) setLoad(l wire.Load) {
+func (p *peer) setLoad(l wire.Load, now time.Time) {
 	news := l.Leaving && !p.load.Leaving
 	p.load = l
 	if news && p.sent == 0 {
@@ -200,7 +200,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == c {
-		p.setLoad(n.Load)
+		p.setLoad(n.Load, e.Now())
 	}
 }
 
--- a/internal/guard/rest_test.go
+++ b/internal/guard/rest_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/stream"
@@ -83,3 +84,28 @@
 		t.Errorf("runs that reached the engine: got %d, want 1", got)
 	}
 }
+
+// Entries hear that an engine rests, at once and with each heartbeat: one that refuses everything looks
+// idle, and would be drawn first.
+func TestEntriesHearOfRest(t *testing.T) {
+	b := startBench(t)
+	told := make(chan wire.Load, 4)
+	link.Inline(b.local.Mux, wire.MethodLoad, func(_ *link.Conn, n wire.LoadNotice) { told <- n.Load })
+	b.g.endpoint.Run = func(context.Context, wire.RunKey, *wire.Work, *stream.Buffer) (wire.Usage, *fault.Error) {
+		return wire.Usage{}, fault.New(fault.Overloaded, fault.NotRun, "The engine takes no more work.").At(time.Now().Add(time.Minute))
+	}
+	c := b.dial(t)
+	b.run(t, c, "run", 1)
+	select {
+	case l := <-told:
+		if l.RestMs <= 0 || l.RestMs > time.Minute.Milliseconds() {
+			t.Errorf("told at once: got %d ms of rest, want up to a minute", l.RestMs)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("told at once: got nothing")
+	}
+	var reply wire.BeatReply
+	if err := c.Call(t.Context(), wire.MethodBeat, wire.Beat{}, &reply); err != nil || reply.Load.RestMs <= 0 {
+		t.Errorf("with a heartbeat: got %d ms of rest, %v, want some", reply.Load.RestMs, err)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -125,6 +125,8 @@
 	Versions []string `json:"versions,omitempty"`
 	// Down says that the endpoint itself does not answer.
 	Down bool `json:"down,omitempty"`
+	// RestMs is how much longer the endpoint wants no run, in milliseconds; 0 for not at all.
+	RestMs int64 `json:"restMs,omitempty"`
 	// Crashes are the runs of the last seconds that were under way when the endpoint
 	// crashed, in the order of their numbers.
 	Crashes []Crash `json:"crashes,omitempty"`
