Tell entries that an engine rests

Cause: a guard whose engine rests refuses at once and looks idle, so that entries drew it first, and each run lost an attempt there. It tells them how long the rest lasts, at once and with heartbeats; each counts that from when it hears it, so that clocks are not compared.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -23,6 +23,8 @@
 	conn *link.Conn
 	// load is what the guard last said.
 	load wire.Load
+	// restsUntil is until when the endpoint wants no run.
+	restsUntil time.Time
 	// suspectAt is when the endpoint counts as silent; it moves with every
 	// answered heartbeat.
 	suspectAt time.Time
@@ -142,6 +144,7 @@
 func (p *peer) setLoad(l wire.Load, now time.Time) {
 	news := l.Leaving && !p.load.Leaving
 	p.load = l
+	p.restsUntil = now.Add(time.Duration(l.RestMs) * time.Millisecond)
 	if news && p.sent == 0 {
 		p.pokeNow()
 	}
@@ -206,5 +209,5 @@
 
 // usable reports whether p may get new work; p.mu is held.
 func (p *peer) usable(now time.Time) bool {
-	return p.conn != nil && !p.load.Leaving && !p.load.Down && now.Before(p.suspectAt)
+	return p.conn != nil && !p.load.Leaving && !p.load.Down && !now.Before(p.restsUntil) && now.Before(p.suspectAt)
 }
--- a/internal/guard/drain.go
+++ b/internal/guard/drain.go
@@ -27,9 +27,14 @@
 		}
 	}
 	g.Log.Info("guard: Leaving.", zap.Int("running", g.queue.Running()))
+	g.tellLoad()
+}
+
+// tellLoad tells all entries the load without waiting for them; g.mu is held.
+func (g *Guard) tellLoad() {
 	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.load()}
 	for _, l := range g.entryLinks() {
-		g.Tasks.Go(g.kill, "leaving notice", func(ctx context.Context) error {
+		g.Tasks.Go(g.kill, "load notice", func(ctx context.Context) error {
 			return l.conn.Notify(ctx, wire.MethodLoad, notice)
 		})
 	}
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -35,6 +35,7 @@
 
 // load returns what the guard says of its endpoint; g.mu is held.
 func (g *Guard) load() wire.Load {
+	now := g.Now()
 	return wire.Load{
 		Pool:     g.settings.Pool,
 		Slots:    g.settings.Slots,
@@ -43,7 +44,8 @@
 		Leaving:  g.leaving,
 		Down:     g.down,
 		Versions: g.versions,
-		Crashes:  g.recentCrashes(g.Now()),
+		RestMs:   max(g.restsUntil.Sub(now).Milliseconds(), 0),
+		Crashes:  g.recentCrashes(now),
 	}
 }
 
--- a/internal/guard/rest.go
+++ b/internal/guard/rest.go
@@ -11,12 +11,14 @@
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
-// rests notes how a run ended: an engine that refused it may have asked for rest. g.mu is held.
+// rests notes how a run ended: an engine that refused it may have asked for rest. Entries are told, as a
+// guard that refuses everything looks idle. g.mu is held.
 func (g *Guard) rests(r *record, err *fault.Error) {
 	if err == nil || err.Kind != fault.Overloaded || !err.RetryAt.After(g.restsUntil) {
 		return
 	}
 	g.restsUntil = err.RetryAt
+	g.tellLoad()
 	g.Log.Info("guard: The engine asks for rest.", zap.String("run", runID(r.key)), zap.Time("until", g.restsUntil))
 }
 
