--- /dev/null
+++ b/internal/relay/borrow_test.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/pool"
+)
+
+// limited returns a core that has nothing left of its share of its endpoint's limit, and counts what
+// it sends. ask is called for its questions to the router that has the rest.
+func limited(sent *int, ask func(e *Engine, w NoticeWord)) *Engine {
+	e := engine(Route{Kind: Safe, MaxAttempts: 1}, func(context.Context, *Attempt) (*Reply, error) {
+		*sent++
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Length: 2, Ours: true, Whole: true}, nil
+	})
+	e.book.SetSenders(pool.Senders{Self: 1, All: []uint64{1, 2}})
+	p := e.book.Get("e")
+	p.Sends(time.Now())
+	p.Notes(pool.Notice{Limit: pool.Limited, PerSecond: 0.01}, time.Now(), time.Now())
+	e.Notifier.Ask = func(w NoticeWord, _ int, _ uint64) { go ask(e, w) }
+	return e
+}
+
+// A request that limits leave nothing for is sent if another router grants that, and refused soon if
+// none does, with the time to come back.
+func TestRequestIsSentByGrant(t *testing.T) {
+	by := netip.MustParseAddr("127.0.0.1")
+	answer := func(w NoticeWord, granted bool) NoticeWord {
+		w.Answers, w.Granted, w.Wait = true, granted, time.Minute
+		return w
+	}
+	for _, c := range []struct {
+		name         string
+		ask          func(e *Engine, w NoticeWord)
+		status, sent int
+	}{
+		{"granted", func(e *Engine, w NoticeWord) { e.HeardNotice(by, answer(w, true)) }, 200, 1},
+		{"granted for another life", func(e *Engine, w NoticeWord) { w.Life++; e.HeardNotice(by, answer(w, true)) }, 503, 0},
+		{"not granted", func(e *Engine, w NoticeWord) { e.HeardNotice(by, answer(w, false)) }, 503, 0},
+		{"the limit has ended", func(e *Engine, w NoticeWord) { w.Limit = pool.Unlimited; e.HeardNotice(by, answer(w, false)) }, 200, 1},
+		{"no answer", func(*Engine, NoticeWord) {}, 503, 0},
+	} {
+		sent := 0
+		e := limited(&sent, c.ask)
+		w := httptest.NewRecorder()
+		e.Serve(t.Context(), w, &Request{ID: "x", Method: "GET", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: time.Now()})
+		if w.Code != c.status || sent != c.sent {
+			t.Errorf("%s: got status %d after %d attempts, want %d and %d", c.name, w.Code, sent, c.status, c.sent)
+		}
+		if w.Code == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s: refused without the time to come back", c.name)
+		}
+	}
+}
+
+// A router gives what is left of its share once, and nothing of a limit that has ended.
+func TestShareIsGrantedOnce(t *testing.T) {
+	e := engine(Route{Kind: Safe}, nil)
+	e.book.SetSenders(pool.Senders{Self: 1, All: []uint64{1, 2}})
+	p := e.book.Get("e")
+	q := NoticeWord{Endpoint: p.Hash(), Life: p.Life(), Notice: pool.Notice{Limit: pool.Limited, PerSecond: 0.5}}
+	if w, ok := e.AnswerLimit(q); !ok || !w.Granted || w.Limit != pool.Limited {
+		t.Errorf("first question, of a limit that it did not know: got %+v, %v, want a grant", w, ok)
+	}
+	if w, ok := e.AnswerLimit(q); !ok || w.Granted || w.Wait <= 0 {
+		t.Errorf("second question: got %+v, %v, want none and when", w, ok)
+	}
+	now := time.Now()
+	p.Notes(pool.Notice{Limit: pool.Unlimited}, now.Add(time.Millisecond), now)
+	if w, ok := e.AnswerLimit(q); !ok || w.Limit != pool.Unlimited || w.Granted {
+		t.Errorf("once it has ended: got %+v, %v, want that it has", w, ok)
+	}
+	q.Life++
+	if w, ok := e.AnswerLimit(q); ok {
+		t.Errorf("of another life: got %+v, want no answer", w)
+	}
+}
