--- a/internal/peers/crash_test.go
+++ b/internal/peers/crash_test.go
@@ -58,15 +58,9 @@
 	}
 }
 
-// A router that has just started asks some others, and is told by them alone; who does not show its
-// token is told nothing.
-func TestStartingRouterIsTold(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 2)
-	want := poison.Verdict{Fingerprint: poison.Fingerprint{7}, Crashes: []poison.Crash{{Endpoint: 9}}}
-	heard := make(chan poison.Verdict, 1)
-	var list [2]*Notes
-	var all [2]Peer
+// twoNotes returns the notes of two routers that do not know each other, and what they would be
+// registered as.
+func twoNotes(t *testing.T) (list [2]*Notes, all [2]Peer) {
 	for i := range list {
 		all[i] = Peer{Name: fmt.Sprint(i), Token: fmt.Sprintf("%016d-and-more", i)}
 		n, err := NewNotes(zap.NewNop(), NewFleet(all[i].Name), netip.MustParseAddrPort("127.0.0.1:0"), secretOf(all[i].Token), func(Note) {})
@@ -76,13 +70,37 @@
 		all[i].Addr = n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 		list[i] = n
 	}
+	return list, all
+}
+
+// runNotes has them hear until end is called.
+func runNotes(t *testing.T, list [2]*Notes) (end func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, len(list))
+	for _, n := range list {
+		go func() { ended <- n.Run(ctx) }()
+	}
+	return func() {
+		cancel()
+		for range list {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+// A router that has just started asks some others, and is told by them alone; who does not show its
+// token is told nothing.
+func TestStartingRouterIsTold(t *testing.T) {
+	want := poison.Verdict{Fingerprint: poison.Fingerprint{7}, Crashes: []poison.Crash{{Endpoint: 9}}}
+	heard := make(chan poison.Verdict, 1)
+	list, all := twoNotes(t)
 	starting, other := list[0], list[1]
 	other.ForStarting = func() []poison.Verdict { return []poison.Verdict{want} }
 	starting.OnVerdicts = func(list []poison.Verdict) { heard <- list[0] }
 	starting.fleet.Put(all[1])
-	for _, n := range list {
-		go func() { ended <- n.Run(ctx) }()
-	}
+	end := runNotes(t, list)
 	starting.AskStarting(strings.Repeat("?", tokenBytes))
 	starting.AskStarting(all[0].Token)
 	select {
@@ -93,12 +111,7 @@
 	case <-time.After(patience):
 		t.Error("nothing was told")
 	}
-	cancel()
-	for range list {
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}
+	end()
 	if len(heard) > 0 {
 		t.Error("told more than once: the answer under a wrong token was taken")
 	}
--- a/internal/peers/notices_test.go
+++ b/internal/peers/notices_test.go
@@ -4,17 +4,13 @@
 package peers
 
 import (
-	"context"
 	"encoding/binary"
 	"fmt"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
-
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
@@ -71,20 +67,8 @@
 // A question is answered under the asker's token, word of a limit comes through, and a question
 // without an answer gets none.
 func TestLimitQuestionIsAnswered(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 2)
-	var list [2]*Notes
-	var all [2]Peer
+	list, all := twoNotes(t)
 	heard := make(chan Notice, 4)
-	for i := range list {
-		all[i] = Peer{Name: fmt.Sprint(i), Token: fmt.Sprintf("%016d-and-more", i)}
-		n, err := NewNotes(zap.NewNop(), NewFleet(all[i].Name), netip.MustParseAddrPort("127.0.0.1:0"), secretOf(all[i].Token), func(Note) {})
-		if err != nil {
-			t.Fatal(err)
-		}
-		all[i].Addr = n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
-		list[i] = n
-	}
 	asker, holder := list[0], list[1]
 	asker.OnNotice = func(_ netip.Addr, l Notice) { heard <- l }
 	want := Notice{Endpoint: 7, Life: 8, Limit: uint8(pool.Limited), PerSecond: 2.5, Answers: true, Granted: true, WaitMs: 400}
@@ -96,8 +80,8 @@
 	for _, n := range list {
 		n.fleet.Put(all[0])
 		n.fleet.Put(all[1])
-		go func() { ended <- n.Run(ctx) }()
 	}
+	end := runNotes(t, list)
 	asker.AskLimit(LimitQuestion{Endpoint: 7, Life: 9, PerSecond: 2.5}, 2, 0)
 	asker.AskLimit(LimitQuestion{Endpoint: 7, Life: 8, PerSecond: 2.5}, 2, 1)
 	if got := <-heard; got != want {
@@ -113,12 +97,7 @@
 	if got := <-heard; got != told {
 		t.Errorf("told a router that starts: got %+v, want %+v", got, told)
 	}
-	cancel()
-	for range list {
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}
+	end()
 }
 
 // A router whose registration is removed keeps its part of what routers share until it can send no
