Use the room of a limit from the moment it is named, and find the end of a limit of 0 in 4 s

Cause: each router counted its share from its last request, which was moments before the limit was named everywhere. The first request of each goes in its turn now, so that shares follow one another evenly; the most in any 4 s stays as it was. pool.TestSharesFollowOneAnother: 7 requests in the first 4 s under 2 a second, 400 ms apart or more.

--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -23,6 +23,8 @@
 	// named says that there is one, of perSecond requests a second.
 	named     bool
 	perSecond float64
+	// namedAt is when it was first named, after a time without.
+	namedAt time.Time
 	// saidAt is when the last word that named it came, from the endpoint or from another
 	// process.
 	saidAt time.Time
@@ -49,9 +51,9 @@
 	// whose lists differ.
 	holdersLeast      = 3
 	holdersPerRequest = 0.5
-	// limitLeast is the least limit that is kept to, in requests a second: one request in 10 s
+	// limitLeast is the least limit that is kept to, in requests a second: one request in 4 s
 	// finds out whether an endpoint that takes none takes some again.
-	limitLeast = 0.1
+	limitLeast = 0.25
 	// doubtAfter is how long without a word of a limit a process that has no share in it waits at
 	// least, before it sends one request to find out whether it still holds; doubtShare is the part
 	// of the limit that all such requests together take.
@@ -64,6 +66,9 @@
 	switch n.Limit {
 	case Limited:
 		changed = !l.named || l.perSecond != n.PerSecond
+		if !l.named {
+			l.namedAt = now
+		}
 		l.named, l.perSecond, l.saidAt = true, n.PerSecond, now
 	case Unlimited:
 		if changed = l.named; changed {
@@ -154,10 +159,15 @@
 		return time.Time{}
 	}
 	perSecond := max(l.perSecond, limitLeast)
-	if holders, self := p.Holders(); self {
+	rank, n := p.rank()
+	holders, self := p.Holders()
+	switch {
+	case self && l.sentAt.Before(l.namedAt):
+		// The first request in turn, so that the shares of all follow one another evenly.
+		return later(l.namedAt.Add(apart(rank+1, perSecond)), p.senders.From)
+	case self:
 		return later(l.sentAt.Add(apart(holders, perSecond)), p.senders.From)
 	}
-	rank, n := p.rank()
 	// Without a share: each in its turn, as what they know of the limit may be of one time.
 	turn := l.saidAt.Add(doubtAfter + apart(rank+1, doubtShare*perSecond))
 	return later(turn, l.sentAt.Add(apart(n, doubtShare*perSecond)))
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -241,3 +241,19 @@
 		t.Error("its own share once it is due: got none, want a request")
 	}
 }
+
+// The shares of all follow one another evenly from the moment at which a limit is named, however lately
+// each process sent before: the room of the first seconds is used, and no two send together.
+func TestSharesFollowOneAnother(t *testing.T) {
+	const perSecond, processes = 2.0, 4
+	f := limitedFleetOf(processes, perSecond, func(int, int) bool { return false })
+	f.send(t0, t0.Add(4*time.Second))
+	if got := len(f.sent); got != 7 {
+		t.Errorf("requests in 4 s: got %d, want 7", got)
+	}
+	for i := 1; i < len(f.sent); i++ {
+		if gap := f.sent[i].Sub(f.sent[i-1]); gap < 400*time.Millisecond {
+			t.Errorf("requests %d and %d: got %v between them, want about 500ms", i, i+1, gap)
+		}
+	}
+}
