A word of no rest does not make an endpoint unusable for a moment

Cause: each word of the load set the end of a rest, also of none, to the moment at which it came; a request that had read the clock just before found the endpoint resting. TestRestingPeerIsNotUsable has the case, and failed.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -144,7 +144,11 @@
 func (p *peer) setLoad(l wire.Load, now time.Time) {
 	news := l.Leaving && !p.load.Leaving
 	p.load = l
-	p.restsUntil = now.Add(time.Duration(l.RestMs) * time.Millisecond)
+	// Without a rest it is zero: a request that looks now may have read the clock before.
+	p.restsUntil = time.Time{}
+	if l.RestMs > 0 {
+		p.restsUntil = now.Add(time.Duration(l.RestMs) * time.Millisecond)
+	}
 	if news && p.sent == 0 {
 		p.pokeNow()
 	}
--- a/internal/entry/rest_test.go
+++ b/internal/entry/rest_test.go
@@ -22,4 +22,8 @@
 	if !p.usable(now.Add(1500 * time.Millisecond)) {
 		t.Error("after its rest: got not usable, want usable")
 	}
+	p.setLoad(wire.Load{}, now)
+	if !p.usable(now.Add(-time.Millisecond)) {
+		t.Error("without a rest, by a clock read just before: got not usable, want usable")
+	}
 }
