--- a/internal/peers/notes.go
+++ b/internal/peers/notes.go
@@ -167,12 +167,18 @@
 
 // hearCrash decodes a CrashReport.
 func (n *Notes) hearCrash(b []byte, from netip.AddrPort) {
-	var s CrashReport
-	if _, err := binary.Decode(b, binary.BigEndian, &s); err != nil {
-		n.Log.Warn("peers: A crash report could not be decoded.", zap.Stringer("from", from), logs.Err(err))
-		return
+	if s, ok := decodeFixed[CrashReport](n, b, from, "peers: A crash report could not be decoded."); ok {
+		n.OnCrash(s)
+	}
+}
+
+// decodeFixed decodes a body of fixed length; one that is too short is logged as the message says.
+func decodeFixed[T any](n *Notes, b []byte, from netip.AddrPort, message string) (v T, ok bool) {
+	if _, err := binary.Decode(b, binary.BigEndian, &v); err != nil {
+		n.Log.Warn(message, zap.Stringer("from", from), logs.Err(err))
+		return v, false
 	}
-	n.OnCrash(s)
+	return v, true
 }
 
 // hearVerdicts decodes verdicts.
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -88,19 +88,15 @@
 
 // hearNotice decodes a Notice.
 func (n *Notes) hearNotice(b []byte, from netip.AddrPort) {
-	var l Notice
-	if _, err := binary.Decode(b, binary.BigEndian, &l); err != nil {
-		n.Log.Warn("peers: What an endpoint said could not be decoded.", logs.Err(err))
-		return
+	if l, ok := decodeFixed[Notice](n, b, from, "peers: What an endpoint said could not be decoded."); ok {
+		n.OnNotice(from.Addr(), l)
 	}
-	n.OnNotice(from.Addr(), l)
 }
 
 // hearQuestion decodes a LimitQuestion and answers it.
 func (n *Notes) hearQuestion(b []byte, from netip.AddrPort) {
-	var q LimitQuestion
-	if _, err := binary.Decode(b, binary.BigEndian, &q); err != nil {
-		n.Log.Warn("peers: A question about a limit could not be decoded.", logs.Err(err))
+	q, ok := decodeFixed[LimitQuestion](n, b, from, "peers: A question about a limit could not be decoded.")
+	if !ok {
 		return
 	}
 	l, ok := n.OnQuestion(q)
