--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -231,7 +231,7 @@
 			n.fleet.Put(p)
 		}
 	}
-	want := AttemptReport{From: netip.MustParseAddr("127.0.0.1"), Endpoint: 77, Busy: 1500 * time.Millisecond, Failed: true, Prefix: 99}
+	want := AttemptReport{From: netip.MustParseAddr("127.0.0.1"), Endpoint: 77, Busy: 1500 * time.Millisecond, Failed: true, Silent: true, Prefix: 99}
 	list[0].SendAttemptReport(want, allZones)
 	for range 2 {
 		select {
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -30,6 +30,8 @@
 	Busy time.Duration
 	// Failed is set if the attempt got no complete answer.
 	Failed bool
+	// Silent is set if streams of the sender at the endpoint have stopped.
+	Silent bool
 	// Prefix identifies the prompt prefix that the endpoint holds once it has read the request; 0
 	// for none.
 	Prefix uint64
@@ -98,8 +100,9 @@
 	flagsAt            = bodyAt + 8 + 4
 	prefixAt           = flagsAt + 1
 	attemptReportBytes = prefixAt + 8
-	// flagFailed is the flag for Failed.
+	// flagFailed is the flag for Failed, flagSilent that for Silent.
 	flagFailed = 1
+	flagSilent = 2
 	// maxBusy limits Busy in the reports received.
 	maxBusy = 30 * time.Second
 )
@@ -171,7 +174,7 @@
 		return
 	}
 	ms := binary.BigEndian.Uint32(b[bodyAt+8:])
-	r := AttemptReport{From: from.Addr(), Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: min(time.Duration(ms)*time.Millisecond, maxBusy), Failed: b[flagsAt]&flagFailed != 0}
+	r := AttemptReport{From: from.Addr(), Endpoint: binary.BigEndian.Uint64(b[bodyAt:]), Busy: min(time.Duration(ms)*time.Millisecond, maxBusy), Failed: b[flagsAt]&flagFailed != 0, Silent: b[flagsAt]&flagSilent != 0}
 	if len(b) >= attemptReportBytes {
 		r.Prefix = binary.BigEndian.Uint64(b[prefixAt:])
 	}
@@ -246,7 +249,10 @@
 	binary.BigEndian.PutUint64(buf[bodyAt:], r.Endpoint)
 	binary.BigEndian.PutUint32(buf[bodyAt+8:], uint32(r.Busy.Milliseconds()))
 	if r.Failed {
-		buf[flagsAt] = flagFailed
+		buf[flagsAt] |= flagFailed
+	}
+	if r.Silent {
+		buf[flagsAt] |= flagSilent
 	}
 	binary.BigEndian.PutUint64(buf[prefixAt:], r.Prefix)
 	t.Traffic.AttemptReports.Add(t.sendToRecipients(buf[:], to))
--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -80,7 +80,7 @@
 	left := x.deadline.Sub(now).Seconds() - x.e.streamTimes[x.route.Name].expect(0)
 	inAim := false
 	for ; size > x.size; size-- {
-		head, _ := x.estimateHead(size, now)
+		head := x.estimateHead(size, now).time
 		inAim = inAim || head <= aim
 		pays := float64(confidence) < float64(policy.Threshold(x.size, size))*inTimeProb(head, aim)
 		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left {
@@ -102,17 +102,31 @@
 	return 1 - head/(2*aim)
 }
 
-// estimateHead returns the expected time to the head of a model's answer, in seconds: the wait at
-// the endpoint that would be picked and the reading time. delay is what other requests lose there
-// by the delay, as a fraction of what a request earns. The caller must hold the engine's mu.
-func (x *run) estimateHead(size int, now time.Time) (head, delay float64) {
+// headEstimate is what is expected of an answer of a larger model.
+type headEstimate struct {
+	// time is the expected time to the head, in seconds.
+	time float64
+	// cost is what other requests lose by the answer, as a fraction of what the request earns.
+	cost float64
+	// unfinishedProb is the probability that the answer does not end before the deadline.
+	unfinishedProb float64
+}
+
+// estimateHead returns what is expected of an answer of a model at the endpoint that would be picked. The
+// time to the head is the wait there and the reading time. The caller must hold the engine's mu.
+func (x *run) estimateHead(size int, now time.Time) headEstimate {
 	presentSize := x.size
 	x.size = size
 	defer func() { x.size = presentSize }()
 	p, why := x.pick(now)
 	if p == nil {
-		return math.Inf(1), 0
+		return headEstimate{time: math.Inf(1)}
 	}
 	wait, read := x.lastWant.Wait(p, now), x.readTime(x.unreadTokens(why))
-	return wait + read, x.lastWant.OthersLoss(read, wait)
+	stream := x.e.streamTimes[x.route.Name].expect(0)
+	return headEstimate{
+		time:           wait + read,
+		cost:           x.lastWant.OthersLoss(read, wait) + x.priceCost(read, stream, now),
+		unfinishedProb: x.unfinishedProb(size, p, wait+read, now),
+	}
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -41,6 +41,9 @@
 		a.Rank += x.workspace.Rank * routeRanks
 	}
 	e.trackSent(a)
+	if x.overShare(now) {
+		a.Rank += overShareRanks
+	}
 	a.Rank = x.endpointRank(a)
 	return a, t, nil
 }
@@ -104,6 +107,9 @@
 	// least urgent rank that endpoints know.
 	routeRanks = 3
 	maxRank    = 9
+	// overShareRanks is added to the rank of a request beyond the share of its workspace: as much as the
+	// ranks of routes differ.
+	overShareRanks = routeRanks
 )
 
 // pick returns an endpoint for the next attempt, and the reason; nil if there is none. It prefers
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -128,6 +128,8 @@
 	streamPaces map[string]*usualPace
 	// confidences holds statistics of the models' confidences.
 	confidences sizes.ConfidenceStats
+	// paceReported holds the services of which an endpoint has reported its pace.
+	paceReported map[string]bool
 	// rollouts holds the trials, by service.
 	rollouts map[string]*rollout
 }
@@ -165,6 +167,7 @@
 		aheadRatios:        make(map[string]*aheadRatio),
 		streamTimes:        make(map[string]*timeMean),
 		streamPaces:        make(map[string]*usualPace),
+		paceReported:       make(map[string]bool),
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
 	}
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -37,6 +37,9 @@
 	// Cascade holds the confidence thresholds that CascadeFixed uses to choose among models of
 	// several sizes, and CascadeWorth until it knows what larger models cost and gain.
 	Cascade sizes.Policy
+	// Contention says that the operator's rules name contention for endpoints, so that the mechanisms
+	// for it are in use for all services.
+	Contention bool
 	// Mechanisms selects the ways in which the router decides.
 	Mechanisms Mechanisms
 }
--- a/internal/relay/mechanisms.go
+++ b/internal/relay/mechanisms.go
@@ -48,10 +48,36 @@
 	LoadReports Mechanism = "notes"
 	// FailureReports sends other routers reports on failed attempts.
 	FailureReports Mechanism = "toldFailures"
+	// EnginePrice charges larger models for the engine time that others wait for.
+	EnginePrice Mechanism = "enginePrice"
+	// WorkspaceShares serves what a workspace asks for beyond its share after all others.
+	WorkspaceShares Mechanism = "workspaceShares"
+	// Admission lets requests wait for room, in order, and rejects those that cannot be served in time.
+	Admission Mechanism = "admission"
+	// EndEstimates weighs the probability that an answer ends before its deadline.
+	EndEstimates Mechanism = "endEstimates"
+	// JointSilence finds silent endpoints by all their streams together.
+	JointSilence Mechanism = "jointSilence"
 )
 
 // AllMechanisms holds every Mechanism.
-var AllMechanisms = []Mechanism{LargerModels, PrefixHolders, HomeEndpoints, DelayToOthers, ShortFirst, SilenceTimeouts, LoadReports, FailureReports}
+var AllMechanisms = []Mechanism{LargerModels, PrefixHolders, HomeEndpoints, DelayToOthers, ShortFirst, SilenceTimeouts, LoadReports, FailureReports, EnginePrice, WorkspaceShares, Admission, EndEstimates, JointSilence}
+
+// contentionMechanisms holds the mechanisms that are in use only for services with contention.
+var contentionMechanisms = []Mechanism{EnginePrice, WorkspaceShares, Admission, EndEstimates, JointSilence}
+
+// enabled reports whether a mechanism of contentionMechanisms is in use for a service. The caller must
+// hold the engine's mu.
+func (e *Engine) enabled(m Mechanism, service string) bool {
+	return e.contended(service) && !e.disabled(m)
+}
+
+// contended reports whether callers compete for the endpoints of a service, or its endpoints vary in
+// speed: the operator's rules name contention, or endpoints report their pace, as they do where they
+// share their VMs with other work. The caller must hold the engine's mu.
+func (e *Engine) contended(service string) bool {
+	return e.limits.Load().Contention || e.paceReported[service]
+}
 
 // disabled reports whether a mechanism is switched off.
 func (e *Engine) disabled(m Mechanism) bool {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -29,6 +29,10 @@
 	if reply.LoadReported {
 		p.Load.RecordReport(now, reply.Running, reply.Waiting)
 		p.Pace.RecordReport(now, reply.Pace)
+		if reply.Pace > 0 && !e.paceReported[p.Service] {
+			e.paceReported[p.Service] = true
+			e.Log.Info("relay: Endpoints of a service report their pace.", zap.String("service", p.Service), zap.String("endpoint", p.ID), zap.Float64("pace", reply.Pace))
+		}
 	}
 	if a.Endpoint.StartedAt.Equal(p.StartedAt) {
 		e.recordNotice(p, a.Request.ID, reply.Notice, t.At, now)
@@ -58,6 +62,7 @@
 	if a.atHome && a.fullReadTime > minReadRatio*a.unsharedRead {
 		e.homeHits.add(head.Seconds()-a.wait < math.Sqrt(a.fullReadTime*a.unsharedRead))
 	}
+	e.observeWait(a, route, head.Seconds()-a.readTime, e.Now())
 	if a.urgent {
 		getOrCreate(e.aheadRatios, key).add(head.Seconds()-a.readTime, a.backlog)
 	}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -19,6 +19,8 @@
 	Busy time.Duration
 	// Failed says that an attempt of the sender got no complete answer.
 	Failed bool
+	// Silent says that streams of the sender at the endpoint have stopped.
+	Silent bool
 	// Prefix identifies the prefix that the endpoint has cached once it has read the prompt; 0 for none.
 	Prefix uint64
 	// Zone is the availability zone whose routers get the report first. OtherZones says that some of
@@ -46,6 +48,9 @@
 	if r.Prefix != 0 {
 		e.book.RecordHolder(r.Prefix, r.Endpoint, now)
 	}
+	if r.Silent {
+		e.receiveSilence(by, r.Endpoint)
+	}
 	if r.Failed {
 		e.enqueueProbe(r.Endpoint)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -37,6 +37,8 @@
 	// TokensIn is the number of tokens of the prompt, TokensOut the maximum number of tokens of the
 	// answer; 0 if unknown.
 	TokensIn, TokensOut int
+	// LengthHint is the caller's estimate of the number of tokens of the answer; 0 if it sent none.
+	LengthHint int
 	// AnyModel says that the caller leaves the choice of the model to the router.
 	AnyModel bool
 	// LastEvent is the ID of the last event that the caller has of a stream; empty if it has none.
--- a/internal/relay/worth.go
+++ b/internal/relay/worth.go
@@ -64,10 +64,10 @@
 func (x *run) bestSize(now time.Time) int {
 	aim := x.route.Aim.After(x.r.Arrived).Sub(now).Seconds()
 	left := x.deadline.Sub(now).Seconds() - x.e.streamTimes[x.route.Name].expect(0)
-	list := []sizes.Model{{GoodProb: x.goodProb(x.size), InTimeProb: inTimeProb(0, aim)}}
+	list := []sizes.Model{{GoodProb: x.goodProb(x.size), InTimeProb: inTimeProb(0, aim), UnfinishedProb: x.presentUnfinishedProb(now)}}
 	for size := x.size + 1; size < len(x.route.Sizes); size++ {
-		head, delay := x.estimateHead(size, now)
-		list = append(list, sizes.Model{GoodProb: x.goodProb(size), InTimeProb: inTimeProb(head, aim), TooLate: head > left, Cost: x.relativeCost(size) + delay})
+		h := x.estimateHead(size, now)
+		list = append(list, sizes.Model{GoodProb: x.goodProb(size), InTimeProb: inTimeProb(h.time, aim), UnfinishedProb: h.unfinishedProb, TooLate: h.time > left, Cost: x.relativeCost(size) + h.cost})
 	}
 	next, keep, asks := sizes.Choose(list)
 	t := &x.records[len(x.records)-1]
--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -63,6 +63,7 @@
 		return
 	}
 	s.setDefaults()
-	r.Engine.SetLimits(s.limits())
-	r.Log.Info("router: The settings were read again.", zap.String("why", why), zap.Any("limits", s.limits()))
+	limits := s.limits(r.wire.ContentionRule)
+	r.Engine.SetLimits(limits)
+	r.Log.Info("router: The settings were read again.", zap.String("why", why), zap.Any("limits", limits))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,7 +75,7 @@
 	assert.SetLogger(log)
 	r := &Router{Log: log, file: file, settings: s, wire: w, lines: lines, configured: make(chan struct{})}
 	r.admin = admin.NewMetrics()
-	r.Engine = relay.New(log, r.admin.Scope, s.limits())
+	r.Engine = relay.New(log, r.admin.Scope, s.limits(w.ContentionRule))
 	r.Engine.Send, r.Engine.WriteTrial, r.Engine.CheckEnded = w.Send, w.WriteTrial, w.Gone
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	transport, err := peers.NewTransport(log, r.fleet, s.Peers, &r.secret, func(report peers.AttemptReport) {
-		r.Engine.ReceiveEndpointReport(report.From, relay.EndpointReport{Endpoint: report.Endpoint, Busy: report.Busy, Failed: report.Failed, Prefix: report.Prefix})
+		r.Engine.ReceiveEndpointReport(report.From, relay.EndpointReport{Endpoint: report.Endpoint, Busy: report.Busy, Failed: report.Failed, Silent: report.Silent, Prefix: report.Prefix})
 	})
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 	r.duties = newDuties(r, rand.Uint64())
 	transport.OnTrialReport, r.Engine.SendTrialReport = r.Engine.ReceiveTrialReport, transport.SendTrialReport
 	r.Engine.SendEndpointReport = func(report relay.EndpointReport) {
-		transport.SendAttemptReport(peers.AttemptReport{Endpoint: report.Endpoint, Busy: report.Busy, Failed: report.Failed, Prefix: report.Prefix}, peers.Recipients{Zone: report.Zone, OtherZones: report.OtherZones})
+		transport.SendAttemptReport(peers.AttemptReport{Endpoint: report.Endpoint, Busy: report.Busy, Failed: report.Failed, Silent: report.Silent, Prefix: report.Prefix}, peers.Recipients{Zone: report.Zone, OtherZones: report.OtherZones})
 	}
 	return r, nil
 }
@@ -194,7 +194,7 @@
 	ctx, end := context.WithCancel(stages.Kill)
 	defer end()
 	r.Log.Info("router: Started.", zap.String("vm", r.settings.VM), zap.String("availabilityZone", r.settings.AvailabilityZone),
-		zap.Stringer("listen", r.settings.Listen), zap.Stringer("store", r.settings.Store), zap.Any("limits", r.settings.limits()))
+		zap.Stringer("listen", r.settings.Listen), zap.Stringer("store", r.settings.Store), zap.Any("limits", r.settings.limits(r.wire.ContentionRule)))
 	r.follow(ctx)
 	r.tasks.Go(ctx, "notes", r.transport.Run)
 	r.tasks.Go(ctx, "tend", r.Engine.RunMaintenance)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -40,7 +40,8 @@
 	Straight         int               `yaml:"straight,omitempty" doc:"Confidence under which an answer gives way to the largest model, with fixed bounds; 40 if left out."`
 	Step             int               `yaml:"step,omitempty" doc:"Confidence under which an answer gives way to the next larger model, with fixed bounds; 60 if left out."`
 	Cascade          relay.Cascade     `yaml:"cascade,omitempty" doc:"How it is decided whether a larger model is asked: worth (by what answers are expected to earn and cost, where the costs are known) or fixed (by straight and step); worth if left out."`
-	Without          []relay.Mechanism `yaml:"without,omitempty" doc:"Mechanisms that are switched off, to see what they are worth: largerModels, holders, belonging, othersDelay, shortFirst, silenceBounds, notes, toldFailures."`
+	Without          []relay.Mechanism `yaml:"without,omitempty" doc:"Mechanisms that are switched off, to see what they are worth: largerModels, holders, belonging, othersDelay, shortFirst, silenceBounds, notes, toldFailures, enginePrice, workspaceShares, admission, endEstimates, jointSilence."`
+	Rules            []string          `yaml:"rules,omitempty" doc:"Names of the operator's rules in force, as the platform has them. One of them says that callers compete for endpoints, which turns on enginePrice, workspaceShares, admission, endEstimates and jointSilence for all services; without it they are on for services whose endpoints report their pace."`
 	TokenWorth       float64           `yaml:"tokenWorth,omitempty" doc:"What 1,000 tokens of a prompt earn, in the money of the models' costs, a token made counting as ten; 0.35 if left out."`
 	Duties           []string          `yaml:"duties,omitempty" doc:"What one VM at a time does for the platform: usage (report the requests of workspaces by windows); others are left. None if left out."`
 	DutiesAt         netip.AddrPort    `yaml:"dutiesAt" doc:"Where the platform takes these calls; required with duties."`
@@ -195,9 +196,11 @@
 	}
 }
 
-// limits returns the settings that may change while the process runs.
-func (s *Settings) limits() relay.Limits {
+// limits returns the settings that may change while the process runs. contentionRule is
+// Wire.ContentionRule.
+func (s *Settings) limits(contentionRule string) relay.Limits {
 	return relay.Limits{
+		Contention:   contentionRule != "" && slices.Contains(s.Rules, contentionRule),
 		Zone:         s.AvailabilityZone,
 		Regions:      s.Regions,
 		RetryRatio:   s.RetryRatio,
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -56,6 +56,9 @@
 	Gone relay.CheckEnded
 	// Duties makes the calls for the duties that one VM at a time performs.
 	Duties DutyWire
+	// ContentionRule is the name in Settings.Rules that says that callers compete for endpoints; empty
+	// if the platform has none.
+	ContentionRule string
 	// ReadyPath is the URL path of the balancer's readiness check.
 	ReadyPath string
 	// OnStoreCall sets the function that is called after each call to the store. It must be called
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -58,6 +58,9 @@
 	IgnoreHolders bool
 	// SampleSize is the number of endpoints that are drawn at random in addition to holders and homes.
 	SampleSize int
+	// Unfinished returns the probability, 0 to 1, that the answer does not end in time at an endpoint if
+	// its head comes after so many seconds; nil for 0.
+	Unfinished func(p *Endpoint, head float64) float64
 	// NoRetry says that the request is lost if its attempt fails, so that it goes to healthy endpoints
 	// only, as far as there are any.
 	NoRetry bool
--- a/pkg/sizes/choose.go
+++ b/pkg/sizes/choose.go
@@ -11,6 +11,9 @@
 	// InTimeProb is the probability, 0 to 1, that the answer comes in time. It is 0 or 1 for
 	// a model that has answered.
 	InTimeProb float64
+	// UnfinishedProb is the probability, 0 to 1, that the answer does not end before the caller gives
+	// up. Such an answer has no value.
+	UnfinishedProb float64
 	// TooLate says that the answer cannot come before the caller gives up.
 	TooLate bool
 	// Cost is the cost of asking the model; 0 for one that has answered.
@@ -34,7 +37,9 @@
 func qualityFactor(good float64) float64 { return good + (1-good)*weakWorth }
 
 // worth returns the expected value of the model's answer less its cost.
-func (m *Model) worth() float64 { return timeFactor(m.InTimeProb)*qualityFactor(m.GoodProb) - m.Cost }
+func (m *Model) worth() float64 {
+	return (1-m.UnfinishedProb)*timeFactor(m.InTimeProb)*qualityFactor(m.GoodProb) - m.Cost
+}
 
 // Choose returns the index in list of the model with the highest expected net value; 0 means
 // to keep the answer at hand. list holds the models that may serve the request, smallest
@@ -65,8 +70,8 @@
 		// The larger model is assumed to answer well whatever m answers well. Its answer
 		// comes after that of m.
 		weak := 1 - m.GoodProb
-		asked := Model{GoodProb: (l.GoodProb - m.GoodProb) / weak, InTimeProb: l.InTimeProb * m.InTimeProb, Cost: l.Cost}
-		most = max(most, weak*(asked.worth()-timeFactor(m.InTimeProb)*weakWorth))
+		asked := Model{GoodProb: (l.GoodProb - m.GoodProb) / weak, InTimeProb: l.InTimeProb * m.InTimeProb, UnfinishedProb: l.UnfinishedProb, Cost: l.Cost}
+		most = max(most, weak*(asked.worth()-(1-m.UnfinishedProb)*timeFactor(m.InTimeProb)*weakWorth))
 	}
 	return most
 }
--- a/pkg/sizes/confidence_test.go
+++ b/pkg/sizes/confidence_test.go
@@ -70,6 +70,8 @@
 	late.InTimeProb = 0
 	never := large
 	never.TooLate = true
+	unfinished := large
+	unfinished.UnfinishedProb = 0.9
 	for _, c := range []struct {
 		name string
 		list []Model
@@ -80,6 +82,8 @@
 		{"weak", []Model{small(0.02), middle(0.05), large}, 2},
 		{"weak, the largest is late and costs more than it gains", []Model{small(0.02), {GoodProb: 0.05, InTimeProb: 0.9, Cost: 0.04}, late}, 0},
 		{"weak, the largest is too late", []Model{small(0.02), middle(0.3), never}, 1},
+		{"weak, the largest rarely ends in time", []Model{small(0.02), middle(0.3), unfinished}, 1},
+		{"the answer at hand never ends, the largest does", []Model{{GoodProb: 0.98, InTimeProb: 1, UnfinishedProb: 1}, large}, 1},
 		{"late already", []Model{{GoodProb: 0.9}, {GoodProb: 0.99, Cost: 0.04}}, 0},
 		{"only one model", []Model{small(0.1)}, 0},
 	} {
