Price of engine time and workspace shares in the relay

A weak answer is now kept where a larger model's engine time costs others more than it gains; what exceeds the share of a workspace is less urgent at endpoints, is not read first for being short and pays more for larger models. Waits count without a head too, but not those at endpoints that may be silent. The prompt rate is divided by the endpoints that get work. Only where Engine.enabled is true.

--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -70,7 +70,8 @@
 }
 
 // affordable returns the largest model up to size that can answer in the time left and is likely
-// enough to answer within the aim for how weak the answer is; the present one if there is none.
+// enough to answer within the aim for how weak the answer is; the present one if there is none. A
+// model is not asked whose engine time costs others more than the request may gain.
 // Where no model is expected to answer within the aim, an answer below minUsefulConfidence still
 // gives way to the next larger model if that answers before the caller gives up. The caller must
 // hold the engine's mu.
@@ -80,10 +81,11 @@
 	left := x.deadline.Sub(now).Seconds() - x.e.streamTimes[x.route.Name].expect(0)
 	inAim := false
 	for ; size > x.size; size-- {
-		head := x.estimateHead(size, now).time
+		h := x.estimateHead(size, now)
+		head, inTime := h.time, inTimeProb(h.time, aim)
 		inAim = inAim || head <= aim
-		pays := float64(confidence) < float64(policy.Threshold(x.size, size))*inTimeProb(head, aim)
-		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left {
+		pays := float64(confidence) < float64(policy.Threshold(x.size, size))*inTime
+		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left && !x.tooDear(size, &h, confidence, inTime, now) {
 			break
 		}
 	}
@@ -106,8 +108,9 @@
 type headEstimate struct {
 	// time is the expected time to the head, in seconds.
 	time float64
-	// cost is what other requests lose by the answer, as a fraction of what the request earns.
-	cost float64
+	// cost is what other requests lose by the answer, as a fraction of what the request earns. price is
+	// the part of it that the price of engine time makes up, seconds the engine time.
+	cost, price, seconds float64
 	// unfinishedProb is the probability that the answer does not end before the deadline.
 	unfinishedProb float64
 }
@@ -124,9 +127,13 @@
 	}
 	wait, read := x.lastWant.Wait(p, now), x.readTime(x.unreadTokens(why))
 	stream := x.e.streamTimes[x.route.Name].expect(0)
+	engineTime := runCost(read, stream, p.Slots)
+	cost := x.priceCost(engineTime, now)
 	return headEstimate{
 		time:           wait + read,
-		cost:           x.lastWant.OthersLoss(read, wait) + x.priceCost(read, stream, now),
+		cost:           x.lastWant.OthersLoss(read, wait) + cost,
+		price:          cost,
+		seconds:        engineTime,
 		unfinishedProb: x.unfinishedProb(size, p, wait+read, now),
 	}
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -22,6 +22,7 @@
 	if err := x.quarantineError(now); err != nil {
 		return nil, nil, err
 	}
+	x.beginShare(now)
 	p, why := x.pick(now)
 	if p == nil {
 		return nil, nil, x.unavailable(now)
@@ -41,7 +42,8 @@
 		a.Rank += x.workspace.Rank * routeRanks
 	}
 	e.trackSent(a)
-	if x.overShare(now) {
+	x.recordContention(a, p, now)
+	if x.over {
 		a.Rank += overShareRanks
 	}
 	a.Rank = x.endpointRank(a)
@@ -95,9 +97,10 @@
 	return min(a.Rank+1, maxRank)
 }
 
-// urgent reports whether a prompt with this reading time, in seconds, goes before others.
+// urgent reports whether a prompt with this reading time, in seconds, goes before others. One over the
+// share of its workspace does not.
 func (x *run) urgent(whole float64) bool {
-	return x.route.Affinity && !x.e.disabled(ShortFirst) && whole < shortPromptFraction*time.Duration(x.route.Aim).Seconds()
+	return x.route.Affinity && !x.over && !x.e.disabled(ShortFirst) && whole < shortPromptFraction*time.Duration(x.route.Aim).Seconds()
 }
 
 const (
@@ -191,7 +194,7 @@
 	}
 	w.Aim = time.Duration(x.route.Aim).Seconds()
 	w.OthersWorth = e.avgUnits[x.service].valueOr(x.units()) / x.units()
-	w.PromptRate = e.promptRates[x.service].perSecond(now) * float64(e.RouterCount()) / float64(max(e.book.Size(x.service), 1))
+	w.PromptRate = e.promptRates[x.service].perSecond(now) * float64(e.RouterCount()) / float64(max(e.endpointsServing(x.service, now), 1))
 	if e.disabled(DelayToOthers) {
 		w.PromptRate = 0
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -130,6 +130,8 @@
 	confidences sizes.ConfidenceStats
 	// paceReported holds the services of which an endpoint has reported its pace.
 	paceReported map[string]bool
+	// loads holds the competition for engine time, by service; only for services with contention.
+	loads map[string]*serviceLoad
 	// rollouts holds the trials, by service.
 	rollouts map[string]*rollout
 }
@@ -168,6 +170,7 @@
 		streamTimes:        make(map[string]*timeMean),
 		streamPaces:        make(map[string]*usualPace),
 		paceReported:       make(map[string]bool),
+		loads:              make(map[string]*serviceLoad),
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
 	}
@@ -281,6 +284,7 @@
 				e.SendTrialReport(r)
 			}
 			e.updateGauges()
+			e.updatePriceGauges()
 			if n%ticksPerSweep == 0 {
 				e.updateEndpointGauges()
 				e.sweepInFlight(e.Now())
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -45,6 +45,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.addHeadEvidence(a, route, false, head)
+	e.recordServed(a, now)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		p.Trust.RecordSuccess(now)
 	}
@@ -84,6 +85,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.addFailureEvidence(a, route, err, t, now)
+	e.observeFailedWait(a, route, err, t, now)
 	p := e.book.Get(a.Endpoint.ID)
 	if a.warming && t.Outcome == outcomeSilent {
 		// An endpoint that warms up may be slow.
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -3,13 +3,248 @@
 
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/price"
+	"github.com/traildrift/traildrift/pkg/share"
+	"github.com/traildrift/traildrift/pkg/sizes"
+)
+
+const (
+	// takenSlotsWait is the wait, as a fraction of the target, that counts for an attempt of a route
+	// without prompts whose endpoint has no free slot. How long it waits is not known, as what its work
+	// takes is not. Waits count from a tenth of the target on, so that the service is short where more
+	// than one in five attempts meets such an endpoint.
+	takenSlotsWait = 0.5
+	// rejectedWait is the wait, as a fraction of the target, that counts for an attempt that a full
+	// endpoint rejects: its queue would have taken at least the target.
+	rejectedWait = 1
+	// baseQuantile is the quantile of the waits of a sort of attempt that is assumed to be no wait but the way
+	// to the endpoint, a step of the model and reading that is not measured, as for very short prompts.
+	// maxBase bounds it, as a fraction of the target: in a shortage that lasts, even the shortest waits are
+	// waits for others.
+	baseQuantile = speedQuantile
+	maxBase      = 0.2
+	// minBase is the least value of a base, in seconds, as reading may take less time than estimated.
+	minBase = 0.001
+	// servingRefresh is how often the endpoints of a service that may get work are counted at most. Lost
+	// endpoints are ejected within a second or two, and a count of 1,400 takes some 10 us.
+	servingRefresh = 250 * time.Millisecond
+	// minLateGain is the least fraction of the worth of a good answer that one in time or late earns: a
+	// late one earns a tenth to a third.
+	minLateGain = 0.2
+)
+
+// serviceLoad is what this router knows of the competition for a service's engine time.
+type serviceLoad struct {
+	price  price.Controller
+	shares share.Table
+	// bases holds the time to the head without any wait and without reading, in seconds, by sort of attempt;
+	// see timingKey.
+	bases map[string]*quantile
+	// serving is the number of endpoints that may get work, counted at servingAt.
+	serving   int
+	servingAt time.Time
+	// priceGauge and waitGauge hold the price and the mean wait as a fraction of the targets.
+	priceGauge, waitGauge tally.Gauge
+}
+
+// loadOf returns the load of a service, which is created on first use. The caller must hold mu.
+func (e *Engine) loadOf(service string) *serviceLoad {
+	l, ok := e.loads[service]
+	if !ok {
+		s := e.metrics.scope.Tagged(map[string]string{"service": service})
+		l = &serviceLoad{bases: make(map[string]*quantile), priceGauge: s.Gauge("engine_price"), waitGauge: s.Gauge("engine_wait")}
+		e.loads[service] = l
+	}
+	return l
+}
+
+// enginePrice returns the price of a service's engine time; 0 where the mechanism is not in use. The caller
+// must hold mu.
+func (e *Engine) enginePrice(service string, now time.Time) float64 {
+	if !e.enabled(EnginePrice, service) {
+		return 0
+	}
+	return e.loadOf(service).price.Price(now)
+}
+
+// runCost returns the engine time of an answer in seconds: that for which the endpoint reads the prompt,
+// and the run's part of the endpoint while it generates.
+func runCost(read, stream float64, slots int) float64 { return read + stream/float64(max(slots, 1)) }
 
 // priceCost returns what the engine time of an answer costs other requests, as a fraction of what the
-// request earns. It is given the time for which the endpoint reads the prompt, that for which it generates
-// the answer, both in seconds, and the present time. The caller must hold the engine's mu.
-func (x *run) priceCost(_, _ float64, _ time.Time) float64 { return 0 }
+// request earns. seconds is the engine time; see runCost. The caller must hold the engine's mu.
+func (x *run) priceCost(seconds float64, now time.Time) float64 {
+	p := x.e.enginePrice(x.service, now)
+	if p == 0 {
+		return 0
+	}
+	units := x.units()
+	return price.Cost(p, seconds, x.e.avgUnits[x.service].valueOr(units)/units, x.priceRank())
+}
+
+// priceRank returns the rank by which the request pays for engine time.
+func (x *run) priceRank() int {
+	rank := x.route.Rank
+	if x.workspace != nil {
+		rank += x.workspace.Rank * routeRanks
+	}
+	rank = min(max(rank, 0), maxRank)
+	if x.over {
+		rank += overShareRanks
+	}
+	return rank
+}
+
+// tooDear reports whether the price of asking the model with index size after an answer of this confidence
+// exceeds what the request may gain by it, if the head comes in time with probability inTime. The larger
+// model's answer is taken to be good, as its gain is not known yet. The caller must hold the engine's mu.
+func (x *run) tooDear(size int, h *headEstimate, confidence int, inTime float64, now time.Time) bool {
+	t := &x.records[len(x.records)-1]
+	t.PriceCost = max(t.PriceCost, h.price)
+	if h.price <= (1-float64(confidence)/100)*max(inTime, minLateGain) {
+		return false
+	}
+	x.recordUnasked(size, h.seconds, now)
+	return true
+}
+
+// chooseSize returns the index in list of the model to ask, as sizes.Choose does. It records in t what the
+// engine time of the model costs that would be asked if the time were free. estimates holds what is expected
+// of the models after the first one, in the order of the list. The caller must hold the engine's mu.
+func (x *run) chooseSize(t *attemptRecord, list []sizes.Model, estimates []headEstimate, now time.Time) int {
+	next, keep, asks := sizes.Choose(list)
+	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
+	priced := false
+	for i, h := range estimates {
+		priced = priced || h.price > 0
+		list[i+1].Cost -= h.price
+	}
+	if !priced {
+		return next
+	}
+	free, _, _ := sizes.Choose(list)
+	if free == 0 {
+		return next
+	}
+	t.PriceCost = estimates[free-1].price
+	if free > next {
+		x.recordUnasked(x.size+free, estimates[free-1].seconds, now)
+	}
+	return next
+}
+
+// recordUnasked records that the model with index size was not asked for the price of its engine time, in
+// seconds. The caller must hold the engine's mu.
+func (x *run) recordUnasked(size int, seconds float64, now time.Time) {
+	x.e.metrics.count("larger_models_not_asked", x.route.Name, "price")
+	x.recordDemand(size, seconds, now)
+}
 
 // observeWait records for the price of engine time how long, in seconds, an attempt of a route waited at
-// its endpoint behind others. The caller must hold the engine's mu.
-func (e *Engine) observeWait(_ *Attempt, _ *Route, _ float64, _ time.Time) {}
+// its endpoint apart from reading its prompt. What the least of them wait is no wait behind others. An attempt at an endpoint that warms up, one that waited while this process
+// stood still, one of a route without a target and one of a route without prompts is left out. The caller
+// must hold the engine's mu.
+func (e *Engine) observeWait(a *Attempt, route *Route, wait float64, now time.Time) {
+	if !route.Affinity || e.ignoresWait(a, route) || e.stalls.Resuming(seconds(max(wait, 0)+a.readTime)) {
+		return
+	}
+	aim := time.Duration(route.Aim).Seconds()
+	base := getOrCreate(e.loadOf(a.Endpoint.Service).bases, timingKey(route, a.Model))
+	if a.gotHead {
+		base.add(max(wait, minBase), baseQuantile)
+	}
+	e.addWait(a, (wait-min(base.value, maxBase*aim))/aim, now)
+}
+
+// ignoresWait reports whether the wait of an attempt says nothing of the price. The caller must hold mu.
+func (e *Engine) ignoresWait(a *Attempt, route *Route) bool {
+	return a.warming || route.Aim <= 0 || !e.enabled(EnginePrice, a.Endpoint.Service)
+}
+
+// addWait adds the wait of an attempt as a fraction of its target. The caller must hold mu.
+func (e *Engine) addWait(a *Attempt, fraction float64, now time.Time) {
+	e.loadOf(a.Endpoint.Service).price.Observe(now, fraction)
+}
+
+// observeSlots records for an attempt of a route without prompts whether it finds a free slot. Endpoints
+// that have no known number of slots are left out. It is called once the attempt is counted at its endpoint.
+// The caller must hold mu.
+func (e *Engine) observeSlots(a *Attempt, route *Route, p *pool.Endpoint, now time.Time) {
+	if route.Affinity || p.Slots <= 0 || e.ignoresWait(a, route) {
+		return
+	}
+	wait := 0.0
+	if p.Load.Runs(now) > p.Slots {
+		wait = takenSlotsWait
+	}
+	e.addWait(a, wait, now)
+}
+
+// observeFailedWait records the wait of an attempt that ended without a head, which is at least the time
+// from sending it. An endpoint that has answered nothing since then may be silent, which is no load: only
+// the wait counts that was expected there. A rejection counts as a whole target, unless the endpoint leaves
+// or rests. The caller must hold mu.
+func (e *Engine) observeFailedWait(a *Attempt, route *Route, err *fault.Error, t *attemptRecord, now time.Time) {
+	p := e.book.Get(a.Endpoint.ID)
+	if p == nil || a.gotHead || notSent(err) || e.ignoresWait(a, route) {
+		return
+	}
+	if err.Kind == fault.Overloaded {
+		if !p.IsLeaving() && !now.Before(p.RestUntil()) {
+			e.addWait(a, rejectedWait, now)
+		}
+		return
+	}
+	if err.Run == fault.NotRun {
+		return
+	}
+	wait := now.Sub(t.At).Seconds() - a.readTime
+	if !p.Trust.LastSuccess().After(t.At) && t.Status == 0 {
+		wait = min(wait, a.wait)
+	}
+	e.observeWait(a, route, wait, now)
+}
+
+// endpointsServing returns the number of endpoints among which the prompts of a service are divided: where
+// the price is in use those that may get work, otherwise all. The caller must hold mu.
+func (e *Engine) endpointsServing(service string, now time.Time) int {
+	if !e.enabled(EnginePrice, service) {
+		return e.book.Size(service)
+	}
+	l := e.loadOf(service)
+	if l.servingAt.IsZero() || now.Sub(l.servingAt) >= servingRefresh {
+		l.serving, l.servingAt = e.book.Serving(service, now), now
+	}
+	return l.serving
+}
+
+// updatePriceGauges updates the gauges of all services with contention.
+func (e *Engine) updatePriceGauges() {
+	now := e.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.loads {
+		l.priceGauge.Update(l.price.Price(now))
+		l.waitGauge.Update(l.price.MeanWait(now))
+	}
+}
+
+// contentionFields returns the log fields of a request that was served while the price was above 0.
+func (x *run) contentionFields() []zap.Field {
+	var f []zap.Field
+	if x.price > 0 {
+		f = append(f, zap.Float64("price", round(x.price)))
+	}
+	if x.over {
+		f = append(f, zap.Bool("overShare", true))
+	}
+	return f
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -109,6 +109,9 @@
 	harmless bool
 	// gotHead says that the head of an answer was received that may be passed on.
 	gotHead bool
+	// engineTime is the engine time that the attempt demands, in seconds, or 1 on a route without prompts;
+	// 0 where it does not count for the share of a workspace.
+	engineTime float64
 	// countedAs is what the attempt counted as in the trial of its service; empty if it was not
 	// counted.
 	countedAs string
@@ -164,6 +167,9 @@
 	// worth of keeping it, AskWorth that of asking a larger model, both as fractions of the worth
 	// of a good answer in time.
 	GoodProb, KeepWorth, AskWorth float64
+	// PriceCost is what the engine time of the larger model costs others that would be asked if engine
+	// time were free, as a fraction of the worth of a good answer in time.
+	PriceCost float64
 	// Outcome is how the attempt ended, Err its error; nil if it did not fail.
 	Outcome string
 	Err     *fault.Error
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -192,9 +192,9 @@
 	if x.workspace != nil {
 		workspace = x.workspace.Name
 	}
-	e.Log.Info("relay: A request has ended.", zap.String("request", x.r.ID), zap.String("route", name), zap.Int64("aimMs", x.aim().Milliseconds()), zap.Int64("pauseAimMs", x.pauseAim().Milliseconds()), zap.Int64("headMs", x.timeToHead().Milliseconds()), zap.String("workspace", workspace),
+	e.Log.Info("relay: A request has ended.", append(x.contentionFields(), zap.String("request", x.r.ID), zap.String("route", name), zap.Int64("aimMs", x.aim().Milliseconds()), zap.Int64("pauseAimMs", x.pauseAim().Milliseconds()), zap.Int64("headMs", x.timeToHead().Milliseconds()), zap.String("workspace", workspace),
 		zap.String("session", x.r.Session), zap.Int("tokensIn", x.r.TokensIn), zap.Int("tokensOut", x.r.TokensOut), zap.Int64("configuration", version), zap.Int64("configurationAgeMs", e.age(now).Milliseconds()),
-		zap.Int("status", code), e.fingerprintField(x.r), zap.String("outcome", kind), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err))
+		zap.Int("status", code), e.fingerprintField(x.r), zap.String("outcome", kind), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err))...)
 }
 
 // fields returns the log fields of attempt n of a request; n starts at 1.
@@ -207,6 +207,9 @@
 	if t.Limited {
 		f = append(f, zap.Float64("limit", t.Limit), zap.Bool("granted", t.Granted))
 	}
+	if t.PriceCost > 0 {
+		f = append(f, zap.Float64("priceCost", round(t.PriceCost)))
+	}
 	if t.PassedOver == "" {
 		return f
 	}
--- a/internal/relay/worth.go
+++ b/internal/relay/worth.go
@@ -65,14 +65,14 @@
 	aim := x.route.Aim.After(x.r.Arrived).Sub(now).Seconds()
 	left := x.deadline.Sub(now).Seconds() - x.e.streamTimes[x.route.Name].expect(0)
 	list := []sizes.Model{{GoodProb: x.goodProb(x.size), InTimeProb: inTimeProb(0, aim), UnfinishedProb: x.presentUnfinishedProb(now)}}
+	var buf [4]headEstimate
+	estimates := buf[:0]
 	for size := x.size + 1; size < len(x.route.Sizes); size++ {
 		h := x.estimateHead(size, now)
+		estimates = append(estimates, h)
 		list = append(list, sizes.Model{GoodProb: x.goodProb(size), InTimeProb: inTimeProb(h.time, aim), UnfinishedProb: h.unfinishedProb, TooLate: h.time > left, Cost: x.relativeCost(size) + h.cost})
 	}
-	next, keep, asks := sizes.Choose(list)
-	t := &x.records[len(x.records)-1]
-	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
-	return x.size + next
+	return x.size + x.chooseSize(&x.records[len(x.records)-1], list, estimates, now)
 }
 
 // relativeCost returns the cost of an answer of the model with this index, as a fraction of what
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -238,6 +238,17 @@
 // Size returns the number of endpoints of a service.
 func (b *Book) Size(service string) int { return len(b.byService[service]) }
 
+// Serving returns the number of endpoints of a service that may get work now: listed, in an open zone, in
+// no rest period and not ejected. One that gets single attempts after it was ejected does not count.
+func (b *Book) Serving(service string, now time.Time) (n int) {
+	for _, p := range b.byService[service] {
+		if p.usable(now) && p.announced.rest.over(now) && p.Trust.mayTry(now, 1) {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns the number of endpoints of all services.
 func (b *Book) Len() int { return len(b.byID) }
 
--- a/pkg/pool/book_test.go
+++ b/pkg/pool/book_test.go
@@ -81,3 +81,26 @@
 		t.Errorf("endpoints: got %d, want 0", got)
 	}
 }
+
+// TestServing checks that the prompts of a service are divided only among endpoints that get work: what a
+// prompt delays would be underestimated in the moment in which most of them are lost.
+func TestServing(t *testing.T) {
+	b := inZones("a", "b", "c")
+	b.CloseZone("a", 2)
+	for range ejectAfterFailures {
+		b.Get("e10").Trust.RecordFailure(t0, true)
+	}
+	b.Get("e11").RecordNotice(Notice{RestUntil: t0.Add(time.Second)}, t0, t0)
+	b.Get("e20").RecordNotice(Notice{Leaving: true}, t0, t0)
+	if got := b.Serving("s", t0); got != 1 {
+		t.Errorf("endpoints that get work: got %d, want e21 alone", got)
+	}
+	late := t0.Add(maxEject)
+	if got := b.Serving("s", late); got != 2 {
+		t.Errorf("endpoints that get work after a rest period and an ejection without a success: got %d, want e11 and e21", got)
+	}
+	b.Get("e10").Trust.RecordSuccess(late)
+	if got := b.Serving("s", late); got != 3 {
+		t.Errorf("endpoints that get work after a success: got %d, want e10, e11 and e21", got)
+	}
+}
--- a/pkg/pool/trust.go
+++ b/pkg/pool/trust.go
@@ -108,6 +108,9 @@
 	return n
 }
 
+// LastSuccess returns when an attempt of this process was last answered; zero if none was.
+func (t *Trust) LastSuccess() time.Time { return t.lastSuccess }
+
 func (t *Trust) eject(now time.Time) {
 	d := maxEject
 	if t.failuresInRow < 5 {
