Tests of served demand, retries and gauges of the price

Taking out single lines showed five that no test held: what is served, the credit and the mark of a request that is tried again, the demand of models that were not asked, and the gauges.

--- a/internal/relay/price_test.go
+++ b/internal/relay/price_test.go
@@ -330,3 +330,20 @@
 		}
 	}
 }
+
+// The gauges must follow the price while no request comes that would ask for it.
+func TestMaintenanceUpdatesPriceGauges(t *testing.T) {
+	e := engine(Route{}, nil)
+	scope := tally.NewTestScope("", nil)
+	e.metrics = newMetrics(scope)
+	contend(e)
+	raisePrice(e, "s", 5*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*maintenanceInterval)
+	defer cancel()
+	if err := e.RunMaintenance(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if price, wait := gaugeValue(scope, "engine_price", "s"), gaugeValue(scope, "engine_wait", "s"); price < 1 || wait < 0.1 {
+		t.Errorf("gauges of price and mean wait: got %v and %v, want 1 or more and 0.1 or more", price, wait)
+	}
+}
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -163,3 +163,90 @@
 		t.Errorf("ranks of short prompts: got %v, want [0 0]", ranks)
 	}
 }
+
+// An answer that came must count as served: a price above 0 alone marks nobody while all that is demanded is
+// served, however much one workspace sends.
+func TestServedDemandIsNotOverItsShare(t *testing.T) {
+	var ranks []int
+	e, serve := shareEngine(t, Route{Kind: Safe, Aim: config.Span(2 * time.Second)}, false, &ranks)
+	clear(e.loads)
+	contend(e)
+	now := time.Now()
+	e.Now = func() time.Time { return now }
+	for i := range 100 {
+		now = now.Add(100 * time.Millisecond)
+		raisePrice(e, "s", 0)
+		e.mu.Lock()
+		// Without anything served there is no level.
+		e.loadOf("s").shares.AddServed(now, 0.1)
+		e.mu.Unlock()
+		serve("largeKey")
+		if i%10 == 0 {
+			serve("smallKey")
+		}
+	}
+	e.mu.Lock()
+	if got := e.enginePrice("s", now); got == 0 {
+		t.Error("price: got 0, want above 0")
+	}
+	e.mu.Unlock()
+	for i, rank := range ranks {
+		if rank != 0 {
+			t.Fatalf("rank of request %d: got %d, want 0", i, rank)
+		}
+	}
+}
+
+// Whether a request is over its share must not change while it is tried again, and its attempts use up the
+// credit of the workspace only once: failures of endpoints would mark all that follow.
+func TestRetriesUseCreditOnce(t *testing.T) {
+	var ranks []int
+	e, serve := shareEngine(t, Route{Kind: Safe, MaxAttempts: maxTries, Aim: config.Span(2 * time.Second)}, false, &ranks)
+	contend(e)
+	raisePrice(e, "s", 5*time.Second)
+	answer, sent := e.Send, 0
+	e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+		if sent++; sent%maxTries > 0 {
+			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+		}
+		return answer(ctx, a)
+	}
+	// An attempt takes a quarter of a second from a credit of two seconds.
+	for range 3 {
+		serve("largeKey")
+	}
+	if len(ranks) != 3 || ranks[2] != 0 {
+		t.Errorf("ranks of three requests that were tried %d times: got %v, want three of 0", maxTries, ranks)
+	}
+	e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+		if sent++; sent%maxTries == 1 {
+			e.mu.Lock()
+			e.loadOf("s").shares.Use(e.Now(), pool.Hash("large"), 1000)
+			e.mu.Unlock()
+			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+		}
+		return answer(ctx, a)
+	}
+	serve("largeKey")
+	if len(ranks) != 4 || ranks[3] != 0 {
+		t.Errorf("rank of a request whose workspace used up its credit after the first attempt: got %v, want 0 as before", ranks[3:])
+	}
+}
+
+// A larger model that is not asked for the price is demand all the same, or the workspace that causes a
+// shortage would seem to demand no more than what it gets. It counts once.
+func TestUnaskedModelIsDemand(t *testing.T) {
+	e := engine(Route{}, nil)
+	contend(e)
+	now := e.Now()
+	x := &run{e: e, r: &Request{}, route: e.table.Load().Match("h", "/"), service: "s", workspace: &Workspace{Name: "w"}}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x.recordDemand(0, 0.1, now)
+	for range 2 {
+		x.recordUnasked(2, 0.5, now)
+	}
+	if got, want := e.loadOf("s").shares.Demand(now, pool.Hash("w")), 0.6; got != want {
+		t.Errorf("demand in seconds: got %v, want %v", got, want)
+	}
+}
