relay: weigh whether an answer ends, and move stuck streams

The choice of the model and of the endpoint take the probability into account that the answer does not end before its deadline. A stream that will not end where it is, and will elsewhere, is moved once, within the retry budget and the attempts, and never back. Predictions at the head are logged and counted. Nothing changes without data, or where the mechanism is not in use.

--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -80,10 +80,11 @@
 	left := x.deadline.Sub(now).Seconds() - x.e.streamTimes[x.route.Name].expect(0)
 	inAim := false
 	for ; size > x.size; size-- {
-		head := x.estimateHead(size, now).time
+		h := x.estimateHead(size, now)
+		head := h.time
 		inAim = inAim || head <= aim
 		pays := float64(confidence) < float64(policy.Threshold(x.size, size))*inTimeProb(head, aim)
-		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left {
+		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left && x.mayEnd(h) {
 			break
 		}
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -114,7 +114,7 @@
 
 // pick returns an endpoint for the next attempt, and the reason; nil if there is none. It prefers
 // endpoints that were not tried and the version that the session is assigned to. Rather than none
-// it takes a tried endpoint again, and then the old version. The caller must hold the engine's mu.
+// it takes a tried endpoint again, but not one that its stream was moved from, and then the old version. The caller must hold the engine's mu.
 func (x *run) pick(now time.Time) (*pool.Endpoint, pool.Reason) {
 	e := x.e
 	want := x.want()
@@ -124,7 +124,7 @@
 		want.Avoid = append(avoid, tried...)
 	}
 	p, why := e.book.Pick(now, &want)
-	for _, fewer := range [][]string{tried, nil} {
+	for _, fewer := range [][]string{tried, x.end.movedFrom} {
 		if p != nil || len(fewer) == len(want.Avoid) {
 			continue
 		}
@@ -196,6 +196,7 @@
 		w.PromptRate = 0
 	}
 	w.IgnoreHolders = e.disabled(PrefixHolders)
+	x.addEnd(w, now)
 	w.SampleSize = e.book.Size(x.service) / max(e.RouterCount(), 1)
 }
 
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -30,9 +30,15 @@
 		x.e.recordStreamTime(x.route, x.e.Now().Sub(began))
 		x.e.addCompletion(a)
 		x.e.recordCompleted(a, reply.Status)
+		x.learnEnd(nil, false)
 		x.log(x.e.Now(), reply.Status, nil)
 		return false
 	}
+	x.learnEnd(deliverErr, isCallerGone(deliverErr) || isCut(ctx))
+	if errors.Is(deliverErr, errMoved) {
+		t.Outcome = outcomeMoved
+		return true
+	}
 	if isCallerGone(deliverErr) {
 		t.Outcome = "caller left"
 		x.log(x.e.Now(), reply.Status, fault.New(fault.CallerGone, fault.MayHaveRun, "The caller has left."))
@@ -127,47 +133,58 @@
 	buf := make([]byte, eventBufferSize)
 	lastRead := x.e.Now()
 	var p pace
+	w := x.watchEnd(a, t)
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
 			now := x.e.Now()
 			if p.add(now.Sub(lastRead)) {
 				x.e.addPaceEvidence(a, &p)
+				w.shortest(&p)
 				t.Pace, t.CountedAs = p.minGap, a.countedAs
 			}
 			t.PauseMillis = max(t.PauseMillis, now.Sub(lastRead).Milliseconds())
 			lastRead = now
 			t.Received += n
 			s.eventReceived()
-			out := ev.split(buf[:n])
-			if werr := x.write(out); werr != nil {
+			if werr := x.writeEvents(flush, ev.split(buf[:n])); werr != nil {
 				return werr
 			}
-			if ferr := flushWritten(flush, out); ferr != nil {
-				return ferr
-			}
 			x.lastEvent, t.Events = ev.lastID, ev.count
+			if w.add(now, ev.count, err == nil) {
+				return errMoved
+			}
 		}
 		if ev.pendingBytes() > maxEventSize {
 			return errLongEvent
 		}
-		if err == io.EOF && ev.pendingBytes() > 0 {
-			return io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			return nil
-		}
 		if err != nil {
-			return err
+			return streamError(err, ev.pendingBytes())
 		}
 	}
 }
 
-// flushWritten flushes the connection to the caller if out, which was written last, is not empty.
-func flushWritten(flush *http.ResponseController, out []byte) error {
+// streamError returns what is wrong with a stream whose last read returned err and which ended with so many bytes
+// of an incomplete event; nil if it is complete.
+func streamError(err error, pending int) error {
+	switch {
+	case err != io.EOF:
+		return err
+	case pending > 0:
+		return io.ErrUnexpectedEOF
+	default:
+		return nil
+	}
+}
+
+// writeEvents writes complete events to the caller and flushes its connection, if there are any.
+func (x *run) writeEvents(flush *http.ResponseController, out []byte) error {
 	if len(out) == 0 {
 		return nil
 	}
+	if err := x.write(out); err != nil {
+		return err
+	}
 	if err := flush.Flush(); err != nil {
 		return callerGoneError{err}
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -126,6 +126,8 @@
 	// streamPaces holds the usual times between the events of streams, by model. Versions on trial
 	// are left out.
 	streamPaces map[string]*usualPace
+	// ends holds what was learned about when answers end.
+	ends endStats
 	// confidences holds statistics of the models' confidences.
 	confidences sizes.ConfidenceStats
 	// paceReported holds the services of which an endpoint has reported its pace.
@@ -167,6 +169,7 @@
 		aheadRatios:        make(map[string]*aheadRatio),
 		streamTimes:        make(map[string]*timeMean),
 		streamPaces:        make(map[string]*usualPace),
+		ends:               newEndStats(),
 		paceReported:       make(map[string]bool),
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -203,4 +203,6 @@
 	// CountedAs is what the attempt counted as in the trial of its service; empty if it was not
 	// counted.
 	CountedAs string
+	// End is the prediction of the end of the stream.
+	End endRecord
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -56,6 +56,8 @@
 	records []attemptRecord
 	// lastWant is what the last pick of an endpoint asked for.
 	lastWant pool.Want
+	// end is what is expected of the end of the answer.
+	end runEnd
 }
 
 // outcomeSilent is the outcome of an attempt that was ended for its endpoint's silence.
--- /dev/null
+++ b/internal/relay/watch.go
@@ -0,0 +1,259 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/finish"
+)
+
+const (
+	// endWindow is the time over which the events of a stream are averaged: callers notice pauses from about a
+	// second on, and an engine reads a part of a prompt in some hundred milliseconds.
+	endWindow = 250 * time.Millisecond
+	// minMoveAge is how long a stream must have run before it may be moved: bursts of prompts take an endpoint
+	// about a second to read, and pass.
+	minMoveAge = time.Second
+	// minStuckProb is the probability of not ending at the present endpoint from which on a stream is moved, and
+	// maxMovedProb the largest one at the new endpoint. In between, a move would cost the reading of the prompt
+	// and an attempt for a result that is as uncertain.
+	minStuckProb, maxMovedProb = 0.7, 0.2
+	// minCutEvents is the number of events from which on a stream that did not end shows the time between them.
+	minCutEvents = 4
+	// headSpread is how many times the expected time the head of a moved stream may take: the time is
+	// about uniform from 0 to twice the expected.
+	headSpread = 2
+)
+
+// errMoved ends an attempt whose stream is moved to another endpoint. outcomeMoved is the outcome of that attempt.
+var errMoved = errors.New("relay: the stream is moved to another endpoint")
+
+const outcomeMoved = "moved"
+
+// endRecord is the prediction for the end of an attempt's stream, made at its head, and what came of it. All
+// times are from sending.
+type endRecord struct {
+	// predicted says that there was a prediction: the median and the interval.
+	predicted         bool
+	median, low, high time.Duration
+	// took is the time of the last event; 0 if there was none.
+	took  time.Duration
+	hint  int
+	moved bool
+}
+
+// fields returns the log fields; none without a prediction, unless the stream was moved.
+func (d *endRecord) fields() []zap.Field {
+	var f []zap.Field
+	if d.predicted {
+		f = append(f, zap.Int64("endMs", d.median.Milliseconds()), zap.Int64("endLowMs", d.low.Milliseconds()), zap.Int64("endHighMs", d.high.Milliseconds()),
+			zap.Int64("tookMs", d.took.Milliseconds()), zap.Int("hint", d.hint))
+	}
+	if d.moved {
+		f = append(f, zap.Bool("moved", true))
+	}
+	return f
+}
+
+// endWatch follows the events of one attempt's stream. A nil endWatch does nothing.
+type endWatch struct {
+	x *run
+	a *Attempt
+	t *attemptRecord
+	// load is the load of the endpoint at the head, and logGap the predicted logarithm of the time between
+	// events.
+	load   finish.Load
+	logGap float64
+	// first and last are when the first and the last event came; count is the number of events, of which
+	// firstCount came with the first read.
+	first, last       time.Time
+	firstCount, count int
+	// from is when the present window began, and fromCount the number of events by then.
+	from      time.Time
+	fromCount int
+}
+
+// watchEnd returns a watch for the stream whose head has come, and records the prediction of its end; nil if the
+// mechanism is not in use.
+func (x *run) watchEnd(a *Attempt, t *attemptRecord) *endWatch {
+	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
+	p := x.e.book.Get(a.Endpoint.ID)
+	x.end.watch = nil
+	if p == nil || !x.e.enabled(EndEstimates, x.service) {
+		return nil
+	}
+	now := x.e.Now()
+	w := &endWatch{x: x, a: a, t: t, load: endLoad(p, 0, now)}
+	x.end.watch = w
+	if !x.prepareEnd(now) {
+		return w
+	}
+	w.logGap = x.logGap(p, 0)
+	median, low, high := x.end.rest.Interval(math.Exp(w.logGap))
+	head := now.Sub(t.At)
+	limit := func(s float64) time.Duration { return head + seconds(min(s, maxPredicted.Seconds())) }
+	t.End = endRecord{predicted: true, median: limit(median), low: limit(low), high: limit(high), hint: x.r.LengthHint}
+	return w
+}
+
+// maxPredicted bounds predictions, so that they fit a duration.
+const maxPredicted = time.Hour
+
+// shortest records the shortest sum of paceWindow times between events in a row.
+func (w *endWatch) shortest(p *pace) {
+	if w == nil {
+		return
+	}
+	w.x.e.mu.Lock()
+	defer w.x.e.mu.Unlock()
+	getOrCreate(w.x.e.ends.gaps, w.x.service).AddShortest(w.load, p.minRow.Seconds()/paceWindow)
+}
+
+// add records that count events have come by now and reports whether the stream is to be moved. If so, an
+// attempt has been taken from the retry budget. The run's records must have the events. goesOn says that the
+// stream has not ended.
+func (w *endWatch) add(now time.Time, count int, goesOn bool) (move bool) {
+	if w == nil || count == w.count {
+		return false
+	}
+	if w.count == 0 {
+		w.first, w.firstCount, w.from, w.fromCount = now, count, now, count
+	}
+	w.last, w.count = now, count
+	if now.Sub(w.from) < endWindow {
+		return false
+	}
+	gap := now.Sub(w.from).Seconds() / float64(count-w.fromCount)
+	w.from, w.fromCount = now, count
+	if w.x.e.stalls.Resuming(resumeDelay) {
+		// The time passed while this process stood still.
+		return false
+	}
+	e := w.x.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.book.Get(w.a.Endpoint.ID)
+	if p == nil {
+		return false
+	}
+	if len(e.ends.recent) >= maxRecent {
+		clear(e.ends.recent)
+	}
+	getOrCreate(e.ends.recent, p.Hash()).Add(getOrCreate(e.ends.gaps, w.x.service), endLoad(p, 0, now), gap, now)
+	return goesOn && now.Sub(w.first) >= minMoveAge && w.x.move(w.a, now)
+}
+
+// move reports whether the stream is to continue at another endpoint, as it will probably not end where it is and
+// will there. If so, it takes an attempt from the retry budget. The caller must hold the engine's mu.
+func (x *run) move(a *Attempt, now time.Time) bool {
+	if !x.mayMove() {
+		return false
+	}
+	if x.presentUnfinishedProb(now) < minStuckProb {
+		return false
+	}
+	p, why := x.pick(now)
+	if p == nil || slices.Contains(x.tried, p.ID) {
+		return false
+	}
+	head := x.lastWant.Wait(p, now) + p.Pace.Factor(now)*x.readTime(x.unreadTokens(why))
+	if x.unfinishedProb(x.size, p, headSpread*head, now) > maxMovedProb {
+		return false
+	}
+	b := x.e.budget(x.service)
+	if !b.Take(now, reserveFor(b.Allowed(now))) {
+		return false
+	}
+	x.prepaid, x.mayHaveRun = true, true
+	x.end.moved, x.end.movedFrom = true, []string{a.Endpoint.ID}
+	return true
+}
+
+// mayMove reports whether the run may move its stream to another endpoint at all. A stopping router does not: the
+// stream would be cut again when the router ends.
+func (x *run) mayMove() bool {
+	return !x.end.moved && x.headSent && x.lastEvent != "" && x.route.resumable() && x.attempts < x.route.MaxAttempts && len(x.records) < maxTries && !x.e.stopping.Load()
+}
+
+// learnEnd learns from the stream of an attempt that has ended. err is nil if the answer is complete; cut says that
+// it will not be completed.
+func (x *run) learnEnd(err error, cut bool) {
+	w := x.end.watch
+	x.end.watch = nil
+	if w == nil || w.count == 0 {
+		return
+	}
+	e := x.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := &w.t.End
+	d.took, d.moved = w.last.Sub(w.t.At), errors.Is(err, errMoved)
+	r := getOrCreate(e.ends.routes, x.route.Name)
+	if n := w.count - w.firstCount; n > 0 && (err == nil || w.count >= minCutEvents) {
+		gap := w.last.Sub(w.first).Seconds() / float64(n)
+		getOrCreate(e.ends.gaps, x.service).AddMean(w.load, gap)
+		if d.predicted && gap > 0 {
+			r.calibration.AddGap(math.Log(gap) - w.logGap)
+		}
+	}
+	x.learnLength(r, err == nil, cut)
+	if d.predicted && w.count > w.firstCount {
+		x.calibrate(r, d, err == nil, cut)
+	}
+}
+
+// learnLength learns the number of events of the answer. The caller must hold the engine's mu.
+func (x *run) learnLength(r *routeEnds, complete, cut bool) {
+	switch {
+	case x.r.LastEvent != "":
+		// The number of events that came before this request is not certain.
+	case complete:
+		r.lengths.Add(x.r.LengthHint, x.eventsSent())
+	case cut:
+		r.lengths.AddCut(x.r.LengthHint, x.eventsSent())
+	}
+}
+
+// calibrate records whether an answer ended inside the predicted interval. One that was cut off before the
+// interval's end shows nothing. The caller must hold the engine's mu.
+func (x *run) calibrate(r *routeEnds, d *endRecord, complete, cut bool) {
+	result := "inside"
+	switch {
+	case d.took > d.high && (complete || cut):
+		result = "later"
+	case !complete:
+		return
+	case d.took < d.low:
+		result = "earlier"
+	}
+	r.calibration.AddEnd(result == "inside")
+	x.e.metrics.count("predicted_ends", x.route.Name, result)
+}
+
+// isCut reports whether an answer that broke off will not be continued, as the caller left or its deadline has
+// passed.
+func isCut(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent)
+}
+
+// countMoved counts a request whose stream was moved by how it ended; err is nil if its answer is complete.
+func (x *run) countMoved(err *fault.Error) {
+	if !x.end.moved {
+		return
+	}
+	result := "ended"
+	if err != nil {
+		result = string(err.Kind)
+	}
+	x.e.metrics.count("streams_moved", x.route.Name, result)
+}
--- a/internal/relay/worth.go
+++ b/internal/relay/worth.go
@@ -72,6 +72,7 @@
 	next, keep, asks := sizes.Choose(list)
 	t := &x.records[len(x.records)-1]
 	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
+	x.countNotAsked(list, next)
 	return x.size + next
 }
 
