--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -85,7 +85,7 @@
 		head, inTime := h.time, inTimeProb(h.time, aim)
 		inAim = inAim || head <= aim
 		pays := float64(confidence) < float64(policy.Threshold(x.size, size))*inTime
-		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left && !x.tooDear(size, &h, confidence, inTime, now) {
+		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left && x.mayEnd(h) && !x.tooDear(size, &h, confidence, inTime, now) {
 			break
 		}
 	}
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -122,6 +123,7 @@
 func (x *run) chooseSize(t *attemptRecord, list []sizes.Model, estimates []headEstimate, now time.Time) int {
 	next, keep, asks := sizes.Choose(list)
 	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
+	x.countNotAsked(slices.Clone(list), next)
 	priced := false
 	for i, h := range estimates {
 		priced = priced || h.price > 0
