internal/relay: admission control where services have contention

Connects pkg/room: choose decides before every attempt, requests that no endpoint has a place for wait at the router, and a request that a full endpoint rejected is offered again within the retry budget, without counting against MaxAttempts; once it has reached as many endpoints as its route allows, only to these. pool.Want gets OnlyOpen, Only and Reserved, pool.Book the method Room. A prompt whose deadline is before the most optimistic time of its head is refused at once. Metrics: requests_waiting, admission_refusals, admission_places, admission_wait; log fields heldMs, roomCause and roomAgeMs.

Where Engine.enabled is false nothing changes; TestWithoutAdmission compares status, attempts and Retry-After.

--- /dev/null
+++ b/internal/relay/admission.go
@@ -0,0 +1,417 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/room"
+)
+
+// admission is the state of a request under admission control. The request's goroutine owns it, but its
+// ticket is also used by others while it is in a queue; the engine's mu guards the ticket.
+type admission struct {
+	ticket room.Ticket
+	// endpoints holds the hashes of the endpoints that the request reached, n their number. added says
+	// that the last attempt added one.
+	endpoints [maxTries]uint64
+	n         int
+	added     bool
+	// reserved holds the hashes of the endpoints whose next places belong to others. It is valid only
+	// while choose runs, and nil otherwise.
+	reserved []uint64
+	// onlyOpen says that the request goes only to endpoints that are not known to be full.
+	onlyOpen bool
+	// rejected says that the last attempt was rejected by a full endpoint.
+	rejected bool
+	// decision is the last one; nextAt is when a waiting request is considered again.
+	decision room.Decision
+	nextAt   time.Time
+	// held is how long the request has waited, age the age of the load report that decided last.
+	held, age time.Duration
+	// cause is why the request was refused; empty if it was not.
+	cause room.Cause
+}
+
+// serviceRoom is the state of admission control for one service.
+type serviceRoom struct {
+	queue  room.Queue
+	spread room.Spread
+	// reserved is the buffer of admission.reserved.
+	reserved []uint64
+	// work estimates the time in which an endpoint serves a request without waiting, in seconds.
+	work quantile
+	// usual is the usual time from the arrival of a caller's first attempt to the caller's deadline.
+	usual recentMax
+	// shedAt is when a request was last refused for its aim; zero for never.
+	shedAt time.Time
+	// waiting is the gauge of the waiting requests; nil before the first one.
+	waiting tally.Gauge
+}
+
+const (
+	// workQuantile is the quantile of the times of answers, divided by the number of turns that their
+	// endpoint's load made them wait, that is taken as the time without waiting. Load reports lag, so
+	// that a larger quantile includes waits.
+	workQuantile = 0.25
+	// shedMemory is how long after a refusal for an aim late requests leave places to others: a few
+	// refusals of one router, whose peaks last for seconds.
+	shedMemory = config.Span(500 * time.Millisecond)
+	// firstPollInterval is how often the first waiting request is considered again if nothing wakes it, as
+	// endpoints that fall silent or end their ejection wake none. It is an eighth of the shortest aim, for
+	// which holding costs nothing. pollInterval is that for the others.
+	firstPollInterval = config.Span(12 * time.Millisecond)
+	pollInterval      = config.Span(100 * time.Millisecond)
+	// minPause is the shortest time until a waiting request is considered again without being woken.
+	minPause = config.Span(time.Millisecond)
+	// minReturn is the shortest time after which a refused caller is asked to return: half of the shortest
+	// aim, so that one that is served then may still be in time.
+	minReturn = config.Span(50 * time.Millisecond)
+	// returnInterval is the time between two returns if the rate at which places open is not known: ten
+	// within retryDelay.
+	returnInterval = 15 * time.Millisecond
+	// optimisticRead is the fraction of the expected reading time that is certainly needed: the estimate
+	// includes waits, and the endpoint may hold more of the prompt than is known.
+	optimisticRead = 0.5
+)
+
+// admit decides whether the request is sent now. The error says why not; it is errNoPlace for a request that
+// waits, and the request is refused otherwise. The caller must hold the engine's mu.
+func (x *run) admit(now time.Time) *fault.Error {
+	e := x.e
+	x.room.decision, x.room.onlyOpen = room.Decision{}, false
+	if !e.enabled(Admission, x.service) {
+		return nil
+	}
+	s := getOrCreate(e.rooms, x.service)
+	x.fillTicket(s, now)
+	s.reserved = s.queue.Reserved(s.reserved[:0], &x.room.ticket, now)
+	x.room.reserved = s.reserved
+	w := x.want()
+	x.room.reserved = nil
+	c := e.book.Room(now, &w, x.workTime(s), optimisticRead*x.readTimeOf(0, x.r.TokensIn-x.sharedTokens()))
+	x.room.age = c.Age
+	end, stopping := x.mustEndAt()
+	if c.Eligible == 0 && len(w.Only) > 0 {
+		return x.refusal(s, room.Decision{Action: room.Refuse, Cause: room.ByLoss, At: now}, &c, stopping, now)
+	}
+	if c.Reported && x.route.Affinity && now.Add(seconds(c.Head)).After(end) {
+		return x.refusal(s, room.Decision{Action: room.Refuse, Cause: room.ByDeadline, At: now}, &c, stopping, now)
+	}
+	q := room.Request{Ticket: &x.room.ticket, Arrived: x.r.Arrived, Aim: time.Duration(x.route.Aim), End: end, MayHaveRun: x.mayHaveRun}
+	d := room.Decide(now, &s.queue, &q, &c.Capacity, now.Before(shedMemory.After(s.shedAt)))
+	x.room.decision = d
+	switch d.Action {
+	case room.Refuse:
+		return x.refusal(s, d, &c, stopping, now)
+	case room.Wait:
+		x.room.nextAt = pollInterval.After(now)
+		if s.queue.Ahead(&x.room.ticket, now) == 0 {
+			x.room.nextAt = earliest(firstPollInterval.After(now), latest(d.At, minPause.After(now)))
+		}
+		return errNoPlace
+	default:
+		if x.room.onlyOpen = c.Open > 0; x.room.onlyOpen {
+			x.room.reserved = w.Reserved
+		}
+		return nil
+	}
+}
+
+// errNoPlace is the error of choose for a request that waits; it never reaches a caller.
+var errNoPlace = fault.New(fault.Overloaded, fault.NotRun, "The request waits for a place.")
+
+// earliest and latest return the earlier and the later of two times.
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// mustEndAt returns when the request must have been served. stopping says that the router's stop comes
+// before the deadline.
+func (x *run) mustEndAt() (end time.Time, stopping bool) {
+	if x.e.stopping.Load() && x.e.stopDeadline.Before(x.deadline) {
+		return x.e.stopDeadline, true
+	}
+	return x.deadline, false
+}
+
+// fillTicket sets the ticket at the first decision for the request, and its rank at every one. The caller
+// must hold the engine's mu.
+func (x *run) fillTicket(s *serviceRoom, now time.Time) {
+	t := &x.room.ticket
+	t.Rank = x.route.Rank
+	if x.workspace != nil {
+		t.Rank += x.workspace.Rank * routeRanks
+	}
+	if x.overShare(now) {
+		t.Rank += overShareRanks
+	}
+	// Once the request has reached as many endpoints as its route allows, only these are left.
+	if t.Only = nil; x.room.n >= max(x.route.MaxAttempts, 1) {
+		t.Only = x.room.endpoints[:x.room.n]
+	}
+	if !t.Deadline.IsZero() {
+		return
+	}
+	t.Deadline = x.deadline
+	first := x.r.Arrived
+	if !x.r.Deadline.IsZero() {
+		t.Deadline = x.r.Deadline
+		first = x.r.Arrived.Add(-s.usual.elapsed(x.r.Arrived, x.r.Deadline.Sub(x.r.Arrived)))
+	}
+	if x.route.Aim > 0 {
+		t.AimAt = x.route.Aim.After(first)
+	}
+}
+
+// workTime returns the time in which an endpoint serves a request without waiting; 0 if it is not known.
+// The caller must hold the engine's mu.
+func (x *run) workTime(s *serviceRoom) time.Duration {
+	if x.route.Kind == Stream {
+		return seconds(x.e.streamTimes[x.route.Name].expect(0))
+	}
+	return seconds(s.work.value)
+}
+
+// refusal returns the error for a request that is refused by a decision. The caller must hold the engine's
+// mu.
+func (x *run) refusal(s *serviceRoom, d room.Decision, c *pool.Room, stopping bool, now time.Time) *fault.Error {
+	x.room.decision, x.room.cause = d, d.Cause
+	x.e.metrics.count("admission_refusals", x.route.Name, string(d.Cause))
+	if d.Cause == room.ByAim {
+		s.shedAt = now
+	}
+	if stopping && d.Cause == room.ByDeadline {
+		return fault.New(fault.Stopping, fault.NotRun, "The router is stopping and expects no place before that.").WithRetryAt(now)
+	}
+	kind := fault.Overloaded
+	if d.Cause == room.ByDeadline {
+		kind = fault.DeadlineTooSoon
+	}
+	at := x.returnAt(s, d.At, x.e.returnInterval(c), now)
+	return fault.New(kind, fault.NotRun, "No endpoint is expected to have a place for the request in time (%s).", d.Cause).WithRetryAt(at)
+}
+
+// returnAt returns when the caller is asked to return, if places are expected from earliest on, one each
+// interval. The caller must hold the engine's mu.
+func (x *run) returnAt(s *serviceRoom, from time.Time, interval time.Duration, now time.Time) time.Time {
+	from = latest(from, minReturn.After(now)).Add(jitter(x.e.draw(), interval))
+	return s.spread.Next(now, from, x.room.ticket.Deadline, interval, x.e.draw())
+}
+
+// returnInterval returns the time between two places that this router gets if all routers get as many. The
+// caller must hold the engine's mu.
+func (e *Engine) returnInterval(c *pool.Room) time.Duration {
+	if c.Work <= 0 || c.Slots <= 0 {
+		return returnInterval
+	}
+	return max(c.Work*time.Duration(max(e.RouterCount(), 1))/time.Duration(c.Slots), time.Millisecond)
+}
+
+// recordOffer records that the request is sent to an endpoint. The caller must hold the engine's mu.
+func (x *run) recordOffer(p *pool.Endpoint, now time.Time) {
+	x.room.reserved = nil
+	if !x.e.enabled(Admission, x.service) {
+		return
+	}
+	p.Room.Offer(now)
+	h := &x.room
+	if h.added = h.n < len(h.endpoints) && !slices.Contains(h.endpoints[:h.n], p.Hash()); h.added {
+		h.endpoints[h.n] = p.Hash()
+		h.n++
+	}
+}
+
+// undoOffer records that the last attempt did not reach its endpoint.
+func (x *run) undoOffer() {
+	if x.room.added {
+		x.room.n--
+		x.room.added = false
+	}
+}
+
+// awaitPlace holds the request until an endpoint is expected to have a place for it, and chooses then. It
+// returns an error if no place can be expected in time any more, or if ctx has ended.
+func (x *run) awaitPlace(ctx context.Context, err *fault.Error) (*Attempt, *attemptRecord, *fault.Error) {
+	if full := x.join(); full != nil {
+		return nil, nil, full
+	}
+	began := x.e.Now()
+	defer x.leave(began)
+	timer := time.NewTimer(x.room.nextAt.Sub(began))
+	defer timer.Stop()
+	for {
+		select {
+		case <-x.room.ticket.Wake:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, nil, x.notSentReason(ctx, err)
+		}
+		now := x.e.Now()
+		a, t, err := x.choose(now)
+		if err == nil {
+			x.e.metrics.count("admission_places", x.route.Name, "")
+			return a, t, nil
+		}
+		if err != errNoPlace {
+			return nil, nil, err
+		}
+		timer.Reset(max(x.room.nextAt.Sub(now), time.Duration(minPause)))
+	}
+}
+
+// notSentReason returns why the request is not waiting any more, with its run state as err has it.
+func (x *run) notSentReason(ctx context.Context, err *fault.Error) *fault.Error {
+	reason := x.abandonReason(ctx)
+	reason.Run = err.Run
+	return reason
+}
+
+// join adds the request to the queue of its service. It returns an error if too many wait.
+func (x *run) join() *fault.Error {
+	e, now := x.e, x.e.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, t := getOrCreate(e.rooms, x.service), &x.room.ticket
+	if t.Wake == nil {
+		t.Wake, t.Since = make(chan struct{}, 1), now
+	}
+	if s.queue.Push(t) {
+		return nil
+	}
+	w := x.want()
+	c := e.book.Room(now, &w, x.workTime(s), 0)
+	return x.refusal(s, room.Decision{Action: room.Refuse, Cause: room.ByQueue, At: x.room.decision.At}, &c, false, now)
+}
+
+// leave removes the request, which began to wait at a time, from the queue and wakes the next one.
+func (x *run) leave(began time.Time) {
+	e, now := x.e, x.e.Now()
+	x.room.held += now.Sub(began)
+	e.metrics.time("admission_wait", x.route.Name, now.Sub(began))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := getOrCreate(e.rooms, x.service)
+	s.queue.Remove(&x.room.ticket)
+	s.queue.WakeNext(&x.room.ticket, now)
+}
+
+// reoffer reports whether a request that a full endpoint rejected with err is offered again, and takes that
+// from the retry budget. It does not count as an attempt of the request, as it did not run.
+func (x *run) reoffer(ctx context.Context, err *fault.Error) bool {
+	x.room.rejected = false
+	x.attempts--
+	if ctx.Err() != nil || x.headSent && !x.route.resumable() {
+		return false
+	}
+	e, now := x.e, x.e.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budget(x.service)
+	if len(x.records) < maxTries && b.Take(now, reserveFor(b.Allowed(now))) {
+		x.prepaid = true
+		return true
+	}
+	x.prepaid = false
+	s := getOrCreate(e.rooms, x.service)
+	x.room.cause = room.ByBudget
+	e.metrics.count("admission_refusals", x.route.Name, string(room.ByBudget))
+	w := x.want()
+	c := e.book.Room(now, &w, x.workTime(s), 0)
+	_ = err.WithRetryAt(x.returnAt(s, c.NextAt, e.returnInterval(&c), now))
+	return false
+}
+
+// recordRoom records from the head of an answer whether its endpoint accepts requests; mu is held.
+func (e *Engine) recordRoom(a *Attempt, t *attemptRecord, p *pool.Endpoint, reply *Reply, now time.Time) {
+	if !e.enabled(Admission, p.Service) {
+		return
+	}
+	known := reply.LoadReported && p.PlausibleLoad(reply.Running, reply.Waiting)
+	s := getOrCreate(e.rooms, p.Service)
+	if reply.NotRun {
+		// An endpoint that is not busy refused for another reason, such as that it leaves.
+		if known && reply.Waiting > 0 && reply.Running >= max(p.Slots, 1) {
+			a.rejected = true
+			p.Room.Reject(now, seconds(s.work.value)/time.Duration(max(p.Slots, 1)), e.RouterCount(), e.draw())
+		}
+		return
+	}
+	p.Room.Answer(t.At)
+	if known && reply.Running+reply.Waiting < p.Slots {
+		p.Room.Free()
+	}
+	if a.prefix == 0 && reply.Status < 300 {
+		turns := max(float64(t.Load+1)/float64(max(p.Slots, 1)), 1)
+		s.work.add(now.Sub(t.At).Seconds()/turns/p.Pace.Factor(now), workQuantile)
+	}
+	s.queue.WakeFor(p.Hash(), now)
+}
+
+// wakeWaiting wakes the first request that waits for a place at an endpoint; mu is held.
+func (e *Engine) wakeWaiting(p *pool.Entry) {
+	if s := e.rooms[p.Service]; s != nil {
+		s.queue.WakeFor(pool.HashOf(p.ID), e.Now())
+	}
+}
+
+// wakeAllWaiting wakes all waiting requests; mu is held.
+func (e *Engine) wakeAllWaiting() {
+	for _, s := range e.rooms {
+		s.queue.WakeAll()
+	}
+}
+
+// updateWaitingGauges updates the gauges of waiting requests; mu is held.
+func (e *Engine) updateWaitingGauges() {
+	for service, s := range e.rooms {
+		if s.waiting == nil {
+			s.waiting = e.metrics.scope.Tagged(map[string]string{"service": service}).Gauge("requests_waiting")
+		}
+		s.waiting.Update(float64(s.queue.Len()))
+	}
+}
+
+// heldField returns the log field of the time for which the request waited, if it did.
+func (h *admission) heldField() zap.Field {
+	if h.ticket.Since.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Int64("heldMs", h.held.Milliseconds())
+}
+
+// causeField returns the log field of the cause of a refusal by admission control.
+func (h *admission) causeField() zap.Field {
+	if h.cause == "" {
+		return zap.Skip()
+	}
+	return zap.String("roomCause", string(h.cause))
+}
+
+// ageField returns the log field of the age of the load report that decided, if the request was held or
+// refused.
+func (h *admission) ageField() zap.Field {
+	if h.cause == "" && h.ticket.Since.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Int64("roomAgeMs", h.age.Milliseconds())
+}
--- /dev/null
+++ b/internal/relay/admission_test.go
@@ -0,0 +1,485 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/room"
+)
+
+// busyEndpoints is a fake of endpoints, some of which are full. It records where attempts went.
+type busyEndpoints struct {
+	mu   sync.Mutex
+	full map[string]bool
+	// report changes the reply of a rejection; nil for none.
+	report func(r *Reply)
+	// onReject is called after each rejection.
+	onReject func()
+	sent     []string
+	sentIDs  []string
+}
+
+func (f *busyEndpoints) setFull(id string, full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full[id] = full
+}
+
+func (f *busyEndpoints) attempts() (endpoints, ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.sent...), append([]string(nil), f.sentIDs...)
+}
+
+// answer returns a good answer of an endpoint with a load.
+func answer(running, waiting int) *Reply {
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Length: 2, IDMatches: true, Authenticated: true, LoadReported: true, Running: running, Waiting: waiting}
+}
+
+func (f *busyEndpoints) send(_ context.Context, a *Attempt) (*Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent, f.sentIDs = append(f.sent, a.Endpoint.ID), append(f.sentIDs, a.Request.ID)
+	if !f.full[a.Endpoint.ID] {
+		return answer(1, 0), nil
+	}
+	r := &Reply{Status: http.StatusServiceUnavailable, NotRun: true, IDMatches: true, Authenticated: true, Header: http.Header{}, Body: http.NoBody, LoadReported: true, Running: 4, Waiting: 24}
+	if f.report != nil {
+		f.report(r)
+	}
+	if f.onReject != nil {
+		go f.onReject()
+	}
+	return r, nil
+}
+
+// contendedEngine returns an engine in front of fake endpoints, with admission control in use.
+func contendedEngine(r Route, f *busyEndpoints) *Engine {
+	e := engine(r, f.send)
+	l := *e.limits.Load()
+	l.Contention = true
+	e.SetLimits(l)
+	return e
+}
+
+// onceRoute is the route of plain writes in docs/contention.md.
+var onceRoute = Route{Kind: Unsafe, MaxAttempts: 1, Aim: config.Span(150 * time.Millisecond), Timeout: config.Span(1200 * time.Millisecond), Rank: 2}
+
+// call serves a request. It returns the answer and how long that took.
+func call(ctx context.Context, e *Engine, id string, deadline time.Duration) (*httptest.ResponseRecorder, time.Duration) {
+	w, now := httptest.NewRecorder(), time.Now()
+	r := &Request{ID: id, Method: "POST", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: now}
+	if deadline > 0 {
+		r.Deadline = now.Add(deadline)
+	}
+	e.Serve(ctx, w, r)
+	return w, time.Since(now)
+}
+
+// waitingCount returns how many requests wait for the service of engine.
+func waitingCount(e *Engine) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.rooms["s"]; s != nil {
+		return s.queue.Len()
+	}
+	return 0
+}
+
+// awaitWaiting returns once n requests wait.
+func awaitWaiting(t *testing.T, e *Engine, n int) {
+	t.Helper()
+	for range 2000 {
+		if waitingCount(e) == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("waiting: got %d, want %d", waitingCount(e), n)
+}
+
+// Guards against refusals though a place opens soon, and against a request that may run once being sent to
+// a second endpoint: it is offered to the endpoint that rejected it until that accepts.
+func TestFullEndpointGetsFree(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true, "f": true}}
+	e := contendedEngine(onceRoute, f)
+	e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
+	var rejections atomic.Int32
+	f.onReject = func() {
+		if rejections.Add(1) == 3 {
+			f.setFull("e", false)
+			f.setFull("f", false)
+		}
+	}
+	w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+	sent, _ := f.attempts()
+	if w.Code != http.StatusOK || len(sent) < 4 || len(sent) > maxTries || took > 600*time.Millisecond {
+		t.Errorf("got status %d after %d attempts and %v, want 200 after 4 and less than 600 ms", w.Code, len(sent), took)
+	}
+	for _, id := range sent {
+		if id != sent[0] {
+			t.Errorf("attempts: got %v, want one endpoint", sent)
+			break
+		}
+	}
+	if n := waitingCount(e); n != 0 {
+		t.Errorf("waiting at the end: got %d, want 0", n)
+	}
+}
+
+// Guards against requests that are held to their deadline, offered again and again, refused without a time
+// to return or with one that callers ignore, or reported to have run.
+func TestEndpointStaysFull(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		route    Route
+		deadline time.Duration
+	}{
+		{"once", onceRoute, 2500 * time.Millisecond},
+		{"no deadline", Route{Kind: Unsafe, MaxAttempts: 1, Aim: onceRoute.Aim}, 0},
+		{"no aim", Route{Kind: Unsafe, MaxAttempts: 1}, 2500 * time.Millisecond},
+		{"neither", Route{Kind: Safe, MaxAttempts: 2}, 0},
+		{"little time left", onceRoute, 60 * time.Millisecond},
+	} {
+		f := &busyEndpoints{full: map[string]bool{"e": true}}
+		e := contendedEngine(c.route, f)
+		w, took := call(t.Context(), e, "x", c.deadline)
+		sent, _ := f.attempts()
+		if w.Code != http.StatusServiceUnavailable || len(sent) == 0 || len(sent) > maxTries || took > 1100*time.Millisecond || !strings.Contains(w.Body.String(), `"run":"notRun"`) {
+			t.Errorf("%s: got status %d, %s after %d attempts and %v, want 503, not run, after %d and 1.1 s at most", c.name, w.Code, w.Body, len(sent), took, maxTries)
+		}
+		after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		if left := (c.deadline - took).Seconds(); err != nil || c.deadline > 0 && after > max(left/3, 0.011) {
+			t.Errorf("%s: got Retry-After %q, want at most a third of %.3f s", c.name, w.Header().Get("Retry-After"), left)
+		}
+		if n := waitingCount(e); n != 0 {
+			t.Errorf("%s: waiting at the end: got %d, want 0", c.name, n)
+		}
+	}
+}
+
+// Guards against offers that use up the retry budget of the service, also where many requests wait.
+func TestOffersAreFew(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true}}
+	e := contendedEngine(onceRoute, f)
+	var wg sync.WaitGroup
+	const requests = 20
+	for i := range requests {
+		wg.Go(func() { call(t.Context(), e, fmt.Sprint(i), 2500*time.Millisecond) })
+	}
+	wg.Wait()
+	if sent, _ := f.attempts(); len(sent) > 3*requests {
+		t.Errorf("%d requests: got %d attempts, want 3 for each at most", requests, len(sent))
+	}
+}
+
+// Guards against places that are kept for callers that have left, and against attempts for them.
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true}}
+	e := contendedEngine(onceRoute, f)
+	ctx, cancel := context.WithCancel(t.Context())
+	f.onReject = cancel
+	w, _ := call(ctx, e, "x", 2500*time.Millisecond)
+	if n := waitingCount(e); n != 0 || w.Code != 499 {
+		t.Errorf("got status %d and %d waiting, want 499 and 0", w.Code, n)
+	}
+	f.setFull("e", false)
+	if w, _ := call(t.Context(), e, "y", 2500*time.Millisecond); w.Code != http.StatusOK {
+		t.Errorf("next request: got status %d, want 200", w.Code)
+	}
+	_, ids := f.attempts()
+	if ids[len(ids)-1] != "y" || len(ids) > 3 {
+		t.Errorf("attempts: got %v, want none for x after its caller left", ids)
+	}
+}
+
+// Guards against requests that wait for places of an endpoint that has none any more: one that is gone, that
+// leaves or that is ejected.
+func TestEndpointIsLostWhileRequestsWait(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(e *Engine)
+	}{
+		{"gone", func(e *Engine) { e.RemoveEndpoint("e", 9, time.Now()) }},
+		{"leaving", func(e *Engine) {
+			e.PutEndpoint(pool.Entry{ID: "e", Service: "s", Slots: 4, Leaving: true, Revision: 2})
+		}},
+		{"zone closed", func(e *Engine) { e.CloseZone("", 1) }},
+		{"ejected", func(e *Engine) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.book.Get("e").Trust.RecordFailure(time.Now(), true)
+		}},
+	} {
+		f := &busyEndpoints{full: map[string]bool{"e": true}}
+		e := contendedEngine(onceRoute, f)
+		var once sync.Once
+		f.onReject = func() { once.Do(func() { c.lose(e) }) }
+		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+		sent, _ := f.attempts()
+		if w.Code != http.StatusServiceUnavailable || took > 200*time.Millisecond || len(sent) > 3 || w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s: got status %d after %v and %d attempts, want 503 within 200 ms", c.name, w.Code, took, len(sent))
+		}
+	}
+}
+
+// Guards against endpoints that are found again, or new, but serve none of those that wait.
+func TestNewEndpointServesWaiting(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true}}
+	route := onceRoute
+	route.MaxAttempts = 2
+	e := contendedEngine(route, f)
+	var once sync.Once
+	f.onReject = func() {
+		once.Do(func() { e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1}) })
+	}
+	w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+	if w.Code != http.StatusOK || took > 200*time.Millisecond {
+		t.Errorf("got status %d after %v, want 200 within 200 ms", w.Code, took)
+	}
+}
+
+// Guards against a router that stops with requests in its queue: those that get a place in time are served,
+// others are refused in time to be repeated elsewhere.
+func TestStopWhileRequestsWait(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		left   time.Duration
+		free   bool
+		status int
+	}{
+		{"place in time", time.Second, true, 200},
+		{"no place", 20 * time.Millisecond, false, 503},
+	} {
+		f := &busyEndpoints{full: map[string]bool{"e": true}}
+		e := contendedEngine(onceRoute, f)
+		var once sync.Once
+		f.onReject = func() {
+			once.Do(func() {
+				e.Stop(time.Now().Add(c.left))
+				f.setFull("e", !c.free)
+			})
+		}
+		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+		if w.Code != c.status || !c.free && took > 150*time.Millisecond {
+			t.Errorf("%s: got status %d after %v, want %d", c.name, w.Code, took, c.status)
+		}
+		if w.Header().Get("Connection") != "close" {
+			t.Errorf("%s: the caller is not asked to connect elsewhere", c.name)
+		}
+	}
+}
+
+// Guards against refusals and waits by reports that are missing, absurd or about another reason than a lack
+// of places: such rejections are treated as without admission control.
+func TestRejectionWithoutUsableLoad(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		report func(r *Reply)
+	}{
+		{"missing", func(r *Reply) { r.LoadReported = false }},
+		{"absurd", func(r *Reply) { r.Running, r.Waiting = math.MaxInt, math.MaxInt }},
+		{"negative", func(r *Reply) { r.Running = -3 }},
+		{"idle", func(r *Reply) { r.Running, r.Waiting = 0, 0 }},
+	} {
+		f := &busyEndpoints{full: map[string]bool{"e": true}, report: c.report}
+		route := onceRoute
+		route.MaxAttempts = 2
+		e := contendedEngine(route, f)
+		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+		sent, _ := f.attempts()
+		if w.Code != http.StatusServiceUnavailable || len(sent) != 2 || took > 100*time.Millisecond {
+			t.Errorf("%s: got status %d after %d attempts and %v, want 503 after 2, at once", c.name, w.Code, len(sent), took)
+		}
+	}
+}
+
+// Guards against two routers with unlike estimates of one endpoint that keep each other's requests out: that
+// which believes it free is rejected, waits and gets a place, as does the other.
+func TestTwoRoutersAtOneEndpoint(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true}}
+	a, b := contendedEngine(onceRoute, f), contendedEngine(onceRoute, f)
+	for _, e := range []*Engine{a, b} {
+		e.RouterCount = func() int { return 2 }
+	}
+	now := time.Now()
+	a.mu.Lock()
+	a.book.Get("e").Load.RecordReport(now, 4, 24)
+	a.book.Get("e").Room.Reject(now, 30*time.Millisecond, 2, 0)
+	a.mu.Unlock()
+	var wg sync.WaitGroup
+	for i, e := range []*Engine{a, b} {
+		wg.Go(func() {
+			if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 500*time.Millisecond {
+				t.Errorf("router %d: got status %d after %v, want 200 within 500 ms", i, w.Code, took)
+			}
+		})
+	}
+	time.Sleep(40 * time.Millisecond)
+	f.setFull("e", false)
+	wg.Wait()
+}
+
+// Guards against new arrivals that pass those that wait, and against waiting requests served out of order: the
+// one with the least time left is first.
+func TestWaitingAreServedInOrder(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true}}
+	route := onceRoute
+	route.Aim = config.Span(600 * time.Millisecond)
+	e := contendedEngine(route, f)
+	e.mu.Lock()
+	p := e.book.Get("e")
+	p.Load.RecordReport(time.Now(), 4, 24)
+	// Full for 50 to 150 ms.
+	p.Room.Reject(time.Now(), time.Second, 1, 0)
+	e.mu.Unlock()
+	var wg sync.WaitGroup
+	start := func(id string, deadline time.Duration, waiting int) {
+		wg.Go(func() { call(t.Context(), e, id, deadline) })
+		awaitWaiting(t, e, waiting)
+	}
+	start("new", 2500*time.Millisecond, 1)
+	start("returning", 1700*time.Millisecond, 2)
+	f.setFull("e", false)
+	wg.Wait()
+	if _, ids := f.attempts(); len(ids) != 2 || ids[0] != "returning" {
+		t.Errorf("attempts: got %v, want those of returning and new", ids)
+	}
+}
+
+// Guards against prompts that are sent though even the least wait is beyond their deadline, and against
+// refusals by estimates that no report supports.
+func TestPromptThatCannotBeServedInTime(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		reported       bool
+		backlog        time.Duration
+		deadline       time.Duration
+		status, atMost int
+	}{
+		{"in time", true, 100 * time.Millisecond, 2 * time.Second, 200, 1},
+		{"too late", true, 4 * time.Second, 2 * time.Second, 503, 0},
+		{"no reports", false, 4 * time.Second, 2 * time.Second, 200, 1},
+	} {
+		f := &busyEndpoints{full: map[string]bool{}}
+		e := contendedEngine(Route{Kind: Safe, MaxAttempts: 2, Affinity: true, Aim: config.Span(time.Second)}, f)
+		e.mu.Lock()
+		p := e.book.Get("e")
+		p.Load.AddPrompt(time.Now(), c.backlog)
+		if c.reported {
+			p.Load.RecordReport(time.Now(), 1, 0)
+		}
+		e.mu.Unlock()
+		w, took := call(t.Context(), e, "x", c.deadline)
+		sent, _ := f.attempts()
+		if w.Code != c.status || len(sent) > c.atMost || took > 200*time.Millisecond {
+			t.Errorf("%s: got status %d after %d attempts and %v, want %d after %d", c.name, w.Code, len(sent), took, c.status, c.atMost)
+		}
+	}
+}
+
+// Guards against any change where the mechanism is not in use: the same answers, attempts and times to
+// return, and no state.
+func TestWithoutAdmission(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limits func(l *Limits)
+	}{
+		{"no contention", func(*Limits) {}},
+		{"switched off", func(l *Limits) { l.Contention, l.Mechanisms.Without = true, []Mechanism{Admission} }},
+	} {
+		for _, maxAttempts := range []int{1, 2, 3} {
+			f := &busyEndpoints{full: map[string]bool{"e": true, "f": true}}
+			route := onceRoute
+			route.MaxAttempts = maxAttempts
+			e := engine(route, f.send)
+			e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
+			l := *e.limits.Load()
+			c.limits(&l)
+			e.SetLimits(l)
+			w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+			sent, _ := f.attempts()
+			after, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			if w.Code != http.StatusServiceUnavailable || len(sent) != maxAttempts || took > 100*time.Millisecond || after < 0.14 || after > 0.15 {
+				t.Errorf("%s, %d attempts: got status %d, %d attempts in %v, Retry-After %v, want 503, %d at once, 0.150", c.name, maxAttempts, w.Code, len(sent), took, after, maxAttempts)
+			}
+			if p := e.book.Get("e"); len(e.rooms) != 0 || p.Room != (room.Place{}) {
+				t.Errorf("%s: got state of admission control, want none", c.name)
+			}
+		}
+	}
+}
+
+// Guards against a request that may have run and is then refused as if it had not.
+func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": true}}
+	first := true
+	e := contendedEngine(Route{Kind: Safe, MaxAttempts: 3, Aim: onceRoute.Aim, Timeout: config.Span(400 * time.Millisecond)}, f)
+	e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+		if first {
+			first = false
+			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+		}
+		return f.send(ctx, a)
+	}
+	w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+	if w.Code == http.StatusServiceUnavailable || w.Code < 500 || took > 450*time.Millisecond {
+		t.Errorf("got status %d after %v, want 502 or 504", w.Code, took)
+	}
+}
+
+// Guards against a returning caller that is taken for a new one, and against callers with other deadlines that
+// are taken for returning ones.
+func TestElapsedOfReturningCallers(t *testing.T) {
+	var m recentMax
+	at := time.Unix(1000, 0)
+	for _, c := range []struct{ left, want time.Duration }{
+		{2500 * time.Millisecond, 0}, {2495 * time.Millisecond, 0}, {1700 * time.Millisecond, 800 * time.Millisecond}, {500 * time.Millisecond, 0}, {-time.Second, 0},
+	} {
+		if got := m.elapsed(at, c.left); got != c.want {
+			t.Errorf("%v left: got %v since the first attempt, want %v", c.left, got, c.want)
+		}
+	}
+	at = recentSpan.After(recentSpan.After(at.Add(time.Second)).Add(time.Second))
+	if m.elapsed(at, time.Second); m.elapsed(recentSpan.After(at).Add(time.Second), time.Second) != 0 {
+		t.Error("an old maximum is not forgotten")
+	}
+}
+
+// BenchmarkAdmit shows that a decision takes under 20 us and allocates nothing at 64 endpoints.
+func BenchmarkAdmit(b *testing.B) {
+	e := contendedEngine(onceRoute, &busyEndpoints{full: map[string]bool{}})
+	now := time.Now()
+	for i := range 63 {
+		e.PutEndpoint(pool.Entry{ID: fmt.Sprint("e", i), Service: "s", Slots: 6, Revision: 1})
+		e.book.Get(fmt.Sprint("e", i)).Load.RecordReport(now, 6, 10)
+	}
+	x := &run{e: e, r: &Request{ID: "x", Arrived: now, Deadline: now.Add(time.Hour)}, route: e.table.Load().Match("h", "/"), deadline: now.Add(time.Hour), service: "s"}
+	s := getOrCreate(e.rooms, "s")
+	s.work.add(0.03, workQuantile)
+	for range 16 {
+		s.queue.Push(&room.Ticket{Rank: 3, Deadline: now.Add(time.Hour), Since: now})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := x.admit(now); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -130,6 +130,8 @@
 	confidences sizes.ConfidenceStats
 	// paceReported holds the services of which an endpoint has reported its pace.
 	paceReported map[string]bool
+	// rooms holds the state of admission control, by service.
+	rooms map[string]*serviceRoom
 	// rollouts holds the trials, by service.
 	rollouts map[string]*rollout
 }
@@ -168,6 +170,7 @@
 		streamTimes:        make(map[string]*timeMean),
 		streamPaces:        make(map[string]*usualPace),
 		paceReported:       make(map[string]bool),
+		rooms:              make(map[string]*serviceRoom),
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
 	}
@@ -205,6 +208,7 @@
 		e.Log.Info("relay: An endpoint has changed.", zap.String("endpoint", p.ID), zap.String("service", p.Service),
 			zap.String("version", p.Version), zap.Bool("leaving", p.Leaving), zap.Int64("revision", p.Revision))
 	}
+	e.wakeWaiting(&p)
 }
 
 // RemoveEndpoint removes an endpoint. It counts as gone from lapsesAt on.
@@ -212,6 +216,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.book.Remove(id, revision, e.Now(), lapsesAt)
+	e.wakeAllWaiting()
 	e.Log.Info("relay: An endpoint was removed.", zap.String("endpoint", id), zap.Int64("revision", revision), zap.Time("lapsesAt", lapsesAt))
 }
 
@@ -246,6 +251,9 @@
 func (e *Engine) Stop(abortAt time.Time) {
 	e.stoppedAt, e.stopDeadline = e.Now(), abortAt
 	e.stopping.Store(true)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.wakeAllWaiting()
 }
 
 // StopGracePeriod is how long a stopping router still accepts every request. The load balancer
@@ -304,6 +312,7 @@
 func (e *Engine) updateGauges() {
 	e.mu.Lock()
 	endpoints, closed := e.book.Len(), e.book.ClosedZones()
+	e.updateWaitingGauges()
 	e.mu.Unlock()
 	e.metrics.closed.Update(float64(closed))
 	e.metrics.active.Update(float64(e.active.Load()))
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -34,6 +34,7 @@
 			e.Log.Info("relay: Endpoints of a service report their pace.", zap.String("service", p.Service), zap.String("endpoint", p.ID), zap.Float64("pace", reply.Pace))
 		}
 	}
+	e.recordRoom(a, t, p, reply, now)
 	if a.Endpoint.StartedAt.Equal(p.StartedAt) {
 		e.recordNotice(p, a.Request.ID, reply.Notice, t.At, now)
 	}
@@ -126,6 +127,7 @@
 		// An endpoint that lapsed and was listed again starts at 0.
 		p.Load.InFlight = max(p.Load.InFlight-1, 0)
 	}
+	e.wakeWaiting(&a.Endpoint)
 }
 
 // silenceTimer cancels an attempt whose endpoint sends nothing for too long, if the request may go to
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -112,6 +112,8 @@
 	// countedAs is what the attempt counted as in the trial of its service; empty if it was not
 	// counted.
 	countedAs string
+	// rejected says that the endpoint proved that it did not run the request, as it was full.
+	rejected bool
 }
 
 // Reply is the answer of an endpoint once its head has been received. Send sets it.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -56,6 +56,8 @@
 	records []attemptRecord
 	// lastWant is what the last pick of an endpoint asked for.
 	lastWant pool.Want
+	// room is the state of the request under admission control.
+	room admission
 }
 
 // outcomeSilent is the outcome of an attempt that was ended for its endpoint's silence.
@@ -75,6 +77,9 @@
 			return
 		}
 		a, t, err := x.choose(now)
+		if err == errNoPlace {
+			a, t, err = x.awaitPlace(ctx, err)
+		}
 		if err != nil && x.limited {
 			a, t, err = x.borrow(ctx, now, err)
 		}
@@ -124,6 +129,7 @@
 	defer func() { _ = reply.Body.Close() }()
 	t.Status, t.Confidence = reply.Status, reply.Confidence
 	x.e.recordHead(a, t, reply, now)
+	x.room.rejected = a.rejected
 	err := x.checkHead(reply)
 	x.countStart(reply, err, t.At, now)
 	if err != nil {
@@ -211,6 +217,7 @@
 	}
 	if notSent(err) {
 		x.attempts--
+		x.undoOffer()
 		x.refund(now)
 	}
 	if x.retry(ctx, err) {
@@ -246,6 +253,9 @@
 // retry reports whether another attempt follows one that failed with err, and takes it from the
 // retry budget.
 func (x *run) retry(ctx context.Context, err *fault.Error) bool {
+	if x.room.rejected {
+		return x.reoffer(ctx, err)
+	}
 	rules := tries.Rules{Repeatable: x.route.repeatable(), Resumable: x.route.resumable(), MaxAttempts: max(x.route.MaxAttempts, 1)}
 	state := tries.State{Attempts: x.attempts, AnswerBegun: x.headSent, Finished: ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent)}
 	if len(x.records) >= maxTries || tries.Next(rules, state, err) == tries.Stop {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -194,7 +194,7 @@
 	}
 	e.Log.Info("relay: A request has ended.", zap.String("request", x.r.ID), zap.String("route", name), zap.Int64("aimMs", x.aim().Milliseconds()), zap.Int64("pauseAimMs", x.pauseAim().Milliseconds()), zap.Int64("headMs", x.timeToHead().Milliseconds()), zap.String("workspace", workspace),
 		zap.String("session", x.r.Session), zap.Int("tokensIn", x.r.TokensIn), zap.Int("tokensOut", x.r.TokensOut), zap.Int64("configuration", version), zap.Int64("configurationAgeMs", e.age(now).Milliseconds()),
-		zap.Int("status", code), e.fingerprintField(x.r), zap.String("outcome", kind), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err))
+		zap.Int("status", code), e.fingerprintField(x.r), zap.String("outcome", kind), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err), x.room.heldField(), x.room.causeField(), x.room.ageField())
 }
 
 // fields returns the log fields of attempt n of a request; n starts at 1.
--- a/internal/relay/zones.go
+++ b/internal/relay/zones.go
@@ -29,6 +29,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.book.OpenZone(name, revision, e.Now()) {
+		e.wakeAllWaiting()
 		e.Log.Info("relay: An availability zone was opened.", zap.String("availabilityZone", name), zap.Int64("revision", revision),
 			zap.Int("endpoints", e.book.InZone(name)), zap.Int("zonesClosed", e.book.ClosedZones()))
 	}
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/traildrift/traildrift/pkg/mixer"
+	"github.com/traildrift/traildrift/pkg/room"
 )
 
 // Entry is an endpoint as the endpoint list has it.
@@ -43,7 +44,9 @@
 	Load  Load
 	Trust Trust
 	Pace  Pace
-	hash  uint64
+	// Room estimates when the endpoint accepts a request.
+	Room room.Place
+	hash uint64
 	warming
 	// announced is what the endpoint announced about itself; cachedRank is this process's rank among its senders.
 	announced  announced
@@ -115,8 +118,8 @@
 		e.StartedAt = p.StartedAt
 	}
 	if !p.StartedAt.IsZero() && !e.StartedAt.Equal(p.StartedAt) {
-		// Announcements and pace of an earlier incarnation do not apply to this one.
-		changed, p.leaving, p.announced, p.Pace = true, false, announced{}, Pace{}
+		// Announcements, pace and room of an earlier incarnation do not apply to this one.
+		changed, p.leaving, p.announced, p.Pace, p.Room = true, false, announced{}, Pace{}, room.Place{}
 	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -61,6 +61,10 @@
 	// Unfinished returns the probability, 0 to 1, that the answer does not end in time at an endpoint if
 	// its head comes after so many seconds; nil for 0.
 	Unfinished func(p *Endpoint, head float64) float64
+	// OnlyOpen restricts the request to endpoints that are not known to be full and are not in Reserved.
+	// Only restricts it to the endpoints with these hashes; empty for all.
+	OnlyOpen       bool
+	Only, Reserved []uint64
 	// NoRetry says that the request is lost if its attempt fails, so that it goes to healthy endpoints
 	// only, as far as there are any.
 	NoRetry bool
@@ -178,7 +182,7 @@
 
 // fits reports whether an endpoint may serve a request now, trusted or not.
 func (p *Endpoint) fits(now time.Time, w *Want) bool {
-	return (w.firstHash == 0 || p.hash == w.firstHash) && p.allowed(now, w) && p.ready(now) && !slices.Contains(w.Avoid, p.ID)
+	return (w.firstHash == 0 || p.hash == w.firstHash) && p.allowed(now, w) && p.ready(now) && p.offered(now, w) && !slices.Contains(w.Avoid, p.ID)
 }
 
 // allowed reports whether an endpoint may get new work and has a version and a zone that may serve the request.
