--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -98,7 +98,7 @@
 	x.room.reserved = s.reserved
 	w := x.want()
 	x.room.reserved = nil
-	c := e.book.Room(now, &w, x.workTime(s), optimisticRead*x.readTimeOf(0, x.r.TokensIn-x.sharedTokens()))
+	c := x.capacity(s, &w, now)
 	x.room.age = c.Age
 	end, stopping := x.mustEndAt()
 	if c.Eligible == 0 && len(w.Only) > 0 {
@@ -154,17 +154,10 @@
 	return x.deadline, false
 }
 
-// fillTicket sets the ticket at the first decision for the request, and its rank at every one. The caller
-// must hold the engine's mu.
+// fillTicket sets the ticket at the first decision for the request, and the endpoints to which it is restricted
+// at every one. The caller must hold the engine's mu.
 func (x *run) fillTicket(s *serviceRoom, now time.Time) {
 	t := &x.room.ticket
-	t.Rank = x.route.Rank
-	if x.workspace != nil {
-		t.Rank += x.workspace.Rank * routeRanks
-	}
-	if x.overShare(now) {
-		t.Rank += overShareRanks
-	}
 	// Once the request has reached as many endpoints as its route allows, only these are left.
 	if t.Only = nil; x.room.n >= max(x.route.MaxAttempts, 1) {
 		t.Only = x.room.endpoints[:x.room.n]
@@ -172,6 +165,13 @@
 	if !t.Deadline.IsZero() {
 		return
 	}
+	t.Rank = x.route.Rank
+	if x.workspace != nil {
+		t.Rank += x.workspace.Rank * routeRanks
+	}
+	if x.overShare(now) {
+		t.Rank += overShareRanks
+	}
 	t.Deadline = x.deadline
 	first := x.r.Arrived
 	if !x.r.Deadline.IsZero() {
@@ -192,6 +192,18 @@
 	return seconds(s.work.value)
 }
 
+// capacity returns what the endpoints that may serve the request are expected to accept. The caller must hold
+// the engine's mu.
+func (x *run) capacity(s *serviceRoom, w *pool.Want, now time.Time) pool.Room {
+	c := x.e.book.Room(now, w, x.workTime(s), optimisticRead*x.readTimeOf(0, x.r.TokensIn-x.sharedTokens()))
+	if x.route.Kind == Stream {
+		// A stream is in time by its head, and the rest of one that is resumed may be short. How long its
+		// head takes depends on prompts, see Room.Head.
+		c.Work, c.Busy = 0, false
+	}
+	return c
+}
+
 // refusal returns the error for a request that is refused by a decision. The caller must hold the engine's
 // mu.
 func (x *run) refusal(s *serviceRoom, d room.Decision, c *pool.Room, stopping bool, now time.Time) *fault.Error {
@@ -207,7 +219,7 @@
 	if d.Cause == room.ByDeadline {
 		kind = fault.DeadlineTooSoon
 	}
-	at := x.returnAt(s, d.At, x.e.returnInterval(c), now)
+	at := x.returnAt(s, d.At, x.returnInterval(s, c), now)
 	return fault.New(kind, fault.NotRun, "No endpoint is expected to have a place for the request in time (%s).", d.Cause).WithRetryAt(at)
 }
 
@@ -220,11 +232,12 @@
 
 // returnInterval returns the time between two places that this router gets if all routers get as many. The
 // caller must hold the engine's mu.
-func (e *Engine) returnInterval(c *pool.Room) time.Duration {
-	if c.Work <= 0 || c.Slots <= 0 {
+func (x *run) returnInterval(s *serviceRoom, c *pool.Room) time.Duration {
+	work := x.workTime(s)
+	if work <= 0 || c.Slots <= 0 {
 		return returnInterval
 	}
-	return max(c.Work*time.Duration(max(e.RouterCount(), 1))/time.Duration(c.Slots), time.Millisecond)
+	return max(work*time.Duration(max(x.e.RouterCount(), 1))/time.Duration(c.Slots), time.Millisecond)
 }
 
 // recordOffer records that the request is sent to an endpoint. The caller must hold the engine's mu.
@@ -267,6 +280,7 @@
 			return nil, nil, x.notSentReason(ctx, err)
 		}
 		now := x.e.Now()
+		x.hasTimeLeft(now) // moves the deadline, by which choose refuses
 		a, t, err := x.choose(now)
 		if err == nil {
 			x.e.metrics.count("admission_places", x.route.Name, "")
@@ -299,7 +313,7 @@
 		return nil
 	}
 	w := x.want()
-	c := e.book.Room(now, &w, x.workTime(s), 0)
+	c := x.capacity(s, &w, now)
 	return x.refusal(s, room.Decision{Action: room.Refuse, Cause: room.ByQueue, At: x.room.decision.At}, &c, false, now)
 }
 
@@ -336,8 +350,8 @@
 	x.room.cause = room.ByBudget
 	e.metrics.count("admission_refusals", x.route.Name, string(room.ByBudget))
 	w := x.want()
-	c := e.book.Room(now, &w, x.workTime(s), 0)
-	_ = err.WithRetryAt(x.returnAt(s, c.NextAt, e.returnInterval(&c), now))
+	c := x.capacity(s, &w, now)
+	_ = err.WithRetryAt(x.returnAt(s, c.NextAt, x.returnInterval(s, &c), now))
 	return false
 }
 
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -17,6 +17,10 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
@@ -102,6 +106,16 @@
 	return 0
 }
 
+// setFullFor records that the endpoint rejected a request, and that one of its requests ends each perEnd. It
+// counts as full from then on for half as long; at most for 50 ms.
+func setFullFor(e *Engine, perEnd time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.book.Get("e")
+	p.Load.RecordReport(time.Now(), 4, 24)
+	p.Room.Reject(time.Now(), perEnd, 1, 0)
+}
+
 // awaitWaiting returns once n requests wait.
 func awaitWaiting(t *testing.T, e *Engine, n int) {
 	t.Helper()
@@ -193,9 +207,15 @@
 func TestCallerLeavesWhileWaiting(t *testing.T) {
 	f := &busyEndpoints{full: map[string]bool{"e": true}}
 	e := contendedEngine(onceRoute, f)
+	setFullFor(e, time.Second)
 	ctx, cancel := context.WithCancel(t.Context())
-	f.onReject = cancel
-	w, _ := call(ctx, e, "x", 2500*time.Millisecond)
+	defer cancel()
+	var w *httptest.ResponseRecorder
+	var wg sync.WaitGroup
+	wg.Go(func() { w, _ = call(ctx, e, "x", 2500*time.Millisecond) })
+	awaitWaiting(t, e, 1)
+	cancel()
+	wg.Wait()
 	if n := waitingCount(e); n != 0 || w.Code != 499 {
 		t.Errorf("got status %d and %d waiting, want 499 and 0", w.Code, n)
 	}
@@ -204,8 +224,8 @@
 		t.Errorf("next request: got status %d, want 200", w.Code)
 	}
 	_, ids := f.attempts()
-	if ids[len(ids)-1] != "y" || len(ids) > 3 {
-		t.Errorf("attempts: got %v, want none for x after its caller left", ids)
+	if len(ids) != 1 || ids[0] != "y" {
+		t.Errorf("attempts: got %v, want one of y", ids)
 	}
 }
 
@@ -318,11 +338,7 @@
 	for _, e := range []*Engine{a, b} {
 		e.RouterCount = func() int { return 2 }
 	}
-	now := time.Now()
-	a.mu.Lock()
-	a.book.Get("e").Load.RecordReport(now, 4, 24)
-	a.book.Get("e").Room.Reject(now, 30*time.Millisecond, 2, 0)
-	a.mu.Unlock()
+	setFullFor(a, 30*time.Millisecond)
 	var wg sync.WaitGroup
 	for i, e := range []*Engine{a, b} {
 		wg.Go(func() {
@@ -343,12 +359,7 @@
 	route := onceRoute
 	route.Aim = config.Span(600 * time.Millisecond)
 	e := contendedEngine(route, f)
-	e.mu.Lock()
-	p := e.book.Get("e")
-	p.Load.RecordReport(time.Now(), 4, 24)
-	// Full for 50 to 150 ms.
-	p.Room.Reject(time.Now(), time.Second, 1, 0)
-	e.mu.Unlock()
+	setFullFor(e, time.Second)
 	var wg sync.WaitGroup
 	start := func(id string, deadline time.Duration, waiting int) {
 		wg.Go(func() { call(t.Context(), e, id, deadline) })
@@ -426,6 +437,82 @@
 	}
 }
 
+// slottedEndpoint is a fake of an endpoint with 4 slots, a queue of 8 and 5 ms of work.
+type slottedEndpoint struct {
+	slots chan struct{}
+	// present counts the requests in slots and queue; ran and ranTwice hold the IDs of those that ran.
+	present, rejections atomic.Int32
+	ran, ranTwice       sync.Map
+}
+
+func (p *slottedEndpoint) send(_ context.Context, a *Attempt) (*Reply, error) {
+	defer p.present.Add(-1)
+	if p.present.Add(1) > 12 {
+		p.rejections.Add(1)
+		return &Reply{Status: http.StatusServiceUnavailable, NotRun: true, IDMatches: true, Authenticated: true, Header: http.Header{}, Body: http.NoBody, LoadReported: true, Running: 4, Waiting: 8}, nil
+	}
+	p.slots <- struct{}{}
+	time.Sleep(5 * time.Millisecond)
+	<-p.slots
+	if _, twice := p.ran.LoadOrStore(a.Request.ID, true); twice {
+		p.ranTwice.Store(a.Request.ID, true)
+	}
+	n := int(p.present.Load()) - 1
+	return answer(min(n, 4), max(n-4, 0)), nil
+}
+
+// checkAnswer reports whether a request was served, and checks that it ran then, that it did not run if it was
+// refused, and that the answer came soon.
+func (p *slottedEndpoint) checkAnswer(t *testing.T, id string, w *httptest.ResponseRecorder, took time.Duration) (served bool) {
+	_, ran := p.ran.Load(id)
+	served = w.Code == http.StatusOK
+	if served != ran || !served && (w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "") {
+		t.Errorf("request %s: got status %d, ran %v: %s", id, w.Code, ran, w.Body)
+	}
+	if took > 600*time.Millisecond {
+		t.Errorf("request %s: status %d after %v, want 600 ms at most", id, w.Code, took)
+	}
+	return served
+}
+
+// Guards against requests that run twice, are refused though they ran, are held to their deadline or are left in
+// the queue, and against a retry budget that is exceeded, while two routers send twice the capacity of an
+// endpoint.
+func TestPeakAtTwoRouters(t *testing.T) {
+	p := &slottedEndpoint{slots: make(chan struct{}, 4)}
+	var engines [2]*Engine
+	for i := range engines {
+		engines[i] = contendedEngine(onceRoute, &busyEndpoints{})
+		engines[i].Send, engines[i].RouterCount = p.send, func() int { return 2 }
+	}
+	var served, refused atomic.Int32
+	var wg sync.WaitGroup
+	const requests = 600
+	for i := range requests {
+		wg.Go(func() {
+			id := fmt.Sprint(i)
+			w, took := call(t.Context(), engines[i%2], id, 2500*time.Millisecond)
+			if p.checkAnswer(t, id, w, took) {
+				served.Add(1)
+			} else {
+				refused.Add(1)
+			}
+		})
+		time.Sleep(600 * time.Microsecond)
+	}
+	wg.Wait()
+	for i, e := range engines {
+		if n := waitingCount(e); n != 0 {
+			t.Errorf("router %d: %d wait at the end, want 0", i, n)
+		}
+	}
+	p.ranTwice.Range(func(id, _ any) bool { t.Errorf("request %v ran twice", id); return true })
+	t.Logf("served %d, refused %d, rejected attempts %d", served.Load(), refused.Load(), p.rejections.Load())
+	if served.Load() < requests/4 || p.rejections.Load() > requests {
+		t.Errorf("got %d served and %d attempts rejected, want %d at least and %d at most", served.Load(), p.rejections.Load(), requests/4, requests)
+	}
+}
+
 // Guards against a request that may have run and is then refused as if it had not.
 func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
 	f := &busyEndpoints{full: map[string]bool{"e": true}}
@@ -462,6 +549,76 @@
 	}
 }
 
+// Guards against end lines from which the cause of a refusal or the time of a wait cannot be told, and against
+// these fields on the lines of other requests.
+func TestAdmissionLogFields(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		full, wait bool
+		cause      string
+	}{
+		{"served at once", false, false, ""},
+		{"served after a wait", false, true, ""},
+		{"refused", true, true, "budget"},
+	} {
+		f := &busyEndpoints{full: map[string]bool{"e": c.full}}
+		e := contendedEngine(onceRoute, f)
+		core, lines := observer.New(zap.InfoLevel)
+		e.Log = zap.New(core)
+		if c.wait {
+			setFullFor(e, 50*time.Millisecond)
+		}
+		call(t.Context(), e, "x", 2500*time.Millisecond)
+		end := lines.FilterMessage("relay: A request has ended.").All()[0].ContextMap()
+		held, ok := end["heldMs"].(int64)
+		if ok != c.wait || c.wait && held < 10 {
+			t.Errorf("%s: got heldMs %v", c.name, end["heldMs"])
+		}
+		if _, ok := end["roomAgeMs"]; ok != c.wait {
+			t.Errorf("%s: got roomAgeMs %v", c.name, end["roomAgeMs"])
+		}
+		if cause, _ := end["roomCause"].(string); c.cause == "" && cause != "" || c.cause != "" && cause != string(room.ByBudget) && cause != string(room.ByHold) {
+			t.Errorf("%s: got roomCause %q", c.name, cause)
+		}
+	}
+}
+
+// Guards against metrics of waits and refusals that operators can't read: names, tags or values that differ
+// from docs/NAMES.md and the design note.
+func TestAdmissionMetrics(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": false}}
+	e := contendedEngine(onceRoute, f)
+	scope := tally.NewTestScope("", nil)
+	e.metrics = newMetrics(scope)
+	setFullFor(e, 100*time.Millisecond)
+	var wg sync.WaitGroup
+	wg.Go(func() { call(t.Context(), e, "x", 2500*time.Millisecond) })
+	awaitWaiting(t, e, 1)
+	e.updateGauges()
+	wg.Wait()
+	f.setFull("e", true)
+	call(t.Context(), e, "y", 2500*time.Millisecond)
+	got := scope.Snapshot()
+	if g, ok := got.Gauges()["relay.requests_waiting+service=s"]; !ok || g.Value() != 1 {
+		t.Errorf("gauges: got %v, want one waiting request of s", got.Gauges())
+	}
+	if n, ok := got.Counters()["relay.admission_places+outcome=,route=r"]; !ok || n.Value() < 1 {
+		t.Error("the wait that ended in a place is not counted")
+	}
+	refusals := int64(0)
+	for _, n := range got.Counters() {
+		if n.Name() == "relay.admission_refusals" && n.Tags()["route"] == "r" && n.Tags()["outcome"] != "" {
+			refusals += n.Value()
+		}
+	}
+	if refusals != 1 {
+		t.Errorf("refusals: got %d, want 1", refusals)
+	}
+	if _, ok := got.Histograms()["relay.admission_wait+route=r"]; !ok {
+		t.Error("no histogram of waits")
+	}
+}
+
 // BenchmarkAdmit shows that a decision takes under 20 us and allocates nothing at 64 endpoints.
 func BenchmarkAdmit(b *testing.B) {
 	e := contendedEngine(onceRoute, &busyEndpoints{full: map[string]bool{}})
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -135,9 +135,13 @@
 // trusted appends to dst the endpoints of a list that may serve a request and pass the strictest test of
 // trust that any of them passes. It returns them with that test; nil if no test was passed.
 func trusted(dst, list []*Endpoint, now time.Time, w *Want) ([]*Endpoint, trustTest) {
-	tests := []trustTest{(*Endpoint).healthy, (*Endpoint).mayTry, nil}
-	if !w.NoRetry {
-		tests = tests[1:]
+	tests := []trustTest{(*Endpoint).healthy, (*Endpoint).settled, (*Endpoint).mayTry, nil}
+	switch {
+	case !w.NoRetry:
+		tests = tests[2:]
+	case !w.OnlyOpen:
+		// Full endpoints are picked as well, so that there is a healthy one as long as any is.
+		tests[1] = (*Endpoint).mayTry
 	}
 	for _, test := range tests {
 		if eligible := fitting(dst, list, now, w, test); len(eligible) > 0 {
@@ -200,6 +204,7 @@
 }
 
 func (p *Endpoint) mayTry(now time.Time) bool  { return p.Trust.mayTry(now, p.Load.InFlight) }
+func (p *Endpoint) settled(now time.Time) bool { return p.Trust.settled(now) }
 func (p *Endpoint) healthy(now time.Time) bool { return p.Trust.healthy(now) }
 
 // utilization returns the runs of an endpoint in fractions of its slots.
--- a/pkg/pool/room.go
+++ b/pkg/pool/room.go
@@ -49,8 +49,16 @@
 	var buf [maxScan]*Endpoint
 	list := b.byService[w.Service]
 	all.firstHash = all.firstTrusted(list, now)
-	eligible, trust := trusted(buf[:0], list, now, &all)
-	if trust == nil {
+	// An endpoint whose last answer was an error counts also for requests that may not be retried: where an
+	// endpoint answers one request in seven with an error, few are healthy at any time.
+	eligible := buf[:0]
+	if w.NoRetry {
+		eligible = fitting(eligible, list, now, &all, (*Endpoint).settled)
+	}
+	if len(eligible) == 0 {
+		eligible = fitting(buf[:0], list, now, &all, (*Endpoint).mayTry)
+	}
+	if len(eligible) == 0 {
 		return r
 	}
 	r.Busy, r.Work, r.Eligible, r.Head = work > 0 && w.Affinity == 0, work, len(eligible), math.Inf(1)
--- a/pkg/pool/room_test.go
+++ b/pkg/pool/room_test.go
@@ -30,6 +30,11 @@
 		{"one rejected", func(b *Book) { full(b.Get("e0")); b.Get("e0").Room.Reject(t0, work, 1, 0) }, t0, 2, 1, false},
 		{"one rejected long ago", func(b *Book) { b.Get("e0").Room.Reject(t0, work, 1, 0) }, t0.Add(time.Second), 2, 2, false},
 		{"one ejected", func(b *Book) { b.Get("e0").Trust.RecordFailure(t0, true) }, t0, 1, 1, false},
+		{"one on trial after its ejection", func(b *Book) { b.Get("e0").Trust.RecordFailure(t0, true); b.Get("e0").Trust.failuresInRow = 5 }, t0.Add(2 * maxEject), 1, 1, false},
+		{"healthy one rejected, other failed once", func(b *Book) {
+			b.Get("e0").Trust.RecordFailure(t0, false)
+			b.Get("e1").Room.Reject(t0, work, 1, 0)
+		}, t0, 2, 1, false},
 		{"all ejected", func(b *Book) { b.Get("e0").Trust.RecordFailure(t0, true); b.Get("e1").Trust.RecordFailure(t0, true) }, t0, 0, 0, false},
 		{"one gone", func(b *Book) { b.Remove("e0", 9, t0, t0) }, t0, 1, 1, false},
 		{"one leaves", func(b *Book) { e := b.Get("e0").Entry; e.Leaving, e.Revision = true, 2; b.Put(e) }, t0, 1, 1, false},
@@ -44,7 +49,7 @@
 	} {
 		b := book(2)
 		c.set(b)
-		w := Want{Service: "s", Avoid: []string{"e0", "e1"}, OnlyOpen: true}
+		w := Want{Service: "s", Avoid: []string{"e0", "e1"}, OnlyOpen: true, NoRetry: true}
 		r := b.Room(c.now, &w, work, 0)
 		if r.Eligible != c.eligible || r.Open != c.open || r.Busy != c.busy {
 			t.Errorf("%s: got %d eligible, %d open, busy %v, want %d, %d, %v", c.name, r.Eligible, r.Open, r.Busy, c.eligible, c.open, c.busy)
@@ -55,6 +60,21 @@
 	}
 }
 
+// Guards against a request that may not be retried and is sent to an endpoint on trial, or waits, while the only
+// healthy endpoint is full and another one has merely answered with an error.
+func TestPickBesideFullEndpoint(t *testing.T) {
+	b := book(3)
+	b.Get("e0").Room.Reject(t0, time.Second, 1, 0)
+	b.Get("e1").Trust.RecordFailure(t0, false)
+	b.Get("e2").Trust = Trust{failuresInRow: ejectAfterFailures}
+	for draw := range uint64(100) {
+		w := Want{Service: "s", NoRetry: true, OnlyOpen: true, Draw: draw}
+		if p, _ := b.Pick(t0, &w); p == nil || p.ID != "e1" {
+			t.Fatalf("draw %d: got %v, want e1", draw, p)
+		}
+	}
+}
+
 // Guards against absurd load reports, with which an endpoint would seem full for ever.
 func TestPlausibleLoad(t *testing.T) {
 	p := &Endpoint{Entry: Entry{Slots: 6}}
--- a/pkg/pool/trust.go
+++ b/pkg/pool/trust.go
@@ -125,6 +125,11 @@
 	return t.failuresInRow < ejectAfterFailures && t.failureRate < ejectAboveRate || inFlight == 0
 }
 
+// settled reports whether the endpoint is neither ejected nor on trial after that.
+func (t *Trust) settled(now time.Time) bool {
+	return !now.Before(t.ejectedUntil) && t.failuresInRow < ejectAfterFailures && t.failureRate < ejectAboveRate
+}
+
 // healthy reports whether the endpoint may get a request that may not be retried: there is no failure since
 // its last success, neither of this process nor reported by a peer.
 func (t *Trust) healthy(now time.Time) bool {
--- a/pkg/room/room_test.go
+++ b/pkg/room/room_test.go
@@ -156,6 +156,48 @@
 	}
 }
 
+// Guards against a place that nobody takes, as the request behind the one that left sleeps on.
+func TestNextIsWoken(t *testing.T) {
+	var q Queue
+	ticket := func(deadline int, only ...uint64) *Ticket {
+		k := &Ticket{Deadline: t0.Add(ms(deadline)), Since: t0, Only: only, Wake: make(chan struct{}, 1)}
+		q.Push(k)
+		return k
+	}
+	first, bound, second, third := ticket(1), ticket(2, 7), ticket(3), ticket(4)
+	q.Remove(first)
+	q.WakeNext(first, t0)
+	q.WakeNext(first, t0)
+	if len(bound.Wake) != 1 || len(second.Wake) != 1 || len(third.Wake) != 0 {
+		t.Errorf("woken: got %d, %d, %d, want the restricted and the next other request", len(bound.Wake), len(second.Wake), len(third.Wake))
+	}
+	<-second.Wake
+	q.Remove(bound)
+	q.WakeNext(bound, t0)
+	if len(second.Wake) != 1 {
+		t.Error("the endpoint that a restricted request left to others wakes none")
+	}
+}
+
+// Guards against requests that are held for more than their return would cost.
+func TestHoldUntil(t *testing.T) {
+	for _, c := range []struct {
+		end        time.Duration
+		mayHaveRun bool
+		want       time.Duration
+	}{
+		{1200 * time.Millisecond, false, 240 * time.Millisecond},
+		{time.Minute, false, time.Second},
+		{1200 * time.Millisecond, true, 1200 * time.Millisecond},
+		{-time.Second, false, 0},
+	} {
+		r := Request{Arrived: t0, End: t0.Add(c.end), MayHaveRun: c.mayHaveRun}
+		if got := r.HoldUntil().Sub(t0); got != c.want {
+			t.Errorf("%v left, may have run %v: got %v, want %v", c.end, c.mayHaveRun, got, c.want)
+		}
+	}
+}
+
 // drawCapacity draws what endpoints accept, and drawRequest a request.
 func drawCapacity(t *rapid.T) Capacity {
 	c := Capacity{Eligible: rapid.IntRange(0, 3).Draw(t, "eligible"), Work: ms(rapid.IntRange(0, 60).Draw(t, "work")), Wait: ms(rapid.IntRange(0, 200).Draw(t, "wait")), Busy: rapid.Bool().Draw(t, "busy"), Interval: ms(rapid.IntRange(0, 50).Draw(t, "interval"))}
