--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -61,6 +61,10 @@
 	// Unfinished returns the probability, 0 to 1, that the answer does not end in time at an endpoint if
 	// its head comes after so many seconds; nil for 0.
 	Unfinished func(p *Endpoint, head float64) float64
+	// OnlyOpen restricts the request to endpoints that are not known to be full and are not in Reserved.
+	// Only restricts it to the endpoints with these hashes; empty for all.
+	OnlyOpen       bool
+	Only, Reserved []uint64
 	// NoRetry says that the request is lost if its attempt fails, so that it goes to healthy endpoints
 	// only, as far as there are any.
 	NoRetry bool
@@ -131,9 +135,13 @@
 // trusted appends to dst the endpoints of a list that may serve a request and pass the strictest test of
 // trust that any of them passes. It returns them with that test; nil if no test was passed.
 func trusted(dst, list []*Endpoint, now time.Time, w *Want) ([]*Endpoint, trustTest) {
-	tests := []trustTest{(*Endpoint).healthy, (*Endpoint).mayTry, nil}
-	if !w.NoRetry {
-		tests = tests[1:]
+	tests := []trustTest{(*Endpoint).healthy, (*Endpoint).settled, (*Endpoint).mayTry, nil}
+	switch {
+	case !w.NoRetry:
+		tests = tests[2:]
+	case !w.OnlyOpen:
+		// Full endpoints are picked as well, so that there is a healthy one as long as any is.
+		tests[1] = (*Endpoint).mayTry
 	}
 	for _, test := range tests {
 		if eligible := fitting(dst, list, now, w, test); len(eligible) > 0 {
@@ -178,7 +186,7 @@
 
 // fits reports whether an endpoint may serve a request now, trusted or not.
 func (p *Endpoint) fits(now time.Time, w *Want) bool {
-	return (w.firstHash == 0 || p.hash == w.firstHash) && p.allowed(now, w) && p.ready(now) && !slices.Contains(w.Avoid, p.ID)
+	return (w.firstHash == 0 || p.hash == w.firstHash) && p.allowed(now, w) && p.ready(now) && p.offered(now, w) && !slices.Contains(w.Avoid, p.ID)
 }
 
 // allowed reports whether an endpoint may get new work and has a version and a zone that may serve the request.
@@ -196,6 +204,7 @@
 }
 
 func (p *Endpoint) mayTry(now time.Time) bool  { return p.Trust.mayTry(now, p.Load.InFlight) }
+func (p *Endpoint) settled(now time.Time) bool { return p.Trust.settled(now) }
 func (p *Endpoint) healthy(now time.Time) bool { return p.Trust.healthy(now) }
 
 // utilization returns the runs of an endpoint in fractions of its slots.
