--- a/pkg/price/price.go
+++ b/pkg/price/price.go
@@ -17,14 +17,14 @@
 const (
 	// Target is the mean wait, as a fraction of the target latency, above which the price rises. Within
 	// the rest there is time for an answer of a larger model after a dropped one.
-	Target = 0.1
+	Target = 0.2
 	// Min is the least price other than 0, in worths of a mean request per second. Below 0.2 a price hardly
 	// matters, as the largest model reads a long prompt in 0.4 s; Min is a tenth of that, so that a single
 	// long wait changes nothing.
 	Min = 0.02
 	// Max is the highest price, in the same unit: an urgent query whose reading takes 0.03 s costs three
 	// times its worth.
-	Max = 100
+	Max = 15
 
 	// meanTime is the time, in seconds, in which the weight of a wait in the mean falls to 1/e. Callers
 	// notice waits of a second or two, and a router sees 1 to 10 attempts in this time.
