--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -48,10 +49,10 @@
 	spread room.Spread
 	// reserved is the buffer of admission.reserved.
 	reserved []uint64
+	// sojourn is the time that answers take, waits included.
+	sojourn room.Sojourn
 	// work estimates the time in which an endpoint serves a request without waiting, in seconds.
 	work quantile
-	// usual is the usual time from the arrival of a caller's first attempt to the caller's deadline.
-	usual recentMax
 	// shedAt is when a request was last refused for its aim; zero for never.
 	shedAt time.Time
 	// waiting is the gauge of the waiting requests; nil before the first one.
@@ -93,7 +94,7 @@
 		return nil
 	}
 	s := getOrCreate(e.rooms, x.service)
-	x.fillTicket(s, now)
+	x.fillTicket()
 	s.reserved = s.queue.Reserved(s.reserved[:0], &x.room.ticket, now)
 	x.room.reserved = s.reserved
 	w := x.want()
@@ -109,6 +110,12 @@
 	}
 	q := room.Request{Ticket: &x.room.ticket, Arrived: x.r.Arrived, Aim: time.Duration(x.route.Aim), End: end, MayHaveRun: x.mayHaveRun}
 	d := room.Decide(now, &s.queue, &q, &c.Capacity, now.Before(shedMemory.After(s.shedAt)))
+	if first := x.room.n == 0 && x.room.ticket.Since.IsZero(); first && d.Action != room.Refuse {
+		sojourn := s.sojourn.Mean(now) + max(d.At.Sub(now), 0)
+		if room.Shed(now, &q, &c.Capacity, sojourn, rand.Float64()) {
+			d = room.Decision{Action: room.Refuse, Cause: room.ByAim, At: d.At}
+		}
+	}
 	x.room.decision = d
 	switch d.Action {
 	case room.Refuse:
@@ -156,7 +163,7 @@
 
 // fillTicket sets the ticket at the first decision for the request, and the endpoints to which it is restricted
 // at every one. The caller must hold the engine's mu.
-func (x *run) fillTicket(s *serviceRoom, now time.Time) {
+func (x *run) fillTicket() {
 	t := &x.room.ticket
 	// Once the request has reached as many endpoints as its route allows, only these are left.
 	if t.Only = nil; x.room.n >= max(x.route.MaxAttempts, 1) {
@@ -173,13 +180,11 @@
 		t.Rank += overShareRanks
 	}
 	t.Deadline = x.deadline
-	first := x.r.Arrived
 	if !x.r.Deadline.IsZero() {
 		t.Deadline = x.r.Deadline
-		first = x.r.Arrived.Add(-s.usual.elapsed(x.r.Arrived, x.r.Deadline.Sub(x.r.Arrived)))
 	}
 	if x.route.Aim > 0 {
-		t.AimAt = x.route.Aim.After(first)
+		t.AimAt = x.route.Aim.After(x.r.Arrived)
 	}
 }
 
@@ -375,6 +380,7 @@
 		p.Room.Free()
 	}
 	if a.prefix == 0 && reply.Status < 300 {
+		s.sojourn.Add(now, now.Sub(t.At))
 		turns := max(float64(t.Load+1)/float64(max(p.Slots, 1)), 1)
 		s.work.add(now.Sub(t.At).Seconds()/turns/p.Pace.Factor(now), workQuantile)
 	}
