--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -110,21 +110,15 @@
 	}
 	q := room.Request{Ticket: &x.room.ticket, Arrived: x.r.Arrived, Aim: time.Duration(x.route.Aim), End: end, MayHaveRun: x.mayHaveRun}
 	d := room.Decide(now, &s.queue, &q, &c.Capacity, now.Before(shedMemory.After(s.shedAt)))
-	if first := x.room.n == 0 && x.room.ticket.Since.IsZero(); first && d.Action != room.Refuse {
-		sojourn := s.sojourn.Mean(now) + max(d.At.Sub(now), 0)
-		if room.Shed(now, &q, &c.Capacity, sojourn, rand.Float64()) {
-			d = room.Decision{Action: room.Refuse, Cause: room.ByAim, At: d.At}
-		}
+	if x.sheds(s, &q, &c.Capacity, d, now) {
+		d = room.Decision{Action: room.Refuse, Cause: room.ByAim, At: d.At}
 	}
 	x.room.decision = d
 	switch d.Action {
 	case room.Refuse:
 		return x.refusal(s, d, &c, stopping, now)
 	case room.Wait:
-		x.room.nextAt = pollInterval.After(now)
-		if s.queue.Ahead(&x.room.ticket, now) == 0 {
-			x.room.nextAt = earliest(firstPollInterval.After(now), latest(d.At, minPause.After(now)))
-		}
+		x.room.nextAt = x.pollAt(s, d, now)
 		return errNoPlace
 	default:
 		if x.room.onlyOpen = c.Open > 0; x.room.onlyOpen {
@@ -134,6 +128,22 @@
 	}
 }
 
+// sheds reports whether a request for which d was decided at its arrival is refused for its aim instead. The
+// caller must hold the engine's mu.
+func (x *run) sheds(s *serviceRoom, q *room.Request, c *room.Capacity, d room.Decision, now time.Time) bool {
+	arriving := x.room.n == 0 && x.room.ticket.Since.IsZero()
+	sojourn := s.sojourn.Mean(now) + max(d.At.Sub(now), 0)
+	return arriving && d.Action != room.Refuse && room.Shed(now, q, c, sojourn, rand.Float64())
+}
+
+// pollAt returns when the waiting request is considered again. The caller must hold the engine's mu.
+func (x *run) pollAt(s *serviceRoom, d room.Decision, now time.Time) time.Time {
+	if s.queue.Ahead(&x.room.ticket, now) > 0 {
+		return pollInterval.After(now)
+	}
+	return earliest(firstPollInterval.After(now), latest(d.At, minPause.After(now)))
+}
+
 // errNoPlace is the error of choose for a request that waits; it never reaches a caller.
 var errNoPlace = fault.New(fault.Overloaded, fault.NotRun, "The request waits for a place.")
 
