--- a/pkg/stall/detector.go
+++ b/pkg/stall/detector.go
@@ -40,8 +40,8 @@
 	MaxRecipients = 32
 	// maxReporters bounds the stored reports of an endpoint: as many as aloneFraction of MaxRecipients.
 	maxReporters = 11
-	// reportTTL is how long a report counts: five repeats, of which one arrives though half are lost. After 1 s,
-	// reports of routers whose streams had gone on by then were counted together.
+	// reportTTL is how long a report counts: five repeats, of which one arrives though half are lost. The longer it
+	// is, the more reports of routers whose streams have gone on since are counted together.
 	reportTTL = 500 * time.Millisecond
 	// repeatInterval is the time between reports on one endpoint, as they may be lost; after
 	// repeatFor it is slowRepeatInterval. Within repeatFor, other processes become overdue as well.
@@ -346,3 +346,6 @@
 	e.usedAt = now
 	return e
 }
+
+// Len returns the number of endpoints with state.
+func (d *Detector) Len() int { return len(d.list) }
--- a/pkg/stall/world_test.go
+++ b/pkg/stall/world_test.go
@@ -14,7 +14,7 @@
 	"github.com/traildrift/traildrift/internal/draws"
 )
 
-// TestMain draws few worlds, as each takes 0.1 s. To draw others: go test -rapid.checks 300 -rapid.seed N ./pkg/stall
+// TestMain draws few worlds, as each takes 0.1 s. To draw others: go test ./pkg/stall -rapid.checks 300 -rapid.seed N
 func TestMain(m *testing.M) {
 	draws.FixSeed()
 	if err := flag.Set("rapid.checks", "3"); err != nil {
@@ -124,12 +124,13 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
 		w.deliverMail()
 		for i, r := range w.routers {
-			for _, s := range r.streams {
-				w.advance(r, s)
-			}
+			// A router that has stood still may look at its streams before it has read what waits there.
 			if !w.stalled(i, w.now) && (w.now.Sub(begin)/step)%3 == time.Duration(i%3) {
 				r.d.Tick(w.now)
 			}
+			for _, s := range r.streams {
+				w.advance(r, s)
+			}
 		}
 	}
 }
