--- a/internal/relay/joint_test.go
+++ b/internal/relay/joint_test.go
@@ -146,15 +146,15 @@
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: f.body, Length: -1, IDMatches: true, Authenticated: true}, nil
 }
 
-// answer is what a caller gets.
-type answer struct {
+// callerAnswer is what a caller gets.
+type callerAnswer struct {
 	*httptest.ResponseRecorder
 	done chan struct{}
 }
 
 // request serves a request and returns its first attempt.
-func (w *jointWorld) request(id string) (*answer, *fakeAttempt) {
-	out := &answer{httptest.NewRecorder(), make(chan struct{})}
+func (w *jointWorld) request(id string) (*callerAnswer, *fakeAttempt) {
+	out := &callerAnswer{httptest.NewRecorder(), make(chan struct{})}
 	go func() {
 		defer close(out.done)
 		defer func() { _ = recover() }()
@@ -205,7 +205,7 @@
 }
 
 // finish ends the answer and returns what the caller got.
-func (f *fakeAttempt) finish(t *testing.T, out *answer) string {
+func (f *fakeAttempt) finish(t *testing.T, out *callerAnswer) string {
 	t.Helper()
 	close(f.body.parts)
 	select {
