relay: Choose endpoints without the estimated end

The estimated end made prompts leave the holders of their prefix and their availability zone, and streams ended no sooner. The choice of the model and the moving of streams stay.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -203,7 +203,6 @@
 		w.PromptRate = 0
 	}
 	w.IgnoreHolders = e.disabled(PrefixHolders)
-	x.addEnd(w, now)
 	w.SampleSize = e.book.Size(x.service) / max(e.RouterCount(), 1)
 }
 
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -37,9 +37,6 @@
 	// maxRecent is the maximum number of endpoints in endStats.recent: above the largest fleet. A full map is
 	// cleared; it fills again within seconds.
 	maxRecent = 4096
-	// streamLossRate is the number of failures per second by which a stream under way is lost: a router or an
-	// endpoint fails about once in 100 s.
-	streamLossRate = 0.01
 	// maxEarlierEvents bounds the number of events that an earlier request is believed to have got.
 	maxEarlierEvents = 1 << 20
 	// maxUnfinishedProb is the probability of not ending beyond which a larger model is not asked while gains
@@ -55,8 +52,6 @@
 	at   time.Time
 	// left is the time until the deadline, in seconds.
 	left float64
-	// loss is run.endLoss, bound once per request so that a choice does not allocate.
-	loss func(p *pool.Endpoint, head float64) float64
 	// watch follows the stream of the present attempt; nil if nothing is learned from it.
 	watch *endWatch
 	// moved says that the stream was moved to another endpoint; it is never reset. movedFrom holds the
@@ -136,25 +131,6 @@
 	return x.end.rest.UnfinishedProb(x.end.left, x.logGap(p, 0))
 }
 
-// endLoss returns the expected loss of the stream at an endpoint, 0 to 1, for pool.Want.Unfinished: the
-// probability of not ending, and that of a failure while it is open. x.end must have data, and the caller must
-// hold the engine's mu.
-func (x *run) endLoss(p *pool.Endpoint, head float64) float64 {
-	return x.end.rest.Loss(head, x.end.left, x.logGap(p, 1), streamLossRate)
-}
-
-// addEnd makes a choice of an endpoint take the end of the answer into account. The caller must hold the
-// engine's mu.
-func (x *run) addEnd(w *pool.Want, now time.Time) {
-	if !x.prepareEnd(now) {
-		return
-	}
-	if x.end.loss == nil {
-		x.end.loss = x.endLoss
-	}
-	w.Unfinished = x.end.loss
-}
-
 // mayEnd reports whether an answer of a larger model is more likely to end in time than not, and counts it if
 // not.
 func (x *run) mayEnd(h headEstimate) bool {
--- a/pkg/finish/end.go
+++ b/pkg/finish/end.go
@@ -86,8 +86,6 @@
 	done float64
 	// doneZ is the standard score of done, more its probability of being exceeded.
 	doneZ, more float64
-	// events is the median number of events to come.
-	events float64
 }
 
 // NewEnd returns the estimate for an answer of which so many events have come, 0 or more; c may be nil.
@@ -97,7 +95,6 @@
 		e.doneZ = min((math.Log(e.done)-e.mean)/e.sigma, maxZ)
 		e.more = exceeds(e.doneZ)
 	}
-	e.events = e.Quantile(0.5, 1)
 	return e
 }
 
@@ -133,14 +130,6 @@
 	return exceeds((math.Log(left) - logGap - e.mean) / e.sigma)
 }
 
-// Loss returns the expected loss, 0 to 1, by an answer whose head comes after head seconds where left seconds are
-// left: the probability that it does not end, and that it is lost by a failure while it is open, at rate failures
-// per second. logGap is as in UnfinishedProb.
-func (e *End) Loss(head, left, logGap, rate float64) float64 {
-	open := min(head+e.events*exp(min(max(logGap, minLogGap), maxLogGap)), max(left, 0))
-	return min(e.UnfinishedProb(left-head, logGap)+rate*open, 1)
-}
-
 // Quantile returns the time in seconds within which the answer ends with probability q, 0 to 1 exclusive,
 // if the mean time between its next events is gap seconds.
 func (e *End) Quantile(q, gap float64) float64 {
--- a/pkg/pool/loss.go
+++ b/pkg/pool/loss.go
@@ -52,9 +52,6 @@
 	if p.Zone != w.Zone {
 		loss += crossZoneLoss
 	}
-	if w.Unfinished != nil {
-		loss += w.Unfinished(p, wait+read)
-	}
 	return loss
 }
 
--- a/pkg/pool/pick.go
+++ b/pkg/pool/pick.go
@@ -58,9 +58,6 @@
 	IgnoreHolders bool
 	// SampleSize is the number of endpoints that are drawn at random in addition to holders and homes.
 	SampleSize int
-	// Unfinished returns the probability, 0 to 1, that the answer does not end in time at an endpoint if
-	// its head comes after so many seconds; nil for 0.
-	Unfinished func(p *Endpoint, head float64) float64
 	// OnlyOpen restricts the request to endpoints that are not known to be full and are not in Reserved.
 	// Only restricts it to the endpoints with these hashes; empty for all.
 	OnlyOpen       bool
