--- a/internal/relay/finish_test.go
+++ b/internal/relay/finish_test.go
@@ -407,7 +407,7 @@
 }
 
 // Predictions that are logged at the head must come true: the median error is under a fifth, and 9 in 10 answers end
-// inside the interval, by the log and by the metric.
+// inside the interval, by the log and by the metric: 0.9 to within three standard errors of 500 answers, which are 0.04.
 func TestPredictionsAreCalibrated(t *testing.T) {
 	s := newStreams(t, streamRoute, 3)
 	scope := tally.NewTestScope("", nil)
@@ -439,8 +439,8 @@
 	slices.Sort(errs)
 	share := float64(inside) / float64(len(errs))
 	t.Logf("median error %.3f, inside %.3f of %d", errs[len(errs)/2], share, len(errs))
-	if errs[len(errs)/2] > 0.2 || share < 0.86 || share > 0.97 {
-		t.Errorf("got median error %.3f and %.3f inside, want under 0.2 and about 0.9", errs[len(errs)/2], share)
+	if errs[len(errs)/2] > 0.2 || share < 0.86 || share > 0.94 {
+		t.Errorf("got median error %.3f and %.3f inside, want under 0.2 and 0.86 to 0.94", errs[len(errs)/2], share)
 	}
 	counted := int64(0)
 	for name, c := range scope.Snapshot().Counters() {
--- a/pkg/finish/engine_test.go
+++ b/pkg/finish/engine_test.go
@@ -170,30 +170,39 @@
 	}
 }
 
-// At engines that read prompts between steps, of which the router knows a part, 9 in 10 streams must end inside the
-// interval at every load and however vague the hints are. The median error must be under a fifth where engines
-// read little. At higher loads, prompts that arrive after the head delay streams by more, and vague hints add to that:
-// the bounds there only show when the estimate gets worse than it was when they were set.
+// At engines that read prompts between steps, of which the router knows a part, the median error must be under a fifth
+// and 9 in 10 streams must end inside the interval, at every load and however vague the hints are. Otherwise streams
+// that would end are moved, and larger models are asked whose answers do not end.
 func TestEngines(t *testing.T) {
-	for _, c := range []struct{ rate, hintSD, most float64 }{
-		{5, 0.1, 0.2}, {20, 0.1, 0.2}, {45, 0.1, 0.4}, {60, 0.1, 0.4}, {20, 0.5, 0.35}, {60, 0.5, 0.45},
+	for _, c := range []struct {
+		name         string
+		rate, hintSD float64
+	}{
+		{"rate5", 5, 0.1}, {"rate20", 20, 0.1}, {"rate45", 45, 0.1}, {"rate60", 60, 0.1},
+		{"rate20VagueHints", 20, 0.5}, {"rate60VagueHints", 60, 0.5},
 	} {
-		m := &sim{rng: rand.New(rand.NewPCG(7, 7)), rate: c.rate, hintSD: c.hintSD, seen: 0.1, known: 0.3}
-		for i := range 8 {
-			m.engines = append(m.engines, &engineSim{pace: []float64{1, 1, 1.3, 0.55}[i%4]})
-		}
-		for s := 0.1; s < 60; s += 0.1 {
-			m.run(s)
-		}
-		m.errs, m.inside, m.ends = nil, 0, 0
-		for s := 60.0; s < 600; s += 0.1 {
-			m.run(s)
-		}
-		slices.Sort(m.errs)
-		medianErr, inside := m.errs[len(m.errs)/2], float64(m.inside)/float64(m.ends)
-		t.Logf("%v requests per second, hints off by %v: median error %.3f, inside %.3f of %d", c.rate, c.hintSD, medianErr, inside, m.ends)
-		if medianErr > c.most || inside < 0.87 || inside > 0.93 {
-			t.Errorf("%v requests per second, hints off by %v: got median error %.3f and %.3f inside, want under %v and about 0.9", c.rate, c.hintSD, medianErr, inside, c.most)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			medianErr, inside, n := playEngines(c.rate, c.hintSD)
+			t.Logf("median error %.3f, inside %.3f of %d", medianErr, inside, n)
+			checkGoal(t, medianErr, inside, 0.03)
+		})
+	}
+}
+
+// playEngines plays 60 s to learn and 540 s that count, and returns the median error, the fraction of streams that ended
+// inside their interval, and the number of streams.
+func playEngines(rate, hintSD float64) (medianErr, inside float64, n int) {
+	m := &sim{rng: rand.New(rand.NewPCG(7, 7)), rate: rate, hintSD: hintSD, seen: 0.1, known: 0.3}
+	for i := range 8 {
+		m.engines = append(m.engines, &engineSim{pace: []float64{1, 1, 1.3, 0.55}[i%4]})
+	}
+	for s := 0.1; s < 60; s += 0.1 {
+		m.run(s)
+	}
+	m.errs, m.inside, m.ends = nil, 0, 0
+	for s := 60.0; s < 600; s += 0.1 {
+		m.run(s)
 	}
+	slices.Sort(m.errs)
+	return m.errs[len(m.errs)/2], float64(m.inside) / float64(m.ends), m.ends
 }
--- a/pkg/finish/finish_test.go
+++ b/pkg/finish/finish_test.go
@@ -95,6 +95,18 @@
 	return errs[n/2], inside / float64(n)
 }
 
+// checkGoal checks the goal of docs/contention.md: a median error under a fifth and Coverage inside the interval, where
+// tolerance is about three standard errors of the number of answers: 0.045 of 400, 0.03 of 1,000.
+func checkGoal(t *testing.T, medianErr, inside, tolerance float64) {
+	t.Helper()
+	if !(medianErr < 0.2) {
+		t.Errorf("median error: got %.3f, want under 0.2", medianErr)
+	}
+	if !(math.Abs(inside-Coverage) <= tolerance) {
+		t.Errorf("inside the interval: got %.3f, want %v to %v", inside, Coverage-tolerance, Coverage+tolerance)
+	}
+}
+
 // After some hundred streams of a known law, the median error of the estimate must be under a fifth and 9
 // in 10 streams must end inside the interval. The same must hold after an endpoint has become four times slower, by
 // its report and without one. Otherwise the probability of not ending would be wrong.
@@ -121,9 +133,7 @@
 				}
 				medianErr, inside := s.measure(r, 400)
 				t.Logf("seed %d: median error %.3f, inside %.3f", seed, medianErr, inside)
-				if !(medianErr < 0.2) || inside < 0.85 || inside > 0.96 {
-					t.Errorf("seed %d: got median error %.3f and %.3f inside, want under 0.2 and about 0.9", seed, medianErr, inside)
-				}
+				checkGoal(t, medianErr, inside, 0.045)
 			}
 		})
 	}
@@ -150,9 +160,7 @@
 			s.endpoints = s.endpoints[:1]
 			medianErr, inside := s.measure(r, 200)
 			t.Logf("reported %v, seed %d: median error %.3f, inside %.3f", reported, seed, medianErr, inside)
-			if !(medianErr < 0.2) || inside < 0.85 {
-				t.Errorf("reported %v, seed %d: got median error %.3f and %.3f inside, want under 0.2 and about 0.9", reported, seed, medianErr, inside)
-			}
+			checkGoal(t, medianErr, inside, 0.045)
 		}
 	}
 }
@@ -194,15 +202,16 @@
 	}
 	medianErr, inside := s.measure(r, 1000)
 	t.Logf("median error %.3f, inside %.3f", medianErr, inside)
-	if inside < 0.85 || inside > 0.95 {
-		t.Errorf("inside the interval: got %.3f, want about 0.9", inside)
+	if math.Abs(inside-Coverage) > 0.03 {
+		t.Errorf("inside the interval: got %.3f, want %v to within 0.03", inside, Coverage)
 	}
 	if sigma := math.Sqrt(r.lengths.hinted.variance()); sigma > 0.48 {
 		t.Errorf("spread of the length given its hint: got %.3f, want less than that of the hint 0.7 and the length 0.5", sigma)
 	}
 }
 
-// The longest answers are cut off at the deadline. If they were left out, lengths would be underestimated.
+// The longest answers are cut off at the deadline. If they were left out, lengths would be underestimated. The goal of
+// a median error under a fifth allows a length that is off by as much.
 func TestCutAnswersCount(t *testing.T) {
 	rng := rand.New(rand.NewPCG(4, 4))
 	var l, without Lengths
@@ -218,8 +227,8 @@
 	got, _ := l.Estimate(0)
 	biased, _ := without.Estimate(0)
 	t.Logf("median length: %.1f, without the cut answers %.1f, actually 40", math.Exp(got.Log), math.Exp(biased.Log))
-	if m := math.Exp(got.Log); m < 32 || m > 50 || math.Exp(biased.Log) > m {
-		t.Errorf("median length: got %.1f, want about 40", m)
+	if m := math.Exp(got.Log); m < 32 || m > 48 || math.Exp(biased.Log) > m {
+		t.Errorf("median length: got %.1f, want 40 to within a fifth", m)
 	}
 }
 
