--- a/pkg/price/price.go
+++ b/pkg/price/price.go
@@ -16,14 +16,16 @@
 
 const (
 	// Target is the mean wait, as a fraction of the target latency, above which the price rises. Within
-	// the rest there is time for an answer of a larger model after a dropped one.
+	// the rest there is time for an answer of a larger model after a dropped one. A price from a tenth on also
+	// holds larger models back where callers do not notice the waits.
 	Target = 0.2
 	// Min is the least price other than 0, in worths of a mean request per second. Below 0.2 a price hardly
 	// matters, as the largest model reads a long prompt in 0.4 s; Min is a tenth of that, so that a single
 	// long wait changes nothing.
 	Min = 0.02
-	// Max is the highest price, in the same unit: an urgent query whose reading takes 0.03 s costs three
-	// times its worth.
+	// Max is the highest price, in the same unit. It keeps the largest model even from urgent queries of the first
+	// customer of docs/contention.md, whose reading takes 0.03 s and which earn 0.3 of a mean request. A higher price
+	// takes longer to fall once a load has ended, and larger models are held back for that time.
 	Max = 15
 
 	// meanTime is the time, in seconds, in which the weight of a wait in the mean falls to 1/e. Callers
@@ -35,16 +37,16 @@
 	// maxWait bounds the effect of one wait, in target latencies: from there on a request is late anyway.
 	maxWait = 1
 	// riseRate, slowRiseRate (from usefulPrice on) and fallRate are the changes of the logarithm of the price
-	// per second and per unit of ln(mean wait/Target). At waits of half the target latency the price is 3 after
-	// 2 s of 4 attempts a second, 6 of 10 and 11 of 100. What it changes shows in the waits a second or more later, so that faster changes where
-	// it matters make it swing: in the fluid model of the tests, with riseRate at 2.5, the demand deviated
-	// from the capacity by 0.17 of it with a fallRate of 0.4 and by 0.04 with 0.25.
+	// per second and per unit of ln(mean wait/Target). At waits of the whole target latency the price is 3 after
+	// 2 s of 4 attempts a second, 6 of 10 and 11 of 100. What it changes shows in the waits a second or more
+	// later, so that faster changes where it matters make it swing: in the fluid model of the tests, the demand
+	// deviates from the capacity by up to 0.52 of it with a fallRate of 0.4, and by 0.37 with 0.25.
 	riseRate     = 2
 	slowRiseRate = 1
 	fallRate     = 0.25
 	usefulPrice  = 1
-	// maxExcess and maxShortfall bound ln(mean wait/Target). Max falls to 0 within 18 s without waits.
-	maxExcess    = 2.3
+	// maxShortfall bounds ln(mean wait/Target) from below; maxWait bounds it from above. Without waits, Max falls
+	// to 0 within 14 s.
 	maxShortfall = -2
 	// instant is the exponent of mean wait/Target in the price itself. Without it the price would only
 	// follow the sum of past waits, and waits are a sum of past demand: two sums in a loop swing.
@@ -103,7 +105,7 @@
 
 // excess returns ln(mean wait/Target) within its bounds.
 func (c *Controller) excess() float64 {
-	return min(max(math.Log(c.mean()/Target), maxShortfall), maxExcess)
+	return max(math.Log(c.mean()/Target), maxShortfall)
 }
 
 // advance applies the time since the last call.
