--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -121,7 +121,8 @@
 
 // pick returns an endpoint for the next attempt, and the reason; nil if there is none. It prefers
 // endpoints that were not tried and the version that the session is assigned to. Rather than none
-// it takes a tried endpoint again, but not one that its stream was moved from, and then the old version. The caller must hold the engine's mu.
+// it takes a tried endpoint again, but not one that its stream was moved from, and then the old
+// version. The caller must hold the engine's mu.
 func (x *run) pick(now time.Time) (*pool.Endpoint, pool.Reason) {
 	e := x.e
 	want := x.want()
@@ -130,7 +131,10 @@
 	if avoid := x.suspectEndpoints(); len(avoid) > 0 {
 		want.Avoid = append(avoid, tried...)
 	}
-	p, why := e.book.Pick(now, &want)
+	p, why := x.pickMoved(&want, now)
+	if p == nil {
+		p, why = e.book.Pick(now, &want)
+	}
 	for _, fewer := range [][]string{tried, x.end.movedFrom} {
 		if p != nil || len(fewer) == len(want.Avoid) {
 			continue
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -55,9 +55,12 @@
 	// watch follows the stream of the present attempt; nil if nothing is learned from it.
 	watch *endWatch
 	// moved says that the stream was moved to another endpoint; it is never reset. movedFrom holds the
-	// endpoint that it left.
+	// endpoint that it left, movedTo the hash of the one where it is to continue, until that was picked, and
+	// movedWhy why that one was chosen.
 	moved     bool
 	movedFrom []string
+	movedTo   []uint64
+	movedWhy  pool.Reason
 }
 
 // prepareEnd updates x.end for a decision at now and reports whether there is data. The caller must hold the
@@ -142,11 +145,12 @@
 }
 
 // countNotAsked counts that a larger model than next would have been chosen from list if all answers ended in
-// time. It clears the probabilities of not ending in list.
+// time.
 func (x *run) countNotAsked(list []sizes.Model, next int) {
 	if !slices.ContainsFunc(list[1:], func(m sizes.Model) bool { return m.UnfinishedProb > 0 }) {
 		return
 	}
+	list = slices.Clone(list)
 	for i := range list {
 		list[i].UnfinishedProb = 0
 	}
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -123,7 +122,7 @@
 func (x *run) chooseSize(t *attemptRecord, list []sizes.Model, estimates []headEstimate, now time.Time) int {
 	next, keep, asks := sizes.Choose(list)
 	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
-	x.countNotAsked(slices.Clone(list), next)
+	x.countNotAsked(list, next)
 	priced := false
 	for i, h := range estimates {
 		priced = priced || h.price > 0
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -14,6 +14,7 @@
 
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/finish"
+	"github.com/traildrift/traildrift/pkg/pool"
 )
 
 const (
@@ -58,8 +59,8 @@
 func (d *endRecord) fields() []zap.Field {
 	var f []zap.Field
 	if d.predicted {
-		f = append(f, zap.Int64("endMs", d.median.Milliseconds()), zap.Int64("endLowMs", d.low.Milliseconds()), zap.Int64("endHighMs", d.high.Milliseconds()),
-			zap.Int64("tookMs", d.took.Milliseconds()), zap.Int("hint", d.hint))
+		f = append(f, zap.Int64("endMs", d.median.Milliseconds()), zap.Int64("endLowMs", d.low.Milliseconds()),
+			zap.Int64("endHighMs", d.high.Milliseconds()), zap.Int64("tookMs", d.took.Milliseconds()), zap.Int("hint", d.hint))
 	}
 	if d.moved {
 		f = append(f, zap.Bool("moved", true))
@@ -155,7 +156,7 @@
 	if p == nil {
 		return false
 	}
-	if len(e.ends.recent) >= maxRecent {
+	if e.ends.recent[p.Hash()] == nil && len(e.ends.recent) >= maxRecent {
 		clear(e.ends.recent)
 	}
 	getOrCreate(e.ends.recent, p.Hash()).Add(getOrCreate(e.ends.gaps, w.x.service), endLoad(p, 0, now), gap, now)
@@ -172,11 +173,15 @@
 	if x.presentUnfinishedProb(now) < minStuckProb {
 		return false
 	}
+	var to *pool.Endpoint
+	var why pool.Reason
 	size := x.size
-	for size >= 0 && !x.endsElsewhere(size, now) {
-		size--
+	for ; size >= 0; size-- {
+		if to, why = x.endsElsewhere(size, now); to != nil {
+			break
+		}
 	}
-	if size < 0 {
+	if to == nil {
 		return false
 	}
 	b := x.e.budget(x.service)
@@ -185,32 +190,51 @@
 	}
 	x.prepaid, x.mayHaveRun, x.size = true, true, size
 	x.end.moved, x.end.movedFrom = true, []string{a.Endpoint.ID}
+	x.end.movedTo, x.end.movedWhy = []uint64{to.Hash()}, why
 	return true
 }
 
-// endsElsewhere reports whether the rest of the stream will probably end if the model with index size continues it at
-// another endpoint now, but not surely if it does so once half of the time left has passed. The caller must hold the
-// engine's mu.
-func (x *run) endsElsewhere(size int, now time.Time) bool {
+// pickMoved returns the endpoint where a stream that was just moved is to continue, and the reason; nil if there is
+// none or it may not serve the request any more. It must not be drawn anew, as the stream may not end elsewhere. The
+// caller must hold the engine's mu.
+func (x *run) pickMoved(want *pool.Want, now time.Time) (*pool.Endpoint, pool.Reason) {
+	if x.end.movedTo == nil {
+		return nil, ""
+	}
+	only := want.Only
+	want.Only, x.end.movedTo = x.end.movedTo, nil
+	p, _ := x.e.book.Pick(now, want)
+	want.Only = only
+	return p, x.end.movedWhy
+}
+
+// endsElsewhere returns another endpoint where the rest of the stream will probably end if the model with index size
+// continues it there now, but not surely if it does so once half of the time left has passed, and the reason to pick
+// it; nil if there is none. The caller must hold the engine's mu.
+func (x *run) endsElsewhere(size int, now time.Time) (*pool.Endpoint, pool.Reason) {
 	presentSize := x.size
 	x.size = size
 	defer func() { x.size = presentSize }()
 	p, why := x.pick(now)
 	if p == nil || slices.Contains(x.tried, p.ID) {
-		return false
+		return nil, ""
 	}
 	head := x.lastWant.Wait(p, now) + p.Pace.Factor(now)*x.readTime(x.unreadTokens(why))
 	if x.unfinishedProb(size, p, headSpread*head, now) > maxMovedProb {
-		return false
+		return nil, ""
 	}
 	half := x.end.left / 2
-	return x.end.rest.UnfinishedProb(half-headSpread*head, x.logGap(p, 1)) > safeMovedProb
+	if x.end.rest.UnfinishedProb(half-headSpread*head, x.logGap(p, 1)) <= safeMovedProb {
+		return nil, ""
+	}
+	return p, why
 }
 
 // mayMove reports whether the run may move its stream to another endpoint at all. A stopping router does not: the
 // stream would be cut again when the router ends.
 func (x *run) mayMove() bool {
-	return !x.end.moved && x.headSent && x.lastEvent != "" && x.route.resumable() && x.attempts < x.route.MaxAttempts && len(x.records) < maxTries && !x.e.stopping.Load()
+	return !x.end.moved && x.headSent && x.lastEvent != "" && x.route.resumable() && x.attempts < x.route.MaxAttempts &&
+		len(x.records) < maxTries && !x.e.stopping.Load()
 }
 
 // learnEnd learns from the stream of an attempt that has ended. err is nil if the answer is complete; cut says that
