--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -52,19 +52,19 @@
 	}
 	// A version on trial is expected to be as fast as the old one, so its own times are not learned.
 	if r := e.activeTrial(a.Endpoint.Service); r == nil || !r.isNew(&a.Endpoint) {
-		e.learnHeadTime(a, route, head)
+		e.learnHeadTime(a, route, head, now)
 	}
 }
 
 // learnHeadTime updates the estimates with the time to the head of an answer; mu is held.
-func (e *Engine) learnHeadTime(a *Attempt, route *Route, head time.Duration) {
+func (e *Engine) learnHeadTime(a *Attempt, route *Route, head time.Duration, now time.Time) {
 	key := timingKey(route, a.Model)
 	getOrCreate(e.headTimes, key).add(head, a.Request.TokensIn)
 	getOrCreate(e.readSpeeds, readKey(route, a.Model)).add(a.unreadTokens, head.Seconds()/a.paceFactor, a.unreadKnown)
 	if a.atHome && a.fullReadTime > minReadRatio*a.unsharedRead {
 		e.homeHits.add(head.Seconds()-a.wait < math.Sqrt(a.fullReadTime*a.unsharedRead))
 	}
-	e.observeWait(a, route, head.Seconds()-a.readTime, e.Now())
+	e.observeWait(a, route, head.Seconds()-a.readTime, now)
 	if a.urgent {
 		getOrCreate(e.aheadRatios, key).add(head.Seconds()-a.readTime, a.backlog)
 	}
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -18,9 +18,10 @@
 
 const (
 	// takenSlotsWait is the wait, as a fraction of the target, that counts for an attempt of a route
-	// without prompts whose endpoint has no free slot. How long it waits is not known, as what its work
-	// takes is not. Waits count from a tenth of the target on, so that the service is short where more
-	// than one in five attempts meets such an endpoint.
+	// without prompts whose endpoint has no free slot: a queue that is half full takes 65 of the 150 ms at
+	// the plain endpoints of docs/contention.md. The actual wait is not known, as what its work takes is
+	// not. The service is short where more than price.Target/takenSlotsWait of the attempts, two in five,
+	// meet such an endpoint.
 	takenSlotsWait = 0.5
 	// rejectedWait is the wait, as a fraction of the target, that counts for an attempt that a full
 	// endpoint rejects: its queue would have taken at least the target.
@@ -150,9 +151,9 @@
 }
 
 // observeWait records for the price of engine time how long, in seconds, an attempt of a route waited at
-// its endpoint apart from reading its prompt. What the least of them wait is no wait behind others. An attempt at an endpoint that warms up, one that waited while this process
-// stood still, one of a route without a target and one of a route without prompts is left out. The caller
-// must hold the engine's mu.
+// its endpoint apart from reading its prompt. What the least of them wait is no wait behind others. An
+// attempt that waited while this process stood still, one of a route without prompts and those of
+// ignoresWait are left out. The caller must hold the engine's mu.
 func (e *Engine) observeWait(a *Attempt, route *Route, wait float64, now time.Time) {
 	if !route.Affinity || e.ignoresWait(a, route) || e.stalls.Resuming(seconds(max(wait, 0)+a.readTime)) {
 		return
@@ -165,9 +166,15 @@
 	e.addWait(a, (wait-min(base.value, maxBase*aim))/aim, now)
 }
 
-// ignoresWait reports whether the wait of an attempt says nothing of the price. The caller must hold mu.
+// ignoresWait reports whether the wait of an attempt says nothing of the price: that at an endpoint that
+// warms up or has a version on trial, that of a route without a target, and all where the price is not in
+// use. The caller must hold mu.
 func (e *Engine) ignoresWait(a *Attempt, route *Route) bool {
-	return a.warming || route.Aim <= 0 || !e.enabled(EnginePrice, a.Endpoint.Service)
+	if a.warming || route.Aim <= 0 || !e.enabled(EnginePrice, a.Endpoint.Service) {
+		return true
+	}
+	r := e.activeTrial(a.Endpoint.Service)
+	return r != nil && r.isNew(&a.Endpoint)
 }
 
 // addWait adds the wait of an attempt as a fraction of its target. The caller must hold mu.
--- a/internal/relay/price_test.go
+++ b/internal/relay/price_test.go
@@ -20,6 +20,7 @@
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
+	"github.com/traildrift/traildrift/pkg/roll"
 	"github.com/traildrift/traildrift/pkg/sizes"
 )
 
@@ -196,6 +197,10 @@
 	answering := func(_ *Engine, _ *Attempt, p *pool.Endpoint, now time.Time) {
 		p.Trust.RecordSuccess(now.Add(-10 * time.Millisecond))
 	}
+	onTrial := func(e *Engine, a *Attempt, _ *pool.Endpoint, _ time.Time) {
+		a.Endpoint.Version = "new"
+		e.rollouts["s"] = &rollout{trial: roll.Trial{Service: "s", Version: "new", State: roll.Trying}}
+	}
 	for _, c := range []struct {
 		name   string
 		r      Route
@@ -236,6 +241,12 @@
 		{"rejected by an endpoint that leaves", prompts, 10 * time.Millisecond, rejected, func(_ *Engine, _ *Attempt, p *pool.Endpoint, now time.Time) {
 			p.RecordNotice(pool.Notice{Leaving: true}, now, now)
 		}, false},
+		{"version on trial, rejected", prompts, 10 * time.Millisecond, rejected, onTrial, false},
+		{"version on trial, deadline", prompts, time.Second, ended(fault.DeadlinePassed), func(e *Engine, a *Attempt, p *pool.Endpoint, now time.Time) {
+			onTrial(e, a, p, now)
+			answering(e, a, p, now)
+		}, false},
+		{"plain, version on trial, rejected", plain, 10 * time.Millisecond, rejected, onTrial, false},
 		{"plain, late head", plain, time.Second, nil, nil, false},
 		{"plain, rejected by a full endpoint", plain, 10 * time.Millisecond, rejected, nil, true},
 	} {
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -42,6 +42,10 @@
 			x.e.loadOf(x.service).shares.Use(now, pool.Hash(x.workspace.Name), a.engineTime)
 		}
 	}
+	if x.headSent {
+		// The attempt continues an answer that counted as served when its head came.
+		a.engineTime = 0
+	}
 }
 
 // recordDemand records that the request demands so many seconds of engine time for an answer of the model
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -250,3 +250,19 @@
 		t.Errorf("demand in seconds: got %v, want %v", got, want)
 	}
 }
+
+// A stream that breaks off and is resumed must count as served once, as it counts as demand once. Otherwise lost
+// endpoints would raise the level, and nobody would be over its share in the shortage that they cause.
+func TestResumedStreamIsServedOnce(t *testing.T) {
+	r := streamRoute
+	s := newStreams(t, r, 2)
+	r.Name, r.Host, r.Prefix, r.Backends = "r", "h", "/", []Backend{{"s", 1}}
+	s.e.SetTable(NewTable(2, Bounds{}, []Route{r}, []Workspace{{Name: "w", Keys: []string{"key"}}}))
+	s.breaks = func(n, event int) bool { return n == 0 && event == 50 }
+	if got := s.serve(t, 15*time.Second, func(r *Request) { r.Key = "key" }); got != pieces(100) || len(s.sent) != 2 {
+		t.Fatalf("got %d bytes after %d attempts, want each event once after 2", len(got), len(s.sent))
+	}
+	if first, next := s.sent[0].engineTime, s.sent[1].engineTime; first <= 0 || next != 0 {
+		t.Errorf("engine time that counts as served: got %v and %v, want above 0 and 0", first, next)
+	}
+}
