--- a/internal/relay/finish_test.go
+++ b/internal/relay/finish_test.go
@@ -148,9 +148,9 @@
 }
 
 // A stream at an endpoint that turns slow, so that it would not end in time, must be moved once, resumed after its
-// last event, and never return. It must stay where the move would break the retry budget or the limit of attempts, where
-// it ends in time anyway or would not end elsewhere either, where the router stops, and where the mechanism is not
-// in use: each of these moves would cost more than it gains.
+// last event, and never return. It must stay where the move would break the retry budget or the limit of attempts,
+// where it ends in time anyway or would not end elsewhere either, where the router stops, and where the mechanism is
+// not in use: each of these moves would cost more than it gains.
 func TestStreamIsMovedOnce(t *testing.T) {
 	none := func(*streams) {}
 	limits := func(change func(l *Limits)) func(s *streams) {
@@ -407,7 +407,7 @@
 }
 
 // Predictions that are logged at the head must come true: the median error is under a fifth, and 9 in 10 answers end
-// inside the interval, by the log and by the metric: 0.9 to within three standard errors of 500 answers, which are 0.04.
+// inside the interval, by the log and by the metric: 0.9 to within three standard errors of 500 answers, 0.04.
 func TestPredictionsAreCalibrated(t *testing.T) {
 	s := newStreams(t, streamRoute, 3)
 	scope := tally.NewTestScope("", nil)
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// A caller that resumes a stream at another router after the first one was killed has some events already: the rest must
-// be estimated from there, an absurd number must not matter, and the part must not be learned as a whole answer.
+// A caller that resumes a stream at another router after the first one was killed has some events already: the rest
+// must be estimated from there, an absurd number must not matter, and the part must not be learned as a whole answer.
 func TestResumedRequestIsEstimatedFromItsLastEvent(t *testing.T) {
 	s := newStreams(t, streamRoute, 1)
 	teach(s.e, 100, 20*time.Millisecond)
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -18,7 +18,7 @@
 	if x.workspace == nil || len(x.records) > 0 || !x.e.enabled(WorkspaceShares, x.service) {
 		return
 	}
-	if !x.over && x.e.loadOf(x.service).shares.Take(now, pool.Hash(x.workspace.Name), x.price > 0) {
+	if !x.over && x.e.loadOf(x.service).shares.IsOver(now, pool.Hash(x.workspace.Name), x.price > 0) {
 		x.over = true
 		x.e.metrics.count("requests_over_share", x.route.Name, "overShare")
 	}
--- a/pkg/finish/engine_test.go
+++ b/pkg/finish/engine_test.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// playEngines plays 60 s to learn and 540 s that count, and returns the median error, the fraction of streams that ended
-// inside their interval, and the number of streams.
+// playEngines plays 60 s to learn and 540 s that count, and returns the median error, the fraction of streams that
+// ended inside their interval, and the number of streams.
 func playEngines(rate, hintSD float64) (medianErr, inside float64, n int) {
 	m := &sim{rng: rand.New(rand.NewPCG(7, 7)), rate: rate, hintSD: hintSD, seen: 0.1, known: 0.3}
 	for i := range 8 {
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -6,7 +6,8 @@
 // A Table measures what each workspace demands and what is served in all. Where the demand exceeds what is
 // served, there is a level such that the sum over the workspaces of the smaller of demand and level equals
 // what is served. Demand up to the level is within a workspace's share. An excess of up to a tenth of what is
-// served counts as none, and what is within a share is exact to a tenth and one request per 5 s. The unit of demand is the caller's: seconds of engine time, or requests. The package reads no clock and takes no lock.
+// served counts as none, and what is within a share is exact to a twentieth and one request per 5 s. The unit of
+// demand is the caller's: seconds of engine time, or requests. The package reads no clock and takes no lock.
 package share
 
 import (
@@ -94,9 +95,9 @@
 	}
 }
 
-// Take reports whether a request of a workspace is over its share. scarce says that requests wait for
+// IsOver reports whether a request of a workspace is over its share. scarce says that requests wait for
 // capacity; otherwise nothing is over. The decision does not depend on the size of the request.
-func (t *Table) Take(now time.Time, key uint64, scarce bool) (over bool) {
+func (t *Table) IsOver(now time.Time, key uint64, scarce bool) bool {
 	t.advance(now)
 	if !scarce {
 		return false
--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -47,7 +47,7 @@
 		for i := range senders {
 			s := &senders[i]
 			for s.due += s.perSecond * tick; s.due >= 1; s.due-- {
-				over := t.Take(now, uint64(i), scarce)
+				over := t.IsOver(now, uint64(i), scarce)
 				t.AddDemand(now, uint64(i), s.size)
 				if !over {
 					t.Use(now, uint64(i), s.size)
@@ -81,7 +81,11 @@
 func drawSenders(t *rapid.T) []sender {
 	list := make([]sender, rapid.IntRange(2, 40).Draw(t, "workspaces"))
 	for i := range list {
-		list[i] = sender{perSecond: rapid.Float64Range(0.5, 4).Draw(t, "perSecond"), size: rapid.Float64Range(0.01, 0.4).Draw(t, "size"), due: rapid.Float64Range(0, 1).Draw(t, "phase")}
+		list[i] = sender{
+			perSecond: rapid.Float64Range(0.5, 4).Draw(t, "perSecond"),
+			size:      rapid.Float64Range(0.01, 0.4).Draw(t, "size"),
+			due:       rapid.Float64Range(0, 1).Draw(t, "phase"),
+		}
 		if i < 2 {
 			list[i].perSecond *= rapid.Float64Range(2, 20).Draw(t, "times")
 		}
@@ -89,9 +93,14 @@
 	return list
 }
 
+// precision is the part of its share that a workspace may lose or gain by the measure. docs/contention.md wants
+// workspaces within their usual traffic to earn 0.85 of their credit, so that two thirds of what may be lost remain
+// for waits.
+const precision = 0.05
+
 // A workspace that sends many times its share must not take that of others: what is within the share of
-// each is the smaller of its demand and the level, to a tenth and one request per window, and a workspace below nine
-// tenths of the level is never marked, whatever the size of its requests.
+// each is the smaller of its demand and the level, to precision and one request per window, and a workspace
+// below nine tenths of the level is never marked, whatever the size of its requests.
 func TestMaxMin(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		senders := drawSenders(t)
@@ -107,7 +116,7 @@
 		level := maxMin(demands, capacity)
 		for i, s := range senders {
 			want := min(demands[i], level)
-			if got := s.within / (seconds - from); math.Abs(got-want) > 0.1*want+s.size/window {
+			if got := s.within / (seconds - from); math.Abs(got-want) > precision*want+s.size/window {
 				t.Errorf("workspace %d that demands %v at a level of %v: within its share: got %v a second, want %v", i, demands[i], level, got, want)
 			}
 			if demands[i]+s.size/window < 0.9*level && s.marked > 0 {
@@ -118,7 +127,8 @@
 }
 
 // Marks must not come in blocks, which would strike single sessions: of a workspace at k times its level,
-// about one request in k is within its share, and few in a row.
+// about one request in k is within its share, and at most two in a row, as two turns of a session may come
+// together.
 func TestMarksAreSpread(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := rapid.Float64Range(2, 10).Draw(t, "times")
@@ -126,7 +136,7 @@
 		var table Table
 		play(&table, senders, 3, 60, 20, true)
 		s := senders[0]
-		if got, want := float64(s.requests-s.marked)/float64(s.requests), 1/k; math.Abs(got-want) > 0.1*want {
+		if got, want := float64(s.requests-s.marked)/float64(s.requests), 1/k; math.Abs(got-want) > precision*want {
 			t.Errorf("fraction within the share: got %v, want %v", got, want)
 		}
 		if s.longest > 2 {
@@ -173,7 +183,7 @@
 			key = key*6364136223846793005 + 1442695040888963407
 			k, kind = 1000+key>>33%workspaces, 0
 		}
-		over := table.Take(now, k, true)
+		over := table.IsOver(now, k, true)
 		table.AddDemand(now, k, 1)
 		if !over {
 			table.Use(now, k, 1)
@@ -185,8 +195,12 @@
 			table.AddServed(now, 1)
 		}
 	}
-	if got := float64(marked[1]) / float64(sent[1]); got < 0.5 {
-		t.Errorf("marked of the large workspace: got %v, want 0.5 or more", got)
+	got := float64(marked[1]) / float64(sent[1])
+	t.Logf("marked of the large workspace: %v, of the small ones %v", got, float64(marked[0])/float64(sent[0]))
+	// Of the 167 requests a second of the large workspace, 42 are within its share: three quarters of what is sent are
+	// served, and all of the others'. The first 4 s, history and credit, mark nothing.
+	if want := 0.75 * 36 / 40; got < want {
+		t.Errorf("marked of the large workspace: got %v, want %v or more", got, want)
 	}
 	if got := float64(marked[0]) / float64(sent[0]); got > 0.001 {
 		t.Errorf("marked of the small workspaces: got %v, want 0.001 or less", got)
@@ -199,6 +213,23 @@
 	}
 }
 
+// A router that has just started, whose requests are demanded and not served yet, must mark nothing before it has a
+// history, and a large workspace soon after.
+func TestYoungTableMarksNothing(t *testing.T) {
+	senders := []sender{{perSecond: 50, size: 0.1}, {perSecond: 5, size: 0.1}}
+	var table Table
+	play(&table, senders, 1, 2, 0, true)
+	if got := senders[0].marked + senders[1].marked; got != 0 {
+		t.Errorf("marked requests of the first 2 s: got %d, want 0", got)
+	}
+	table = Table{}
+	play(&table, senders, 1, 5, 0, true)
+	if senders[0].marked == 0 || senders[1].marked != 0 {
+		t.Errorf("marked requests of the first 5 s: got %d of the large workspace and %d of the small one, want some and 0",
+			senders[0].marked, senders[1].marked)
+	}
+}
+
 // Odd amounts and times that go back must not leave NaN behind, which would mark all or none from then on.
 func TestOddInput(t *testing.T) {
 	odd := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), -1, 0, 1e-300}))
@@ -228,7 +259,7 @@
 	for i := range b.N {
 		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
 		key := uint64(i % (maxCounted + 10))
-		if table.Take(now, key, true) {
+		if table.IsOver(now, key, true) {
 			over++
 		}
 		table.AddDemand(now, key, float64(i%7)+1)
