price: Rise faster from low prices

Two seconds after the begin of a load with waits of half the target the price was 0.15 to 1.31 at 4 to 100 attempts a second, where larger models hardly notice it.

--- a/pkg/price/price.go
+++ b/pkg/price/price.go
@@ -41,7 +41,7 @@
 	// 2 s of 4 attempts a second, 6 of 10 and 11 of 100. What it changes shows in the waits a second or more
 	// later, so that faster changes where it matters make it swing: in the fluid model of the tests, the demand
 	// deviates from the capacity by up to 0.52 of it with a fallRate of 0.4, and by 0.37 with 0.25.
-	riseRate     = 2
+	riseRate     = 5
 	slowRiseRate = 1
 	fallRate     = 0.25
 	usefulPrice  = 1
