Test that stream timers still end streams without reports

The timer of each stream is the last resort where no peer is heard, and no test covered that beside joint detection. The new one serves a stream whose timer fires in real time and checks that it goes on elsewhere and is not logged as ended jointly.

--- a/internal/relay/joint_test.go
+++ b/internal/relay/joint_test.go
@@ -420,6 +420,27 @@
 	}
 }
 
+// Without reports of other routers, the timer of each stream still ends it, and it goes on elsewhere. The timer runs in
+// real time.
+func TestTimerEndsStreamWithoutReports(t *testing.T) {
+	w := newJointWorld(t)
+	w.e.SetTable(NewTable(2, Bounds{}, []Route{{Name: "r", Host: "h", Prefix: "/", Backends: []Backend{{"s", 1}}, Anonymous: true, Kind: Stream, Resume: true, MaxAttempts: 2, EventAim: config.Span(200 * time.Millisecond), Aim: config.Span(time.Hour)}}, nil))
+	out, f := w.request("a")
+	w.addOthers()
+	close(f.head)
+	f.event(t, 1)
+	g := w.next()
+	close(g.head)
+	g.event(t, 2)
+	if got := g.finish(t, out); got != events(1, 2) {
+		t.Errorf("events: got %q, want %q", got, events(1, 2))
+	}
+	ended := w.logs.FilterField(zap.String("outcome", outcomeSilent))
+	if ended.Len() != 1 || ended.FilterField(zap.Bool("joint", true)).Len() != 0 {
+		t.Errorf("attempts ended as silent: got %v, want one that was not ended jointly", ended.All())
+	}
+}
+
 // A stream that is moved takes one extra attempt from the retry budget, not two: with room for one, it must go on.
 func TestMoveTakesOneExtraAttempt(t *testing.T) {
 	w := newJointWorld(t)
