relay: Decide on a larger model apart from recording it

mayEnd and tooDear both decided and counted. headEstimate.mayEnd and exceedsGain decide, recordRejected and recordPriceCost record; the choices, logs and metrics are the same.

--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -85,9 +85,14 @@
 		head, inTime := h.time, inTimeProb(h.time, aim)
 		inAim = inAim || head <= aim
 		pays := float64(confidence) < float64(policy.Threshold(x.size, size))*inTime
-		if (pays || !inAim && size == x.size+1 && confidence < minUsefulConfidence) && head <= left && x.mayEnd(h) && !x.tooDear(size, &h, confidence, inTime, now) {
+		if !pays && (inAim || size > x.size+1 || confidence >= minUsefulConfidence) || head > left {
+			continue
+		}
+		if h.mayEnd() && !h.exceedsGain(confidence, inTime) {
+			x.recordPriceCost(&h)
 			break
 		}
+		x.recordRejected(size, &h, now)
 	}
 	return size
 }
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -134,15 +134,8 @@
 	return x.end.rest.UnfinishedProb(x.end.left, x.logGap(p, 0))
 }
 
-// mayEnd reports whether an answer of a larger model is more likely to end in time than not, and counts it if
-// not.
-func (x *run) mayEnd(h headEstimate) bool {
-	if h.unfinishedProb <= maxUnfinishedProb {
-		return true
-	}
-	x.e.metrics.count("models_not_asked", x.route.Name, "would_not_end")
-	return false
-}
+// mayEnd reports whether an answer of a larger model is more likely to end in time than not.
+func (h *headEstimate) mayEnd() bool { return h.unfinishedProb <= maxUnfinishedProb }
 
 // countNotAsked counts that a larger model than next would have been chosen from list if all answers ended in
 // time.
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -104,17 +104,28 @@
 	return rank
 }
 
-// tooDear reports whether the price of asking the model with index size after an answer of this confidence
-// exceeds what the request may gain by it, if the head comes in time with probability inTime. The larger
-// model's answer is taken to be good, as its gain is not known yet. The caller must hold the engine's mu.
-func (x *run) tooDear(size int, h *headEstimate, confidence int, inTime float64, now time.Time) bool {
+// exceedsGain reports whether the price of the engine time exceeds what a request may gain by the answer, given the
+// confidence of the present answer and the probability that the head comes in time. The larger model's answer is taken
+// to be good, as its gain is not known yet.
+func (h *headEstimate) exceedsGain(confidence int, inTime float64) bool {
+	return h.price > (1-float64(confidence)/100)*max(inTime, minLateGain)
+}
+
+// recordPriceCost records the price of a larger model's engine time for the log.
+func (x *run) recordPriceCost(h *headEstimate) {
 	t := &x.records[len(x.records)-1]
 	t.PriceCost = max(t.PriceCost, h.price)
-	if h.price <= (1-float64(confidence)/100)*max(inTime, minLateGain) {
-		return false
+}
+
+// recordRejected records that the model with index size was not asked as its answer would not end or for its price.
+// The caller must hold the engine's mu.
+func (x *run) recordRejected(size int, h *headEstimate, now time.Time) {
+	if !h.mayEnd() {
+		x.e.metrics.count("models_not_asked", x.route.Name, "would_not_end")
+		return
 	}
+	x.recordPriceCost(h)
 	x.recordUnasked(size, h.seconds, now)
-	return true
 }
 
 // chooseSize returns the index in list of the model to ask, as sizes.Choose does. It records in t what the
