account: Tables of waits, refusals, shares, predicted ends and moves

Routers log what admission control, shares and estimates of ends decide, but no table told of it, and a late stream that was moved, fell silent or broke off after its head was blamed on a failed attempt.

Seven tables: held and refusals (admission), shares and classes (who bore the price; workspaces in three classes, none named), ends (calibration), moved and silent. The cause table knows the time held, blames a head on the attempt that gave it, and counts the pause between a stream's attempts. Logs without these fields give the tables as before plus the column held.

--- a/internal/acct/account.go
+++ b/internal/acct/account.go
@@ -31,6 +31,9 @@
 	// OmittedAttempts is the number of attempts beyond maxHeadWaits, which are not considered as
 	// blockers of late requests. Read sets it.
 	OmittedAttempts int
+	// OmittedRequests is the number of requests beyond maxPayers, which are missing in the tables of
+	// shares and workspace classes. Read sets it.
+	OmittedRequests int
 
 	// interned holds the names of endpoints, routes and models in headWaits.
 	interned  stringTable
@@ -46,6 +49,7 @@
 	tokens        map[string]*Tokens
 	headTimes     map[headTimeKey]*HeadTimes
 	attemptCounts map[string]int
+	contention    contention
 }
 
 // miss is a request that was late or not served.
@@ -59,7 +63,8 @@
 	overMs    int64
 	mainCause Cause
 	parts     []causeTime
-	// endpoint, sent and headMs are those of the last attempt.
+	// endpoint, sent and headMs are those of the attempt that gave the caller the head; see
+	// headAttempt.
 	endpoint string
 	sent     time.Time
 	headMs   int64
@@ -97,6 +102,7 @@
 	return &Account{
 		byName: make(map[string]*source), missRows: make(map[missKey]*Totals), blockers: make(map[blockerKey]*Totals), bytes: make(map[bytesKey]int64),
 		calls: make(map[callKey]*callTimes), tokens: make(map[string]*Tokens), headTimes: make(map[headTimeKey]*HeadTimes), attemptCounts: make(map[string]int),
+		contention: newContention(),
 	}
 }
 
@@ -156,30 +162,41 @@
 		a.addAttempt(s, end.Route, &s.attempts[i])
 	}
 	e := miss{src: s, arrived: end.Time.Add(-time.Duration(end.TookMs) * time.Millisecond), route: end.Route}
-	if n := len(s.attempts); n > 0 {
-		last := &s.attempts[n-1]
-		e.model, e.endpoint, e.sent, e.headMs = last.Model, last.Endpoint, last.SentAt, last.HeadMs
+	if t := headAttempt(s.attempts); t != nil {
+		e.model, e.endpoint, e.sent, e.headMs = t.Model, t.Endpoint, t.SentAt, t.HeadMs
 	}
+	r := inTime
 	if end.Outcome != outcomeWhole {
 		a.Failed++
-		e.mainCause, e.overMs = notServed(end.Outcome), end.TookMs
-		a.misses = append(a.misses, e)
-		return
-	}
-	e.overMs, e.mainCause, e.parts = latenessOf(s.attempts, end)
-	if e.overMs > 0 {
+		r = failed
+		e.mainCause, e.overMs, e.parts = notServed(end.Outcome), end.TookMs, []causeTime{{Held, end.held()}}
+	} else if e.overMs, e.mainCause, e.parts = latenessOf(s.attempts, end); e.overMs > 0 {
 		a.Late++
+		r = late
+	}
+	if r != inTime {
 		a.misses = append(a.misses, e)
 	}
+	a.addContention(s.attempts, end, r)
 }
 
+// result is how a request was served.
+type result int
+
+// The results. A request that was served on a route without targets is in time.
+const (
+	inTime result = iota
+	late
+	failed
+)
+
 // addAttempt adds one attempt of a request on a route.
 func (a *Account) addAttempt(s *source, route string, t *line) {
 	a.attemptCounts[t.Endpoint]++
 	a.bytes[bytesKey{"prompts and bodies", t.CrossZone}] += t.SentBytes
 	a.bytes[bytesKey{"answers", t.CrossZone}] += t.GotBytes
 	a.addTokens(route, t)
-	if t.Outcome == outcomeDropped || t.Outcome == "delivered" {
+	if t.Outcome == outcomeDropped || t.Outcome == outcomeDelivered {
 		a.addHeadTime(route, t)
 	}
 	if len(a.headWaits) >= maxHeadWaits {
--- a/internal/acct/acct_test.go
+++ b/internal/acct/acct_test.go
@@ -6,12 +6,16 @@
 import (
 	"bytes"
 	"encoding/csv"
+	"fmt"
 	"math"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/traildrift/traildrift/internal/golden"
 )
@@ -46,6 +50,71 @@
 	golden.Check(t, "account.golden", out.Bytes())
 }
 
+// Guards against waits, refusals, shares, predicted ends, moves and silent attempts that are missing in the
+// tables or counted wrongly: each value of the golden file follows from contention.log by hand.
+func TestContentionTables(t *testing.T) {
+	a := New()
+	f, err := os.Open(filepath.Join("testdata", "contention.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.CombineErrors(a.Read("d-1", f), f.Close()); err != nil {
+		t.Fatal(err)
+	}
+	a.Finish()
+	var out bytes.Buffer
+	for _, table := range a.Tables() {
+		switch table.Name {
+		case "causes", "held", "refusals", "shares", "classes", "ends", "moved", "silent":
+			if err := table.write(&out, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	golden.Check(t, "contention.golden", out.Bytes())
+}
+
+// Guards against a table that grows with the workspaces or names one.
+func TestClassesAreBounded(t *testing.T) {
+	const workspaces = 100_000
+	a := New()
+	for i := range workspaces {
+		a.addPayer(nil, &line{Route: "r", Workspace: fmt.Sprint("workspace-", i), Price: 1, OverShare: i%2 > 0}, inTime)
+	}
+	a.addPayer(nil, &line{Route: "r", Workspace: "workspace-7", Price: 1}, late)
+	table := a.classTable()
+	if got, limit := len(table.Rows), 2*len(workspaceClasses); got > limit {
+		t.Errorf("rows: got %d, want %d at most", got, limit)
+	}
+	if text := fmt.Sprint(table.Rows); strings.Contains(text, "workspace-") {
+		t.Errorf("the table names a workspace: %s", text)
+	}
+	if row := table.Rows[0]; row[0] != "largest" || row[1] != "1" || row[3] != "1" || row[4] != "1" {
+		t.Errorf("largest workspace: got %v, want one workspace with a late request within its share", row)
+	}
+}
+
+// Guards against memory without a bound for long logs, and against requests that are left out of the tables
+// without saying so.
+func TestMemoryIsBounded(t *testing.T) {
+	a := New()
+	a.contention.payers = make([]payer, maxPayers)
+	a.addPayer(nil, &line{Route: "r"}, inTime)
+	if len(a.contention.payers) != maxPayers || a.OmittedRequests != 1 {
+		t.Errorf("requests kept and left out: got %d and %d, want %d and 1", len(a.contention.payers), a.OmittedRequests, maxPayers)
+	}
+	if got, limit := unsafe.Sizeof(payer{}), uintptr(32); got > limit {
+		t.Errorf("size of a request: got %d bytes, want %d at most", got, limit)
+	}
+	var s samples
+	for range maxSamples + 1 {
+		s.add(1)
+	}
+	if s.n != maxSamples+1 || len(s.kept) != maxSamples {
+		t.Errorf("samples: got %d of %d kept, want %d of %d", len(s.kept), s.n, maxSamples, maxSamples+1)
+	}
+}
+
 func TestCSV(t *testing.T) {
 	a, dir := readTestLogs(t), t.TempDir()
 	if err := a.WriteCSV(dir); err != nil {
@@ -103,6 +172,58 @@
 	}
 }
 
+// Guards against late streams whose head is blamed on the wrong attempt: a stream that was moved, fell
+// silent or broke off after its head was late by the attempt that gave the head, not by what followed.
+func TestDivideResumed(t *testing.T) {
+	held := int64(30)
+	for _, outcome := range []string{outcomeMoved, outcomeSilent, "failed"} {
+		attempts := []line{
+			{HeadMs: 100, Outcome: "failed"},
+			{HeadMs: 600, Outcome: outcome, Status: 200, Events: 3, ReadMs: 150, WaitMs: 50, Endpoint: "e"},
+			{HeadMs: 900, Outcome: outcomeDelivered, Status: 200, Events: 3, ReadMs: 500},
+		}
+		end := &line{HeadMs: 750, HeldMs: &held}
+		want := map[Cause]int64{FailedAttempt: 100, PromptRead: 150, QueueWait: 50, UnpredictedWait: 400, Held: 30, Router: 20}
+		got, sum := make(map[Cause]int64), int64(0)
+		for _, p := range divideTime(attempts, end) {
+			got[p.cause] += p.ms
+			sum += p.ms
+		}
+		for _, c := range latenessCauses {
+			if got[c] != want[c] {
+				t.Errorf("%s: %s: got %d ms, want %d", outcome, c, got[c], want[c])
+			}
+		}
+		if sum != end.HeadMs {
+			t.Errorf("%s: sum: got %d ms, want %d", outcome, sum, end.HeadMs)
+		}
+		if a := headAttempt(attempts); a.Endpoint != "e" {
+			t.Errorf("%s: the head is taken to be that of %q, want e", outcome, a.Endpoint)
+		}
+	}
+	if headAttempt(nil) != nil {
+		t.Error("a request without attempts has a head")
+	}
+}
+
+// Guards against the pause of a move or a resumption being missed, as each attempt logs its own pauses
+// only. It is unknown where the time of the last event was not logged.
+func TestPauseAfter(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	attempts := []line{
+		{SentAt: t0, TookMs: 1500, Outcome: outcomeMoved, Status: 200, Events: 3, PauseMs: 40},
+		{SentAt: t0.Add(1600 * time.Millisecond), HeadMs: 100, Outcome: "failed"},
+		{SentAt: t0.Add(1800 * time.Millisecond), HeadMs: 500, Outcome: outcomeDelivered, Status: 200, Events: 3, PauseMs: 50},
+	}
+	if got := longestPause(attempts); got != 800 {
+		t.Errorf("longest pause: got %d ms, want 800", got)
+	}
+	attempts[0].TookMs = 0
+	if got := longestPause(attempts); got != 50 {
+		t.Errorf("longest pause without the time of the last event: got %d ms, want 50", got)
+	}
+}
+
 func TestCorrelation(t *testing.T) {
 	a := New()
 	for i := range int64(10) {
--- a/internal/acct/cause.go
+++ b/internal/acct/cause.go
@@ -17,6 +17,9 @@
 	EarlierRequest Cause = "earlierTry"
 	// Router is the time in the router itself: before the first attempt and between attempts.
 	Router Cause = "router"
+	// Held is the time for which the router held the request until an endpoint had a place for it. It
+	// is also told of requests that were not served.
+	Held Cause = "held"
 	// FailedAttempt is the time of attempts without an answer that could be passed on,
 	// SilenceTimeout that of attempts which the router ended as the endpoint sent nothing for too
 	// long.
@@ -38,7 +41,7 @@
 func notServed(outcome string) Cause { return Cause("not served: " + outcome) }
 
 // latenessCauses lists the causes in the order of the table's columns and of Totals.CauseMs.
-var latenessCauses = []Cause{EarlierRequest, Router, FailedAttempt, SilenceTimeout, SmallerModel, QueueWait, PromptRead, UnpredictedWait, Pause}
+var latenessCauses = []Cause{EarlierRequest, Router, Held, FailedAttempt, SilenceTimeout, SmallerModel, QueueWait, PromptRead, UnpredictedWait, Pause}
 
 // served reports whether the cause is that of a late request and not of one that was not served.
 func (c Cause) served() bool { return !strings.HasPrefix(string(c), "not served: ") }
@@ -49,7 +52,9 @@
 	ms    int64
 }
 
-// divideTime divides the time to the head of a request, and the caller's wait before it, by cause.
+// divideTime divides the time to the head of a request, and the caller's wait before it, by cause. The
+// attempt that passed events on gave the caller the head, whether or not its stream was moved, fell
+// silent or broke off later; what follows it does not count.
 func divideTime(attempts []line, end *line) []causeTime {
 	parts := []causeTime{{EarlierRequest, end.WaitedMs}}
 	left := end.HeadMs
@@ -60,17 +65,35 @@
 		switch {
 		case a.Outcome == outcomeDropped:
 			parts = append(parts, causeTime{SmallerModel, took})
-		case a.Outcome == outcomeSilent:
-			parts = append(parts, causeTime{SilenceTimeout, took})
-		case i < len(attempts)-1:
-			parts = append(parts, causeTime{FailedAttempt, took})
-		default:
+		case a.passedEvents() || i == len(attempts)-1 && a.Outcome != outcomeSilent:
 			read := min(a.ReadMs, took)
 			wait := min(a.WaitMs, took-read)
 			parts = append(parts, causeTime{PromptRead, read}, causeTime{QueueWait, wait}, causeTime{UnpredictedWait, took - read - wait})
+			return append(parts, routerTime(left, end)...)
+		case a.Outcome == outcomeSilent:
+			parts = append(parts, causeTime{SilenceTimeout, took})
+		default:
+			parts = append(parts, causeTime{FailedAttempt, took})
 		}
 	}
-	return append(parts, causeTime{Router, left})
+	return append(parts, routerTime(left, end)...)
+}
+
+// headAttempt returns the attempt that gave the caller the head: the first one that passed events on, or
+// the last one; nil if there are none.
+func headAttempt(attempts []line) *line {
+	for i := range attempts {
+		if attempts[i].passedEvents() || i == len(attempts)-1 {
+			return &attempts[i]
+		}
+	}
+	return nil
+}
+
+// routerTime divides the time in the router itself into that for which it held the request and the rest.
+func routerTime(ms int64, end *line) []causeTime {
+	held := min(end.held(), ms)
+	return []causeTime{{Held, held}, {Router, ms - held}}
 }
 
 // latenessOf returns by how much a served request was late, in milliseconds, the main cause, and
@@ -97,10 +120,30 @@
 	return overMs, mainCause, parts
 }
 
-// longestPause returns the longest pause of the attempts' streams.
+// longestPause returns the longest pause of the attempts' streams, in milliseconds, including the known
+// ones between an attempt and the one that resumed its stream.
 func longestPause(attempts []line) (ms int64) {
 	for i := range attempts {
 		ms = max(ms, attempts[i].PauseMs)
+		if pause, ok := pauseAfter(attempts, i); ok {
+			ms = max(ms, pause)
+		}
 	}
 	return ms
 }
+
+// pauseAfter returns the time, in milliseconds, from the last event of an attempt to the head of the next
+// one that passed events on. It is known only of attempts whose end was predicted, as others do not log
+// when their last event came.
+func pauseAfter(attempts []line, i int) (ms int64, ok bool) {
+	a := &attempts[i]
+	if a.TookMs <= 0 || !a.passedEvents() {
+		return 0, false
+	}
+	for j := i + 1; j < len(attempts); j++ {
+		if b := &attempts[j]; b.passedEvents() {
+			return b.SentAt.Sub(a.SentAt).Milliseconds() + b.HeadMs - a.TookMs, true
+		}
+	}
+	return 0, false
+}
--- a/internal/acct/line.go
+++ b/internal/acct/line.go
@@ -20,13 +20,21 @@
 	msgSent      = "peers: Bytes were sent to other routers."
 )
 
-// The outcomes of attempts and requests, as routers log them, that an account distinguishes:
-// a complete answer, an answer discarded for an attempt with a larger model, and an attempt that
-// the router ended because its endpoint sent nothing for too long.
+// The outcomes of attempts and requests, as routers log them, that an account distinguishes.
 const (
-	outcomeWhole   = "whole"
+	// outcomeWhole is that of a request with a complete answer, outcomeDelivered that of the attempt
+	// that gave it.
+	outcomeWhole     = "whole"
+	outcomeDelivered = "delivered"
+	// outcomeDropped is that of an answer discarded for an attempt with a larger model.
 	outcomeDropped = "dropped for a larger model"
-	outcomeSilent  = "silent"
+	// outcomeSilent is that of an attempt that the router ended because its endpoint sent nothing for
+	// too long.
+	outcomeSilent = "silent"
+	// outcomeMoved is that of an attempt whose stream continues at another endpoint.
+	outcomeMoved = "moved"
+	// outcomeLeft is that of an attempt whose caller left.
+	outcomeLeft = "caller left"
 )
 
 // line holds the fields of a router's log line that an account uses. Fields ending in Ms are in
@@ -50,6 +58,18 @@
 	WaitedMs   int64 `json:"waitedMs"`
 	TookMs     int64 `json:"tookMs"`
 	TokensIn   int   `json:"tokensIn"`
+	// Workspace is that of the caller; empty for an anonymous request.
+	Workspace string `json:"workspace"`
+	// HeldMs is how long the request waited for a place; nil if it did not. RoomCause is why admission
+	// control refused it, RoomAgeMs the age of the load report that decided; nil if it was neither
+	// held nor refused.
+	HeldMs    *int64 `json:"heldMs"`
+	RoomCause string `json:"roomCause"`
+	RoomAgeMs *int64 `json:"roomAgeMs"`
+	// Price is the price of engine time that the request met, OverShare says that it was over the
+	// share of its workspace.
+	Price     float64 `json:"price"`
+	OverShare bool    `json:"overShare"`
 
 	// The fields from SentAt to PassedCostMs are those of an attempt; see relay.Attempt.
 	// UnreadTokens is the predicted number of prompt tokens that the endpoint reads, WaitMs the
@@ -70,6 +90,20 @@
 	PassedOver   string    `json:"passed"`
 	CostMs       int64     `json:"costMs"`
 	PassedCostMs int64     `json:"passedCostMs"`
+	Events       int       `json:"events"`
+	Error        string    `json:"error"`
+
+	// PriceCost is what the engine time of a larger model costs others, as a fraction of the worth of a
+	// good answer in time. EndMs is the median of the predicted time of the last event, EndLowMs to
+	// EndHighMs the interval in which nine in ten are expected, all 0 without a prediction; TookMs of
+	// an attempt is the actual time. All are counted from sending. Moved says that the stream
+	// continues at another endpoint, Joint that the streams of several routers showed the silence.
+	PriceCost float64 `json:"priceCost"`
+	EndMs     int64   `json:"endMs"`
+	EndLowMs  int64   `json:"endLowMs"`
+	EndHighMs int64   `json:"endHighMs"`
+	Moved     bool    `json:"moved"`
+	Joint     bool    `json:"joint"`
 
 	// Verb, Kind and Status are those of a call to the store.
 	Verb   string `json:"verb"`
@@ -83,6 +117,19 @@
 	PullResponseBytes  int64 `json:"answersBytes"`
 }
 
+// held returns for how long the request was held, in milliseconds; 0 if it was not.
+func (l *line) held() int64 {
+	if l.HeldMs == nil {
+		return 0
+	}
+	return *l.HeldMs
+}
+
+// passedEvents reports whether an attempt passed events on to the caller.
+func (l *line) passedEvents() bool {
+	return l.Outcome != outcomeDropped && l.Status >= 200 && l.Status < 300 && l.Events > 0
+}
+
 // isRelevant reports whether an account uses a line. It avoids decoding the others, which would
 // take most of the time.
 func isRelevant(b []byte) bool {
--- a/internal/acct/tables.go
+++ b/internal/acct/tables.go
@@ -29,7 +29,7 @@
 	// long they took to fail, in milliseconds.
 	OverMs int64
 	// CauseMs is their time by cause, in milliseconds, in the order of latenessCauses.
-	CauseMs [9]int64
+	CauseMs [10]int64
 }
 
 // add adds the sums of o.
@@ -174,7 +174,8 @@
 
 // Tables returns all tables. Call Finish before.
 func (a *Account) Tables() []Table {
-	return []Table{a.causes(), a.seconds(), a.waits(), a.zoneBytes(), a.storeCalls(), a.topCallers(), a.prompts(), a.headTimeTable()}
+	return []Table{a.causes(), a.seconds(), a.waits(), a.zoneBytes(), a.storeCalls(), a.topCallers(), a.prompts(), a.headTimeTable(),
+		a.holdTable(), a.refusalTable(), a.shareTable(), a.classTable(), a.endTable(), a.moveTable(), a.silenceTable()}
 }
 
 // missRowsBy sums the late and failed requests over the keys that group maps to the same key. The
