--- a/internal/relay/bounds_test.go
+++ b/internal/relay/bounds_test.go
@@ -108,7 +108,7 @@
 		return r, grown
 	}
 	small, smallGrown := serve(24, 1)
-	for _, c := range [][2]int{{384, 1}, {4000, 1}, {24, 100_000}, {4000, 100_000}} {
+	for _, c := range [][2]int{{24, 1}, {384, 1}, {4000, 1}, {24, 100_000}, {4000, 100_000}} {
 		got, grown := serve(c[0], c[1])
 		if got != small {
 			t.Errorf("%d routers, %d workspaces: got %+v, want %+v as with 24 and 1", c[0], c[1], got, small)
