Write one batch of a ledger at a time

Flush and Run wrote the oldest batch without synchronization. At a planned stop both could write the same batch: the second write met a conflict, read the object back and confirmed its records again, which removed as many later records that were never written, such as bill lines.

A batch is now written by one goroutine at a time. TestFlushBesideRun fails without the change (records 2 and 3 are confirmed but not written).

--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -59,14 +59,16 @@
 	OnWritten func([]T)
 }
 
-// Writer buffers records of one kind and writes them in batches. Add, Held and Find are
-// safe for concurrent use. Run and Flush both write the oldest batch and are not
-// synchronized with each other.
+// Writer buffers records of one kind and writes them in batches. It must be created with
+// New. All methods are safe for concurrent use; Flush may be called while Run runs.
 type Writer[T any] struct {
 	log   *zap.Logger
 	store *store.Client
 	opts  Options[T]
-	mu    sync.Mutex
+	// writing holds a value while a batch is written. Two writes of the same batch would
+	// both confirm it, and the second one would remove records that were not written.
+	writing chan struct{}
+	mu      sync.Mutex
 	// held holds the records that the platform has not confirmed, oldest first; never
 	// more than opts.MaxRecords.
 	held []T
@@ -85,7 +87,7 @@
 	if o.Encode == nil {
 		o.Encode = func(batch []T) ([]byte, error) { return json.Marshal(batch) }
 	}
-	return &Writer[T]{log: log, store: c, opts: o, wake: make(chan struct{}, 1)}
+	return &Writer[T]{log: log, store: c, opts: o, writing: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 }
 
 // Add buffers a record. If the buffer is full, Add drops the record, counts it as lost
@@ -174,8 +176,15 @@
 }
 
 // writeBatch writes the oldest records as one batch and reports whether the platform
-// confirmed them. It returns false if there are no records.
+// confirmed them. It returns false if there are no records, or if ctx is done while
+// another batch is written.
 func (w *Writer[T]) writeBatch(ctx context.Context) bool {
+	select {
+	case w.writing <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-w.writing }()
 	w.mu.Lock()
 	batch := w.held[:min(len(w.held), maxBatchRecords)]
 	name := fmt.Sprintf("%s-%08d", w.opts.Prefix, w.seq)
@@ -231,7 +240,7 @@
 }
 
 // markConfirmed removes the n oldest records from the buffer, advances seq and calls
-// OnWritten.
+// OnWritten. The caller holds writing.
 func (w *Writer[T]) markConfirmed(n int) {
 	w.mu.Lock()
 	n = min(n, len(w.held))
--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -8,11 +8,13 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/config"
 )
 
 // scriptedStore is a store in memory whose writes have scripted outcomes.
@@ -85,6 +87,52 @@
 	}
 }
 
+// TestFlushBesideRun calls Flush while Run writes a batch, as a planned stop does, and adds
+// records in between. Each record must be stored and confirmed exactly once. Guards against
+// two writes of one batch that both confirm it, of which the second removed later records
+// that were not written.
+func TestFlushBesideRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &scriptedStore{objects: make(map[string][]byte)}
+		c := m.client()
+		put := c.Put
+		c.Put = func(ctx context.Context, kind, name string, version int64, value []byte) (int64, error) {
+			select {
+			case <-time.After(time.Second):
+			case <-ctx.Done():
+				return 0, store.ErrUnavailable
+			}
+			return put(ctx, kind, name, version, value)
+		}
+		var confirmed []string
+		w := New(zap.NewNop(), c, Options[string]{Kind: "k", Prefix: "p", MaxRecords: 9, FlushInterval: config.Span(time.Second), OnWritten: func(b []string) { confirmed = append(confirmed, b...) }})
+		w.Add("0")
+		w.Add("1")
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		time.Sleep(1500 * time.Millisecond)
+		w.Add("2")
+		w.Add("3")
+		if err := w.Flush(t.Context()); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		<-ended
+		var stored []string
+		for i := range len(m.objects) {
+			var batch []string
+			if err := json.Unmarshal(m.objects[fmt.Sprintf("p-%08d", i)], &batch); err != nil {
+				t.Error(err)
+			}
+			stored = append(stored, batch...)
+		}
+		if want := "[0 1 2 3]"; fmt.Sprint(stored) != want || fmt.Sprint(confirmed) != want {
+			t.Errorf("got %v written and %v confirmed, want %v", stored, confirmed, want)
+		}
+	})
+}
+
 // TestFullBuffer adds more records than the buffer holds. The others must count as lost.
 func TestFullBuffer(t *testing.T) {
 	w := New(zap.NewNop(), (&scriptedStore{objects: map[string][]byte{}}).client(), Options[int]{Kind: "k", Prefix: "p", MaxRecords: 2})
