claims: Pause after unknown outcomes, and withdraw claims before a write

An update that was certainly not written now fails its claims with ErrNotWritten, and a write of unknown outcome is retried after minWriteInterval. A lost race is still retried at once.

A claim whose caller gave up before any write included it counted as unknown, which blocks its key. The caller now withdraws the claim atomically, so that no later write includes it, and gets ErrNotWritten. A conflict no longer marks a claim as perhaps written either.

--- a/internal/claims/log.go
+++ b/internal/claims/log.go
@@ -79,14 +79,41 @@
 type pendingClaim struct {
 	ctx    context.Context
 	record claim.Record
-	// maybeWritten says that a write with the record was sent and did not fail with
-	// store.ErrUnavailable. From then on the record may appear in the log later, as the write
-	// may still be in flight.
-	maybeWritten bool
+	// state is a claimState. The caller changes it from claimQueued to claimWithdrawn, and
+	// the goroutine of Run from claimQueued to claimSent and back.
+	state atomic.Int32
 	// done has capacity 1 and receives the result.
 	done chan result
 }
 
+// claimState says whether the record of a claim may be in the log.
+type claimState = int32
+
+const (
+	// claimQueued means that no write that may have taken effect included the record.
+	claimQueued claimState = iota
+	// claimSent means that a write with the record was sent and is not known to have
+	// failed. The record may appear in the log later, as the write may still be in flight.
+	claimSent
+	// claimWithdrawn means that the caller has given up and no write may include the
+	// record.
+	claimWithdrawn
+)
+
+// send marks the claim as sent. It returns false if the caller has withdrawn it.
+func (p *pendingClaim) send() bool {
+	return p.state.Load() == claimSent || p.state.CompareAndSwap(claimQueued, claimSent)
+}
+
+// withdraw prevents that a write includes the record from now on. It returns
+// ErrNotWritten if none has, and ErrOutcomeUnknown otherwise.
+func (p *pendingClaim) withdraw() error {
+	if p.state.CompareAndSwap(claimQueued, claimWithdrawn) || p.state.Load() == claimWithdrawn {
+		return ErrNotWritten
+	}
+	return ErrOutcomeUnknown
+}
+
 // result is the result of a claim: the record that holds the key, or an error.
 type result struct {
 	winner claim.Record
@@ -122,8 +149,9 @@
 
 // Claim appends a claim to the log if its key is free and returns the claim that holds
 // the key afterwards: r itself, or the one of another process. The error is ErrNotWritten
-// if the platform does not answer or the queue is full, or ErrOutcomeUnknown if the
-// platform does not answer after a write or ctx is done first.
+// if the platform does not answer, does not take the record or the queue is full, or if
+// ctx is done before a write included the claim. It is ErrOutcomeUnknown if the platform
+// does not answer after a write or ctx is done after one.
 func (l *Log) Claim(ctx context.Context, r claim.Record) (claim.Record, error) {
 	p := &pendingClaim{ctx: ctx, record: r, done: make(chan result, 1)}
 	select {
@@ -135,7 +163,7 @@
 	case res := <-p.done:
 		return res.winner, res.err
 	case <-ctx.Done():
-		return claim.Record{}, ErrOutcomeUnknown
+		return claim.Record{}, p.withdraw()
 	}
 }
 
@@ -171,8 +199,9 @@
 
 // commit handles claims until each has a result: it reads the bucket if the local copy is
 // out of date, answers the claims on held keys and writes the others. After a lost race
-// or a write of unknown outcome it starts again; if the platform does not answer, all
-// that are left fail.
+// it starts again at once, after a write of unknown outcome when minWriteInterval has
+// passed. If the platform does not answer or does not take the update, all that are left
+// fail.
 func (l *Log) commit(ctx context.Context, b *bucket, pending []*pendingClaim) {
 	for len(pending) > 0 {
 		pending = dropCanceled(pending)
@@ -186,23 +215,33 @@
 		if len(pending) == 0 {
 			return
 		}
-		if err := l.write(ctx, b, pending); err != nil {
-			b.upToDate = false
-			if errors.Is(err, store.ErrUnavailable) {
-				l.failAll(pending, err)
-				return
-			}
+		err := l.write(ctx, b, pending)
+		if err == nil {
+			continue
+		}
+		b.upToDate = false
+		switch {
+		case errors.Is(err, store.ErrConflict):
+		case isNotWritten(err):
+			l.failAll(pending, err)
+			return
+		default:
+			tasks.Pause(ctx, minWriteInterval.After(time.Now()))
 		}
 	}
 }
 
-// dropCanceled returns the claims whose context is not done. The others get
-// ErrOutcomeUnknown.
+// isNotWritten reports whether a write that failed with err certainly had no effect.
+func isNotWritten(err error) bool {
+	return errors.IsAny(err, store.ErrUnavailable, store.ErrConflict, store.ErrTooLarge)
+}
+
+// dropCanceled returns the claims whose context is not done. The others are withdrawn.
 func dropCanceled(pending []*pendingClaim) []*pendingClaim {
 	var remaining []*pendingClaim
 	for _, p := range pending {
 		if p.ctx.Err() != nil {
-			p.done <- result{err: ErrOutcomeUnknown}
+			p.done <- result{err: p.withdraw()}
 			continue
 		}
 		remaining = append(remaining, p)
@@ -210,17 +249,13 @@
 	return remaining
 }
 
-// failAll fails claims because the platform does not answer. A claim that no write has
-// included is certainly not in the log and gets ErrNotWritten, the others
-// ErrOutcomeUnknown.
+// failAll fails claims because the platform does not answer or does not take an update. A
+// claim that no write has included is certainly not in the log and gets ErrNotWritten, the
+// others ErrOutcomeUnknown.
 func (l *Log) failAll(pending []*pendingClaim, err error) {
 	l.log.Warn("claims: The platform does not answer; claims have failed.", zap.Int("claims", len(pending)), logs.Err(err))
 	for _, p := range pending {
-		if p.maybeWritten {
-			p.done <- result{err: ErrOutcomeUnknown}
-		} else {
-			p.done <- result{err: ErrNotWritten}
-		}
+		p.done <- result{err: p.withdraw()}
 	}
 }
 
@@ -245,16 +280,30 @@
 func (l *Log) write(ctx context.Context, b *bucket, pending []*pendingClaim) error {
 	seenKeys := make(map[string]bool)
 	var added []claim.Record
-	var sent []*pendingClaim
+	// unsent holds the claims that no earlier write has included. withdrawn is set if a
+	// caller has withdrawn its claim since dropCanceled.
+	var unsent []*pendingClaim
+	withdrawn := false
 	for _, p := range pending {
-		if !seenKeys[p.record.Key] && b.local.CanAppend(p.record) {
-			seenKeys[p.record.Key] = true
-			added = append(added, p.record)
-			sent = append(sent, p)
+		if seenKeys[p.record.Key] || !b.local.CanAppend(p.record) {
+			continue
+		}
+		sentBefore := p.state.Load() == claimSent
+		if !p.send() {
+			withdrawn = true
+			continue
+		}
+		seenKeys[p.record.Key] = true
+		added = append(added, p.record)
+		if !sentBefore {
+			unsent = append(unsent, p)
 		}
 	}
-	if !assert.That(len(added) > 0, "claimBatchIsNotEmpty") {
-		return store.ErrUnavailable
+	if len(added) == 0 {
+		if !assert.That(withdrawn, "claimBatchIsNotEmpty") {
+			return store.ErrUnavailable
+		}
+		return nil
 	}
 	slice, version, records, body := b.local.EncodeAppend(added)
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -262,8 +311,10 @@
 	l.Writes.Add(1)
 	l.Bytes.Add(int64(len(body)))
 	next, err := l.store.Put(call, Kind, sliceName(b.n, slice), version, body)
-	for _, p := range sent {
-		p.maybeWritten = p.maybeWritten || !errors.Is(err, store.ErrUnavailable)
+	if isNotWritten(err) {
+		for _, p := range unsent {
+			p.state.Store(claimQueued)
+		}
 	}
 	if err != nil {
 		return err
--- a/internal/claims/log_test.go
+++ b/internal/claims/log_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -237,6 +238,7 @@
 		want error
 	}{
 		{"the platform refuses the write", down, ErrNotWritten},
+		{"the update is too large", store.ErrTooLarge, ErrNotWritten},
 		{"the write's outcome is not known, then the platform is down", errors.Mark(errors.New("x"), store.ErrOutcomeUnknown), ErrOutcomeUnknown},
 	}
 	for _, tt := range tests {
@@ -266,3 +268,73 @@
 		<-ended
 	}
 }
+
+// TestWithdrawnClaim lets the caller give up while its claim waits behind a write of another
+// one. The claim must fail with ErrNotWritten and not be written later. Guards against a
+// claim that certainly is not in the log and counts as unknown, so that its key is blocked.
+func TestWithdrawnClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writes := 0
+		c := &store.Client{
+			Put: func(context.Context, string, string, int64, []byte) (int64, error) {
+				writes++
+				time.Sleep(time.Second)
+				return int64(writes), nil
+			},
+			Get:  func(context.Context, string, string) (store.Object, error) { return store.Object{}, store.ErrNotFound },
+			List: func(context.Context, string, string) ([]store.Object, error) { return nil, nil },
+		}
+		l := New(zap.NewNop(), c)
+		key := KeyOf("w", "k")
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(ctx, BucketOf(key)) }()
+		go func() { _, _ = l.Claim(t.Context(), claim.Record{Key: key, Run: "r"}) }()
+		synctest.Wait()
+		// The first write is in flight until a second has passed.
+		brief, stop := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer stop()
+		if _, got := l.Claim(brief, claim.Record{Key: key, Generation: 1, Run: "s"}); got != ErrNotWritten {
+			t.Errorf("claim given up in the queue: got %v, want %v", got, ErrNotWritten)
+		}
+		time.Sleep(5 * time.Second)
+		cancel()
+		<-ended
+		if writes != 1 {
+			t.Errorf("got %d writes, want 1", writes)
+		}
+	})
+}
+
+// TestRetryPauses gives each write an unknown outcome while reads find nothing. Updates of the
+// bucket must keep minWriteInterval, as retries without a pause would load the platform as
+// fast as it answers.
+func TestRetryPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writes := 0
+		c := &store.Client{
+			Put: func(context.Context, string, string, int64, []byte) (int64, error) {
+				writes++
+				time.Sleep(time.Millisecond)
+				return 0, store.ErrOutcomeUnknown
+			},
+			Get:  func(context.Context, string, string) (store.Object, error) { return store.Object{}, store.ErrNotFound },
+			List: func(context.Context, string, string) ([]store.Object, error) { return nil, nil },
+		}
+		l := New(zap.NewNop(), c)
+		key := KeyOf("w", "k")
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(ctx, BucketOf(key)) }()
+		brief, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		if _, got := l.Claim(brief, claim.Record{Key: key, Run: "r"}); got != ErrOutcomeUnknown {
+			t.Errorf("got %v, want %v", got, ErrOutcomeUnknown)
+		}
+		cancel()
+		<-ended
+		if most := int(time.Second/time.Duration(minWriteInterval)) + 1; writes > most {
+			t.Errorf("got %d writes in a second, want at most %d", writes, most)
+		}
+	})
+}
