guard: Write all bill lines at a stop, and confirm only what was fetched

TryAdd buffers without counting. At a planned stop only one round of lines was passed to the writer, so that lines beyond its buffer were never written; the guard now takes as many rounds as needed.

A heartbeat confirmed the guard's settings also when the entry's newer ones could not be fetched. It now confirms them only if the entry has none newer.

--- a/internal/guard/drain.go
+++ b/internal/guard/drain.go
@@ -62,8 +62,7 @@
 			return errors.Newf("guard: killed with %d runs in progress", running)
 		}
 	}
-	g.billAll()
-	return g.bills.Flush(kill)
+	return g.flushBills(kill)
 }
 
 // busy returns the number of runs that hold a slot, and the number of linked entries
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -19,11 +19,13 @@
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
-// handleHeartbeat answers an entry's heartbeat with the load. Each heartbeat counts
-// as a confirmation that the settings here are current: if the entry has newer
-// ones, the link has fetched them before, or has tried to.
+// handleHeartbeat answers an entry's heartbeat with the load. A heartbeat confirms that
+// the settings here are current unless the entry has newer ones, which the link has then
+// tried to fetch without success.
 func (g *Guard) handleHeartbeat(_ context.Context, c *link.Conn, p wire.Heartbeat) (wire.HeartbeatReply, error) {
-	g.Holder.Confirm()
+	if p.Revision <= g.Holder.Revision() {
+		g.Holder.Confirm()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l, ok := g.links[c.Peer.Incarnation]; ok && l.conn == c {
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -95,10 +95,26 @@
 func (w *Writer[T]) Add(r T) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.held) >= w.opts.MaxRecords {
+	if !w.add(r) {
 		w.lost++
 		return false
 	}
+	return true
+}
+
+// TryAdd buffers a record and returns false if the buffer is full. It does not count the
+// record as lost, as the caller keeps it.
+func (w *Writer[T]) TryAdd(r T) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.add(r)
+}
+
+// add buffers a record unless the buffer is full; mu is held.
+func (w *Writer[T]) add(r T) bool {
+	if len(w.held) >= w.opts.MaxRecords {
+		return false
+	}
 	w.held = append(w.held, r)
 	if len(w.held)%maxBatchRecords == 0 {
 		w.signalWake()
