pool: Heed the allowed zones in the reasons why no endpoint was found

Book.Unavailability counted endpoints in availability zones where the request may not be served, so that a caller was told to come back at a time of theirs.

The comment on ejectBase now names the times of the first ejections. The code did what it said: 2^n for the n-th failure in a row, so 0.8 s and 1.6 s for a dead endpoint and for two failures. TestEjectionTimes pins them.

--- a/pkg/pool/ready.go
+++ b/pkg/pool/ready.go
@@ -38,7 +38,7 @@
 func (b *Book) Unavailability(now time.Time, w *Want) (l Unavailability) {
 	for _, p := range b.byService[w.Service] {
 		switch {
-		case !p.listed(now) || w.Fit != nil && !w.Fit(p.Version):
+		case !p.listed(now) || w.Fit != nil && !w.Fit(p.Version) || w.Zones != nil && !w.Zones(p.Zone):
 		case p.zoneState.closed:
 			l.Closed++
 		case !p.announced.rest.over(now):
--- a/pkg/pool/trust.go
+++ b/pkg/pool/trust.go
@@ -33,8 +33,9 @@
 const (
 	// failureWeight is the weight of one attempt in the EWMA of failures.
 	failureWeight = 0.15
-	// ejectBase is the base of the exponential backoff: n failures in a row eject an endpoint for
-	// 2^n times this long, at most for maxEject.
+	// ejectBase is the base of the exponential backoff: an endpoint with n failures in a row, the
+	// latest included, is ejected for 2^n times this long, at most for maxEject. The first ejection
+	// takes 0.8 s if the endpoint is dead or fails often, and 1.6 s after ejectAfterFailures.
 	ejectBase = 400 * time.Millisecond
 	maxEject  = 6 * time.Second
 	// ejectAfterFailures is the number of failures in a row that ejects an endpoint, and ejectAboveRate
--- a/pkg/pool/trust_test.go
+++ b/pkg/pool/trust_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// TestEjectionTimes checks how long failures in a row eject an endpoint. Guards against a change of
+// the first ejection, by which callers of a restarted endpoint wait or fail again.
+func TestEjectionTimes(t *testing.T) {
+	for _, c := range []struct {
+		dead     bool
+		failures int
+		want     time.Duration
+	}{
+		{false, 1, 0}, {true, 1, 800 * time.Millisecond}, {false, 2, 1600 * time.Millisecond}, {false, 3, 3200 * time.Millisecond}, {true, 4, maxEject}, {true, 40, maxEject},
+	} {
+		var tr Trust
+		for range c.failures {
+			tr.RecordFailure(t0, c.dead)
+		}
+		if got := max(tr.ejectedUntil.Sub(t0), 0); got != c.want {
+			t.Errorf("%d failures, dead %v: got an ejection of %v, want %v", c.failures, c.dead, got, c.want)
+		}
+	}
+}
+
 func TestSuccessOutweighsPeerFailures(t *testing.T) {
 	var trust Trust
 	trust.RecordSuccess(t0)
--- a/pkg/pool/zone_test.go
+++ b/pkg/pool/zone_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// The reasons of a request that is confined to some availability zones count the endpoints there
+// alone. Guards against a request that is asked to come back when an endpoint of another zone is
+// ready again, which may never serve it.
+func TestUnavailabilityWithinAllowedZones(t *testing.T) {
+	b := inZones("a", "b")
+	b.CloseZone("b", 2)
+	w := &Want{Service: "s", Zones: func(zone string) bool { return zone == "a" }}
+	if got := b.Unavailability(t0, w); got.Closed != 0 {
+		t.Errorf("allowed in a, where b is closed: got %+v, want none closed", got)
+	}
+	b.CloseZone("a", 3)
+	if got := b.Unavailability(t0, w); got.Closed != 2 {
+		t.Errorf("allowed in a, where both are closed: got %+v, want 2 closed", got)
+	}
+}
+
 func TestOrdersOfZonesInAnyOrder(t *testing.T) {
 	b := inZones("a")
 	for _, c := range []struct {
