stream: Wake readers when a later chunk exceeds the limit

Append took the bytes that fill a gap, met a pending chunk beyond the limit and returned without waking the readers of these bytes. TestLimitWakesReaders fails without the change.

--- a/pkg/stream/buffer.go
+++ b/pkg/stream/buffer.go
@@ -121,6 +121,8 @@
 		p := b.pending[next]
 		delete(b.pending, next)
 		if err := b.appendChunk(next, p); err != nil {
+			// Readers get the bytes before the chunk that is too large.
+			b.wake()
 			return err
 		}
 	}
--- a/pkg/stream/buffer_test.go
+++ b/pkg/stream/buffer_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"os"
 	"testing"
+	"testing/synctest"
 
 	"pgregory.net/rapid"
 
@@ -113,3 +114,32 @@
 		t.Errorf("got %v, want %v", got, fault.TooLarge)
 	}
 }
+
+// TestLimitWakesReaders fills a gap before a chunk that exceeds the limit, while a reader waits. The
+// reader must get the bytes that fit. Guards against a reader that sleeps until the next change,
+// which need not come.
+func TestLimitWakesReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(4)
+		_ = b.Append(0, 2, []byte("345"))
+		read := make(chan string, 1)
+		go func() {
+			_, p, _, _ := b.Next(t.Context(), 0)
+			read <- string(p)
+		}()
+		synctest.Wait()
+		if got := b.Append(0, 0, []byte("12")); got != fault.TooLarge {
+			t.Errorf("got %v, want %v", got, fault.TooLarge)
+		}
+		synctest.Wait()
+		select {
+		case got := <-read:
+			if got != "12" {
+				t.Errorf("read: got %q, want %q", got, "12")
+			}
+		default:
+			t.Error("read: got nothing, want the bytes that fit")
+			b.Finish(0, nil)
+		}
+	})
+}
