admit: Remove EarliestEnd, which no caller sets

The queue compared the deadline with the expected start of an item plus an estimate of its service time that was always 0. No process knows the time a single run takes; the mean of other runs would refuse short ones that end in time. The doc comments now say that a start after the deadline is refused. The behaviour does not change, so no test can fail before.

--- a/pkg/admit/queue.go
+++ b/pkg/admit/queue.go
@@ -38,10 +38,6 @@
 	Arrived time.Time
 	// Deadline is when the run must have ended.
 	Deadline time.Time
-	// EarliestEnd is when the run would end if it had started at Arrived. The
-	// queue takes the difference to Arrived as the estimated service time; a
-	// zero value means no estimate.
-	EarliestEnd time.Time
 }
 
 // Decision is the result of offering an item. Exactly one of Admitted, Queued
@@ -90,8 +86,8 @@
 
 // Offer admits, queues or refuses a new item. It refuses with DeadlinePassed if
 // the deadline is not after now, with Overloaded if the maximum number of items
-// wait, and with DeadlineTooSoon if the item is expected to end after its
-// deadline.
+// wait, and with DeadlineTooSoon if the item is expected to get its slot after
+// its deadline. How long the item itself takes is not known.
 func (q *Queue) Offer(now time.Time, it Item) Decision {
 	if !it.Deadline.After(now) {
 		return Decision{Refused: fault.DeadlinePassed}
@@ -103,7 +99,7 @@
 	if len(q.waiting) >= q.limits.MaxWaiting {
 		return Decision{Refused: fault.Overloaded, RetryAt: q.freeAt(now)}
 	}
-	if expected := q.expectedEnd(it, now); expected.After(it.Deadline) {
+	if expected := q.expectedStart(it, now); expected.After(it.Deadline) {
 		return Decision{Refused: fault.DeadlineTooSoon, RetryAt: q.freeAt(now)}
 	}
 	q.waiting = append(q.waiting, it)
@@ -213,10 +209,10 @@
 	return len(q.waiting) < n
 }
 
-// expectedEnd estimates when the item would end if it waited behind the items
-// that are ordered before it. A patient item that has no slots to use is
+// expectedStart estimates when the item would get a slot if it waited behind the
+// items that are ordered before it. A patient item that has no slots to use is
 // expected to miss its deadline.
-func (q *Queue) expectedEnd(it Item, now time.Time) time.Time {
+func (q *Queue) expectedStart(it Item, now time.Time) time.Time {
 	ahead := 0
 	for _, w := range q.waiting {
 		if q.before(w, it, now) {
@@ -232,12 +228,7 @@
 	}
 	turns := float64(ahead+1) / float64(slots)
 	wait := time.Duration(turns * q.meanHeldSeconds * float64(time.Second))
-	return now.Add(wait + it.serviceTime())
-}
-
-// serviceTime returns the estimated service time, or 0 if there is no estimate.
-func (it Item) serviceTime() time.Duration {
-	return max(it.EarliestEnd.Sub(it.Arrived), 0)
+	return now.Add(wait)
 }
 
 // minRetryDelay is the shortest delay before a refused caller is asked to retry.
