store: A dial after Close is ErrUnavailable

A write through a closed client failed with net.ErrClosed alone, which counts as an unknown outcome although nothing was sent. TestWriteAfterClose fails without the change.

--- a/internal/store/conns.go
+++ b/internal/store/conns.go
@@ -34,7 +34,7 @@
 	defer c.mu.Unlock()
 	if c.closed {
 		_ = conn.Close()
-		return nil, net.ErrClosed
+		return nil, errors.Mark(net.ErrClosed, ErrUnavailable)
 	}
 	k := &trackedConn{Conn: conn, set: c}
 	c.open[k] = struct{}{}
