router: Begin registration pauses anew once registered

The pause after a failed registration doubled to 0.8 s and never became shorter, also after the router had been registered. TestRegisterPausesAnew fails without the change (800ms, want 100ms).

--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -174,7 +174,7 @@
 	dependencyPollInterval = config.Span(20 * time.Millisecond)
 	// registrationCheckInterval is the interval at which a router checks whether it is still
 	// registered. minRegisterBackoff and maxRegisterBackoff bound the pause after a failed
-	// registration, which doubles with each failure.
+	// registration, which doubles with each failure until the router is registered.
 	registrationCheckInterval = config.Span(2 * time.Second)
 	minRegisterBackoff        = config.Span(100 * time.Millisecond)
 	maxRegisterBackoff        = config.Span(800 * time.Millisecond)
@@ -186,6 +186,7 @@
 	pause := minRegisterBackoff
 	for ctx.Err() == nil {
 		if r.stopping.Load() || r.fleet.Registered() {
+			pause = minRegisterBackoff
 			r.removeSilentPeers(ctx)
 			tasks.Pause(ctx, registrationCheckInterval.After(time.Now()))
 			continue
