Keep the text of internal errors from callers

An attempt that failed without a fault.Error, and an answer that broke off, were reported to the caller with the text of the internal error, such as the address of an endpoint. fault.Error has a Cause now, which logs print and responses leave out.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -38,7 +38,7 @@
 		x.log(x.e.Now(), reply.Status, fault.New(fault.CallerGone, fault.MayHaveRun, "The caller has left."))
 		return false
 	}
-	return x.handleFailure(ctx, a, t, fault.New(fault.EndpointLost, fault.MayHaveRun, "The answer broke off: %v.", deliverErr))
+	return x.handleFailure(ctx, a, t, fault.New(fault.EndpointLost, fault.MayHaveRun, "The answer broke off.").WithCause(deliverErr))
 }
 
 // callerGoneError is an error of writing to the caller.
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -30,6 +30,9 @@
 	Message string `json:"message"`
 	// RetryAt is when the caller may retry; zero if a retry makes no sense.
 	RetryAt time.Time `json:"retryAt,omitzero"`
+	// Cause is the error behind the failure, for logs; nil if there is none. It is not returned
+	// to callers, as its text may hold addresses and other internals.
+	Cause error `json:"-"`
 }
 
 // Body is the JSON body of every failed response.
@@ -49,9 +52,20 @@
 	return e
 }
 
-// Error returns kind, run state and message.
+// WithCause sets Cause and returns e.
+func (e *Error) WithCause(err error) *Error {
+	e.Cause = err
+	return e
+}
+
+// Error returns kind, run state and message, and the text of Cause if there is one. It is
+// for logs; callers get the fields of the JSON encoding.
 func (e *Error) Error() string {
-	return fmt.Sprintf("%s (%s): %s", e.Kind, e.Run, e.Message)
+	text := fmt.Sprintf("%s (%s): %s", e.Kind, e.Run, e.Message)
+	if e.Cause != nil {
+		text += " Cause: " + e.Cause.Error()
+	}
+	return text
 }
 
 // Is reports whether target is the kind of e, so that errors.Is matches an
@@ -60,7 +74,7 @@
 
 // From returns the Error that err wraps. A wrapped Kind becomes an Error with
 // the given run state and the kind's advice as message; any other error
-// becomes an Error of kind Internal with the given run state.
+// becomes the Cause of an Error of kind Internal with the given run state.
 func From(err error, run RunState) *Error {
 	var e *Error
 	if errors.As(err, &e) {
@@ -70,5 +84,5 @@
 	if errors.As(err, &k) {
 		return New(k, run, "%s", k.Answer().Advice)
 	}
-	return New(Internal, run, "%v", err)
+	return New(Internal, run, "%s", Internal.Answer().Advice).WithCause(err)
 }
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -4,6 +4,7 @@
 package fault
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -40,6 +41,13 @@
 	if got := From(errors.New("x"), MayHaveRun); got.Kind != Internal || got.Run != MayHaveRun {
 		t.Errorf("another error: got %v, want internal, mayHaveRun", got)
 	}
+	hidden := From(errors.New("dial 10.0.0.1"), MayHaveRun)
+	if body, err := json.Marshal(Body{Error: hidden}); err != nil || strings.Contains(string(body), "10.0.0.1") {
+		t.Errorf("body for the caller: got %s, %v, want it without the text of an internal error", body, err)
+	}
+	if got := hidden.Error(); !strings.Contains(got, "10.0.0.1") {
+		t.Errorf("text for logs: got %s, want it with the cause", got)
+	}
 	if !errors.Is(e, Overloaded) {
 		t.Error("errors.Is with the kind: got false, want true")
 	}
