config: Report nodes without a parent, where FileOf panicked

Two edits that merge, one that removes a workspace and one that adds a workload to it, leave a node without its parent. The check of the merged tree then panicked in FileOf. FileOf adds the missing parents as empty nodes, and CheckNodes reports each node without one, so that the edits are refused. TestNodeWithoutParent panics without the change.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -196,9 +196,15 @@
 
 // CheckNodes checks a whole tree that was not read from a file. The error is
 // Problems: they carry name as the file, the keys that a File would have, and
-// line 1.
+// line 1. A node without its parent is a problem, as two edits may make it: one that
+// removes the parent and one that adds the node.
 func CheckNodes(name string, nodes map[string]Node) error {
 	c := checker{name: name}
+	for _, path := range slices.Sorted(maps.Keys(nodes)) {
+		if _, ok := nodes[Parent(path)]; !ok && Parent(path) != "" {
+			c.add(fileKeys(path), "%s, which it belongs to, does not exist", Parent(path))
+		}
+	}
 	c.checkFile(FileOf(nodes))
 	if len(c.problems) > 0 {
 		return c.problems
@@ -206,6 +212,15 @@
 	return nil
 }
 
+// fileKeys returns the nested keys under which a File has the node of a path.
+func fileKeys(path string) (keys []string) {
+	levels := []string{"workspaces", "workloads", "districts"}
+	for i, name := range strings.Split(path, "/") {
+		keys = append(keys, levels[min(i, len(levels)-1)], name)
+	}
+	return keys
+}
+
 // Preview returns the snapshot that nodes would make, as revision 1, without
 // checking them. It returns an error if a node does not decode again.
 func Preview(nodes map[string]Node) (*Snapshot, error) { return snapshotOf(nodes) }
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -109,3 +109,22 @@
 		}
 	}
 }
+
+// TestNodeWithoutParent checks a tree in which parents are missing, as the merge of two edits may
+// leave them. CheckNodes must report each such node. Guards against a panic of the process that
+// applies the edits.
+func TestNodeWithoutParent(t *testing.T) {
+	f, _ := ParseFile("tree", []byte(tree))
+	nodes := f.Nodes()
+	nodes["gone/l"] = Node{}
+	nodes["w/gone/d"] = Node{}
+	got := fmt.Sprint(CheckNodes("merged", nodes))
+	for _, want := range []string{"merged:1: workspaces.gone.workloads.l: gone, which", "merged:1: workspaces.w.workloads.gone.districts.d: w/gone, which"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("got %q, want %q in it", got, want)
+		}
+	}
+	if _, ok := FileOf(nodes).Workspaces["gone"].Workloads["l"]; !ok {
+		t.Error("FileOf: got no workload l of the workspace gone, want one")
+	}
+}
--- a/pkg/config/file.go
+++ b/pkg/config/file.go
@@ -250,8 +250,8 @@
 	return out
 }
 
-// FileOf returns the tree of nodes as a File. It is the inverse of File.Nodes.
-// Every node but the fleet's must have its parent in nodes.
+// FileOf returns the tree of nodes as a File. It is the inverse of File.Nodes if
+// every node has its parent in nodes. A parent that is missing becomes an empty node.
 func FileOf(nodes map[string]Node) File {
 	fleet := nodes[""]
 	f := File{Models: fleet.Models, Services: fleet.Services, Values: fleet.Values, Workspaces: map[string]WorkspaceNode{}}
@@ -262,10 +262,31 @@
 		case LevelWorkspace:
 			f.Workspaces[p[0]] = WorkspaceNode{KeyHashes: n.KeyHashes, Values: n.Values, Workloads: map[string]WorkloadNode{}}
 		case LevelWorkload:
-			f.Workspaces[p[0]].Workloads[p[1]] = WorkloadNode{Serves: n.Serves, Values: n.Values, Districts: map[string]DistrictNode{}}
+			f.workspace(p[0]).Workloads[p[1]] = WorkloadNode{Serves: n.Serves, Values: n.Values, Districts: map[string]DistrictNode{}}
 		case LevelDistrict:
-			f.Workspaces[p[0]].Workloads[p[1]].Districts[p[2]] = DistrictNode{Values: n.Values}
+			f.workload(p[0], p[1]).Districts[p[2]] = DistrictNode{Values: n.Values}
 		}
 	}
 	return f
 }
+
+// workspace returns a workspace, which it adds if it is missing.
+func (f File) workspace(ws string) WorkspaceNode {
+	w, ok := f.Workspaces[ws]
+	if !ok {
+		w = WorkspaceNode{Workloads: map[string]WorkloadNode{}}
+		f.Workspaces[ws] = w
+	}
+	return w
+}
+
+// workload returns a workload, which it adds with its workspace if it is missing.
+func (f File) workload(ws, workload string) WorkloadNode {
+	w := f.workspace(ws)
+	l, ok := w.Workloads[workload]
+	if !ok {
+		l = WorkloadNode{Districts: map[string]DistrictNode{}}
+		w.Workloads[workload] = l
+	}
+	return l
+}
