roll: Bound the first report of a process as the later ones

Judge.Merge checked the number of entries of a report only if it had one of the process already. The decoder of datagrams checks it as well, so that only another caller could exceed it. TestFirstReportIsBounded fails without the change.

--- a/pkg/roll/judge.go
+++ b/pkg/roll/judge.go
@@ -109,11 +109,11 @@
 
 // Merge adds what another process counted since its last merged report. Late, repeated
 // and lost reports do no harm, as each report holds all counts of its process. Merge
-// ignores a report with a count below that of the last one, and reports of new processes
-// beyond maxReporters.
+// ignores a report with a count below that of the last one or with more entries than the
+// bounds of a report allow, and reports of new processes beyond maxReporters.
 func (j *Judge) Merge(r Report) {
 	was, ok := j.received[r.Reporter]
-	if !ok && len(j.received) >= maxReporters || ok && !r.follows(&was) {
+	if !ok && len(j.received) >= maxReporters || !r.follows(&was) {
 		return
 	}
 	if j.received == nil {
--- a/pkg/roll/judge_test.go
+++ b/pkg/roll/judge_test.go
@@ -218,3 +218,18 @@
 		t.Errorf("exposed: got %d of %d, want 740 of 1480", n, of)
 	}
 }
+
+// TestFirstReportIsBounded merges a first report with more entries than a report may have. It must be
+// ignored as a later one is. Guards against a process whose reports take unbounded memory.
+func TestFirstReportIsBounded(t *testing.T) {
+	for name, r := range map[string]Report{
+		"routes": {Reporter: 1, Requests: 1, Routes: make([]RouteCounts, MaxRows+1)},
+		"faults": {Reporter: 1, Requests: 1, Faults: make([]FaultCounts, MaxFaults+1)},
+	} {
+		var j Judge
+		j.Merge(r)
+		if len(j.received) != 0 || j.requests != 0 {
+			t.Errorf("too many %s: got %d reports stored and %d requests, want none", name, len(j.received), j.requests)
+		}
+	}
+}
