peers: Drop datagrams that are too long, and send none that is not encoded

A datagram longer than the receive buffer was cut without an error and taken as a whole one. It is now dropped and logged; TestLongDatagramIsDropped fails without the change.

encodeFixed did not send a part of a datagram, as binary.Append returns nil with an error, but the sender then panicked in sendToPeer. It sends nothing now; TestUnencodableDatagramIsNotSent panics without the change.

--- a/internal/peers/crash_test.go
+++ b/internal/peers/crash_test.go
@@ -183,3 +183,42 @@
 		t.Errorf("routers that collect the crash reports of some request: got %d, want %d", len(collected), routers)
 	}
 }
+
+// TestLongDatagramIsDropped sends a datagram that is longer than any router sends. It must not be
+// taken as one that ends where the receiver's buffer does.
+func TestLongDatagramIsDropped(t *testing.T) {
+	list, all := twoTransports(t)
+	received := make(chan AttemptReport, 2)
+	list[1].OnAttemptReport = func(r AttemptReport) { received <- r }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- list[1].Run(ctx) }()
+	buf := make([]byte, maxDatagramBytes+1)
+	buf[kindAt] = kindAttemptReport
+	buf[bodyAt] = 1
+	list[0].sendToPeer(all[1], buf)
+	buf[bodyAt] = 2
+	list[0].sendToPeer(all[1], buf[:maxDatagramBytes])
+	select {
+	case got := <-received:
+		if want := uint64(2) << 56; got.Endpoint != want {
+			t.Errorf("got the report of endpoint %x, want %x", got.Endpoint, want)
+		}
+	case <-time.After(waitTimeout):
+		t.Error("the datagram of the greatest length was not received")
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("transport: %v", err)
+	}
+}
+
+// TestUnencodableDatagramIsNotSent encodes a body that has no fixed length. Nothing may be sent in its
+// place. Guards against a panic of the sender.
+func TestUnencodableDatagramIsNotSent(t *testing.T) {
+	list, all := twoTransports(t)
+	buf := list[0].encodeFixed(kindNotice, struct{ Name string }{"no fixed length"}, noticeBytes)
+	if got := list[0].sendToPeer(all[1], buf); buf != nil || got != 0 {
+		t.Errorf("got %d bytes encoded and %d sent, want none", len(buf), got)
+	}
+}
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -91,11 +91,13 @@
 	return b
 }
 
-// encodeFixed returns a datagram with a body of fixed length, size bytes.
+// encodeFixed returns a datagram with a body of fixed length, size bytes. It returns nil, which is
+// not sent, if the body cannot be encoded.
 func (t *Transport) encodeFixed(kind byte, body any, size int) []byte {
 	buf, err := binary.Append(newDatagram(kind, size), binary.BigEndian, body)
 	if err != nil {
 		t.Log.Error("peers: A datagram could not be encoded.", logs.Err(err))
+		return nil
 	}
 	return buf
 }
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -121,11 +121,12 @@
 }
 
 // Run receives datagrams until ctx is done, and then closes the socket. It drops those that do not
-// begin with the token. It returns an error if the socket fails before.
+// begin with the token and those of more than maxDatagramBytes. It returns an error if the socket fails before.
 func (t *Transport) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
 	defer stop()
-	buf := make([]byte, maxDatagramBytes)
+	// A longer datagram fills the further byte, as a read cuts it without an error.
+	buf := make([]byte, maxDatagramBytes+1)
 	for {
 		size, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -134,6 +135,10 @@
 		if err != nil {
 			return errors.Wrap(err, "peers: receive datagram")
 		}
+		if size > maxDatagramBytes {
+			t.Log.Warn("peers: A datagram is too long and was dropped.", zap.Stringer("from", from))
+			continue
+		}
 		if size < bodyAt || !t.secret.matchesPrefix(buf[:size]) {
 			continue
 		}
@@ -284,8 +289,11 @@
 }
 
 // sendToPeer sends a datagram, in which it sets the recipient's token, to one router, and returns
-// the number of bytes sent.
+// the number of bytes sent. It sends nothing if buf is nil.
 func (t *Transport) sendToPeer(p Peer, buf []byte) int64 {
+	if buf == nil {
+		return 0
+	}
 	copy(buf[:tokenBytes], p.Token)
 	if _, err := t.conn.WriteToUDPAddrPort(buf, p.Addr); err != nil {
 		t.Log.Debug("peers: A datagram could not be sent.", zap.String("peer", p.Name), logs.Err(err))
