--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -228,6 +228,7 @@
 	for ctx.Err() == nil {
 		tasks.Pause(ctx, sweepInterval.After(time.Now()))
 		e.keyedRuns.sweep(e.Now(), e.age())
+		e.counts.inFlight.Update(float64(e.inFlight.Load()))
 	}
 	return nil
 }
