route: Name no setting for reasons that none decides

Explain said "by allow" for a version that is withdrawn, outside its share, without a usable endpoint, or not requested. TestDecidingSetting fails without the change.

--- a/pkg/route/decide.go
+++ b/pkg/route/decide.go
@@ -25,21 +25,18 @@
 	NoUsableEndpoint   Reason = "noUsableEndpoint"      // no usable endpoint of the pool has the version
 )
 
-// decidingSetting names the setting that decides for each reason.
+// decidingSetting names the setting that decides for a reason. The other reasons
+// follow from the request, the state or share of the version, or its endpoints.
 var decidingSetting = map[Reason]string{
 	Chosen:             "weightCost",
 	HigherScore:        "weightCost",
-	NotRequested:       "allow",
 	NotSessionVersion:  "sessionFor",
-	Withdrawn:          "allow",
 	OverMaxCost:        "maxCost",
 	BelowQualityTarget: "qualityTarget",
-	NoUsableEndpoint:   "allow",
-	OverShare:          "allow",
 }
 
 // Setting returns the name of the setting that decides whether the reason
-// applies, so that explain can show its value and origin.
+// applies, so that explain can show its value and origin; empty if none does.
 func (r Reason) Setting() string { return decidingSetting[r] }
 
 // Request holds the properties of a request that a decision depends on.
--- a/pkg/route/decide_test.go
+++ b/pkg/route/decide_test.go
@@ -200,3 +200,17 @@
 		}
 	}
 }
+
+// TestDecidingSetting checks that a reason names a setting only if a change of the setting can change
+// the reason. Guards against an operator who is sent to the allowed models where a version is
+// withdrawn, outside its share or without an endpoint.
+func TestDecidingSetting(t *testing.T) {
+	for reason, want := range map[Reason]string{
+		Chosen: "weightCost", HigherScore: "weightCost", NotSessionVersion: "sessionFor", OverMaxCost: "maxCost", BelowQualityTarget: "qualityTarget",
+		NotRequested: "", Withdrawn: "", OverShare: "", NoUsableEndpoint: "",
+	} {
+		if got := reason.Setting(); got != want {
+			t.Errorf("%s: got the setting %q, want %q", reason, got, want)
+		}
+	}
+}
