acct: Attribute attempts to their own request where lines interleave

All attempts since the last end of a request counted for the next end in the log, so that requests that end at the same time exchanged their attempts. They are now kept by the request's ID. TestRequestsInterleave fails without the change; the golden tables are unchanged.

--- a/internal/acct/account.go
+++ b/internal/acct/account.go
@@ -129,19 +129,19 @@
 	return s
 }
 
-// addLine adds one line. The lines of the attempts of a request come before that of its end.
+// addLine adds one line. The lines of the attempts of a request come before that of its end, and
+// those of other requests may come in between.
 func (a *Account) addLine(s *source, l line) {
 	switch l.Msg {
 	case msgStarted:
 		// Requests that were under way at a restart have no line of their end.
-		s.attempts = s.attempts[:0]
+		s.attempts = nil
 	case msgConfig:
 		s.recordConfig(&l)
 	case msgAttempt:
-		s.attempts = append(s.attempts, l)
+		s.addAttempt(l)
 	case msgEnded:
-		a.addRequest(s, &l)
-		s.attempts = s.attempts[:0]
+		a.addRequest(s, &l, s.takeAttempts(l.Request))
 	case msgStoreCall:
 		a.addCall(s, &l)
 	case msgSent:
@@ -149,15 +149,15 @@
 	}
 }
 
-// addRequest adds a request at the line of its end. s.attempts holds the lines of its attempts.
-func (a *Account) addRequest(s *source, end *line) {
+// addRequest adds a request at the line of its end. attempts holds the lines of its attempts.
+func (a *Account) addRequest(s *source, end *line, attempts []line) {
 	a.Requests++
-	for i := range s.attempts {
-		a.addAttempt(s, end.Route, &s.attempts[i])
+	for i := range attempts {
+		a.addAttempt(s, end.Route, &attempts[i])
 	}
 	e := miss{src: s, arrived: end.Time.Add(-time.Duration(end.TookMs) * time.Millisecond), route: end.Route}
-	if n := len(s.attempts); n > 0 {
-		last := &s.attempts[n-1]
+	if n := len(attempts); n > 0 {
+		last := &attempts[n-1]
 		e.model, e.endpoint, e.sent, e.headMs = last.Model, last.Endpoint, last.SentAt, last.HeadMs
 	}
 	if end.Outcome != outcomeWhole {
@@ -166,7 +166,7 @@
 		a.misses = append(a.misses, e)
 		return
 	}
-	e.overMs, e.mainCause, e.parts = latenessOf(s.attempts, end)
+	e.overMs, e.mainCause, e.parts = latenessOf(attempts, end)
 	if e.overMs > 0 {
 		a.Late++
 		a.misses = append(a.misses, e)
--- a/internal/acct/acct_test.go
+++ b/internal/acct/acct_test.go
@@ -137,6 +137,32 @@
 	}
 }
 
+// The lines of two requests that end at the same time interleave. Guards against attempts that count
+// for the route of another request.
+func TestRequestsInterleave(t *testing.T) {
+	const log = `{"msg":"relay: An attempt has ended.","request":"r1","endpoint":"e1","model":"m1","outcome":"delivered","headMs":10}
+{"msg":"relay: An attempt has ended.","request":"r2","endpoint":"e2","model":"m2","outcome":"delivered","headMs":20}
+{"msg":"relay: A request has ended.","request":"r1","route":"one","outcome":"whole","headMs":10}
+{"msg":"relay: A request has ended.","request":"r2","route":"two","outcome":"whole","headMs":20}
+`
+	a := New()
+	if err := a.Read("a-1", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[headTimeKey]int{{"one", "m1"}: 1, {"two", "m2"}: 1, {"one", "m2"}: 0} {
+		got := 0
+		if h := a.headTimes[key]; h != nil {
+			got = h.N
+		}
+		if got != want {
+			t.Errorf("attempts of %v: got %d, want %d", key, got, want)
+		}
+	}
+	if got := len(a.sources[0].attempts); got != 0 {
+		t.Errorf("requests whose end was not read: got %d, want none", got)
+	}
+}
+
 func BenchmarkRead(b *testing.B) {
 	text, err := os.ReadFile(filepath.Join("testdata", "a-1.log"))
 	if err != nil {
--- a/internal/acct/source.go
+++ b/internal/acct/source.go
@@ -18,12 +18,34 @@
 	// clock. A version comes in force at all routers within a fraction of a second, so these times
 	// show how far the clocks differ.
 	configTimes map[string]time.Time
-	// attempts holds the attempts of the request whose end has not been read yet.
-	attempts []line
+	// attempts holds the attempts of requests whose end has not been read yet, by request. It has
+	// at most maxOpenRequests requests.
+	attempts map[string][]line
 	// clockOffset is by how much the clock is ahead of the common clock. alignClocks sets it.
 	clockOffset time.Duration
 }
 
+// maxOpenRequests is the maximum number of requests per log whose end has not been read. A router
+// writes the lines of a request together, so that those of a few requests interleave. More are left
+// only by a log that lacks lines of ends.
+const maxOpenRequests = 4096
+
+// addAttempt stores an attempt until the end of its request is read. Beyond maxOpenRequests it drops
+// the requests stored before, whose ends are then missing.
+func (s *source) addAttempt(l line) {
+	if s.attempts == nil || len(s.attempts) >= maxOpenRequests && s.attempts[l.Request] == nil {
+		s.attempts = make(map[string][]line)
+	}
+	s.attempts[l.Request] = append(s.attempts[l.Request], l)
+}
+
+// takeAttempts removes and returns the attempts of a request.
+func (s *source) takeAttempts(request string) []line {
+	list := s.attempts[request]
+	delete(s.attempts, request)
+	return list
+}
+
 // recordConfig records when a configuration came in force, unless the log had it before.
 func (s *source) recordConfig(l *line) {
 	version := fmt.Sprint(l.Version)
