soak: Report all bill faults, and stop a VM beside its kill

A planned stop and a kill of one VM read the same exit value of the process: one of them waited for ever, which hung the soak, and the stop could clear the state of the process that was started next. A node now holds each process with a channel that its exit closes.

Where a bill line was missing, lines for work that never ran were not reported; and a loss was excused by kills near the last whole answer, which may repeat one that was billed long before, instead of near the first.

--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/tasks"
 )
 
 // Ports on the IP number of each VM. The fake platform listens on portPlatform of the first
@@ -27,7 +28,8 @@
 	portRelay     = 8005
 )
 
-// Node is one VM of a fleet and its process.
+// Node is one VM of a fleet and its process. Kill may be called while Stop waits; its other
+// methods must not be called concurrently with Start.
 type Node struct {
 	// VM is the VM as it was first entered into the VM list.
 	VM store.VM
@@ -37,10 +39,25 @@
 	Operators    netip.AddrPort
 	settingsFile string
 	logFile      string
-	// cmd is nil before the first start and after Kill or Stop.
+	// proc is the process that was started last; nil before the first start.
+	proc *process
+}
+
+// process is a started process.
+type process struct {
 	cmd *exec.Cmd
-	// exited receives the result of the process once.
-	exited chan error
+	// exited is closed when the process has exited; err is then its result.
+	exited chan struct{}
+	err    error
+}
+
+// running reports whether the process has not exited.
+func (p *process) running() bool { return p != nil && !tasks.IsDone(p.exited) }
+
+// kill kills the process with SIGKILL and waits until it has exited.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
 }
 
 // Start starts the process, which appends its output to the log file. The kernel kills it if
@@ -58,43 +75,42 @@
 	if other := os.Getenv(envOtherProgram); other != "" && n.VM.Role == os.Getenv(envOtherRole) {
 		self = other
 	}
-	n.cmd = exec.Command(self)
-	n.cmd.Env = append(os.Environ(), envRole+"="+n.VM.Role, envFile+"="+n.settingsFile)
-	n.cmd.Stdout, n.cmd.Stderr = out, out
-	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.cmd.Start(); err != nil {
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), envRole+"="+n.VM.Role, envFile+"="+n.settingsFile)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
 		return err
 	}
-	n.exited = make(chan error, 1)
-	go func() { n.exited <- n.cmd.Wait() }()
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	n.proc = p
+	go func() {
+		defer close(p.exited)
+		p.err = cmd.Wait()
+	}()
 	return nil
 }
 
 // Pid returns the ID of the running process.
-func (n *Node) Pid() int { return n.cmd.Process.Pid }
+func (n *Node) Pid() int { return n.proc.cmd.Process.Pid }
 
 // Running reports whether the process was started and has not exited. A frozen process counts
 // as running.
-func (n *Node) Running() bool {
-	return n.cmd != nil && len(n.exited) == 0
-}
+func (n *Node) Running() bool { return n.proc.running() }
 
 // Kill kills the process with SIGKILL and waits until it has exited. It does nothing if the
 // process is not running.
 func (n *Node) Kill() {
-	if !n.Running() {
-		return
+	if n.Running() {
+		n.proc.kill()
 	}
-	_ = n.cmd.Process.Kill()
-	<-n.exited
-	n.cmd = nil
 }
 
 // Freeze suspends the process with SIGSTOP, as when its VM is paused.
-func (n *Node) Freeze() { _ = n.cmd.Process.Signal(syscall.SIGSTOP) }
+func (n *Node) Freeze() { _ = n.proc.cmd.Process.Signal(syscall.SIGSTOP) }
 
 // Thaw resumes a frozen process.
-func (n *Node) Thaw() { _ = n.cmd.Process.Signal(syscall.SIGCONT) }
+func (n *Node) Thaw() { _ = n.proc.cmd.Process.Signal(syscall.SIGCONT) }
 
 // Stop requests a planned stop with SIGTERM and returns the exit error of the process. A
 // process that has not exited by the deadline is killed, and Stop returns an error.
@@ -102,15 +118,15 @@
 	if !n.Running() {
 		return nil
 	}
-	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	p := n.proc
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
 	t := time.NewTimer(time.Until(deadline))
 	defer t.Stop()
 	select {
-	case err := <-n.exited:
-		n.cmd = nil
-		return err
+	case <-p.exited:
+		return p.err
 	case <-t.C:
-		n.Kill()
+		p.kill()
 		return errors.Newf("rig: %s did not stop by the deadline and was killed", n.VM.Name)
 	}
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -29,8 +29,9 @@
 	key string
 	// request is the request ID of the last whole answer.
 	request string
-	// at is the time at which the last whole answer was received. The counts are of whole
-	// answers, errors with run state notRun, other errors, and requests without an answer.
+	// at is the time at which the first whole answer was received; the run that is billed had
+	// ended by then, and later answers repeat it. The counts are of whole answers, errors with
+	// run state notRun, other errors, and requests without an answer.
 	at                              time.Time
 	whole, notRun, unsure, noAnswer int
 }
@@ -78,7 +79,9 @@
 	default:
 		t.whole++
 		t.request = got.RequestID
-		t.at = got.Done
+		if t.at.IsZero() || got.Done.Before(t.at) {
+			t.at = got.Done
+		}
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -174,19 +174,26 @@
 func (r *run) checkBills(ctx context.Context, in *injector) {
 	deadline := billsTimeout.After(time.Now())
 	for {
+		var missing, wrong []string
 		lines, err := desk.Bills(ctx, r.f.Store, "")
-		missing, wrong := r.compareBills(lines, in)
-		if err == nil && len(missing) == 0 {
-			for _, w := range wrong {
-				r.report("%s", w)
-			}
-			return
+		if err == nil {
+			missing, wrong = r.compareBills(lines, in)
+		}
+		complete := err == nil && len(missing) == 0
+		if !complete && time.Now().Before(deadline) {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		if err != nil {
+			r.report("bills could not be read: %v", err)
+		}
+		if len(missing) > 0 {
+			r.report("bills: %d whole answers have no line, such as %q", len(missing), missing[:min(3, len(missing))])
 		}
-		if time.Now().After(deadline) {
-			r.report("bills: %v, %d whole answers have no line, such as %q", err, len(missing), missing[:min(3, len(missing))])
-			return
+		for _, w := range wrong {
+			r.report("%s", w)
 		}
-		time.Sleep(200 * time.Millisecond)
+		return
 	}
 }
 
