guard: Tell the entry that the endpoint is down before the reply

After a crash, or a refused connection, the entry of the run learnt that the endpoint is down only from the broadcast 5 ms later or the next heartbeat. Where that came late, another request could spend its three attempts on three engines that the request before had crashed, and failed as endpointLost/notRun: the listed failure of TestRequestThatCrashesEngines. The guard now sends the load on the same link before the reply, and a refused connection counts as down until a probe succeeds.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/store"
@@ -71,6 +73,37 @@
 	}
 }
 
+// detectRefusal records that the endpoint refused the connection of a run, so that no further run is
+// sent there until a probe succeeds.
+func (g *Guard) detectRefusal(err *fault.Error) {
+	if err == nil || err.Kind != fault.EndpointLost || !errors.Is(err.Cause, syscall.ECONNREFUSED) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.down = true
+}
+
+// announceDown sends the load to the entry of a run that ended with err if the endpoint is down. It
+// precedes the reply on the same link, so that the entry does not choose this endpoint again, nor count
+// it among the maximum number of attempts of the next request. Other entries get the load a moment
+// later, from broadcastCrashes or in reply to a heartbeat.
+func (g *Guard) announceDown(r *record, err *fault.Error) {
+	if err == nil {
+		return
+	}
+	g.mu.Lock()
+	down, owner := g.down, r.owner
+	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.currentLoad()}
+	g.mu.Unlock()
+	if !down {
+		return
+	}
+	if err := owner.Notify(g.kill, wire.MethodLoad, notice); err != nil {
+		g.Log.Debug("guard: The load could not be sent to an entry.", zap.String("vm", owner.Peer.VM), zap.Error(err))
+	}
+}
+
 // recentCrashes removes the crashes older than crashTTL and returns the others as reported to entries;
 // g.mu is held.
 func (g *Guard) recentCrashes(now time.Time) (crashes []wire.Crash) {
--- a/internal/guard/endpoint.go
+++ b/internal/guard/endpoint.go
@@ -234,7 +234,7 @@
 func callFault(err error, deadline time.Time) *fault.Error {
 	switch {
 	case errors.Is(err, errDial):
-		return fault.New(fault.EndpointLost, fault.NotRun, "The endpoint does not accept connections.")
+		return fault.New(fault.EndpointLost, fault.NotRun, "The endpoint does not accept connections.").WithCause(err)
 	case errors.Is(err, fasthttp.ErrTimeout) && !time.Now().Before(deadline):
 		return fault.New(fault.DeadlinePassed, fault.MayHaveRun, "The endpoint did not answer before the deadline.")
 	default:
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,9 +55,14 @@
 	// startedKeys receives the key of each run that starts.
 	startedKeys chan wire.RunKey
 	release     chan struct{}
+	// lost, if it is set, is the outcome of all runs; probes then fail.
+	lost atomic.Pointer[fault.Error]
 }
 
 func (s *slowEngine) run(ctx context.Context, key wire.RunKey, _ *wire.Work, b *stream.Buffer) (wire.Usage, *fault.Error) {
+	if err := s.lost.Load(); err != nil {
+		return wire.Usage{}, err
+	}
 	s.mu.Lock()
 	s.runs[key]++
 	s.mu.Unlock()
@@ -71,6 +77,14 @@
 	return wire.Usage{CompletionTokens: 2}, nil
 }
 
+// probe returns an error if lost is set.
+func (s *slowEngine) probe(context.Context) ([]string, error) {
+	if err := s.lost.Load(); err != nil {
+		return nil, err
+	}
+	return nil, nil
+}
+
 // waitStarted waits until the next run has started and returns its key.
 func (s *slowEngine) waitStarted(t *testing.T) wire.RunKey {
 	t.Helper()
@@ -126,7 +140,7 @@
 	}
 	h := &harness{g: g, bufs: make(map[wire.RunKey]*stream.Buffer)}
 	h.engine = &slowEngine{runs: make(map[wire.RunKey]int), startedKeys: make(chan wire.RunKey, 16), release: make(chan struct{})}
-	g.endpoint = &Endpoint{Run: h.engine.run, Probe: func(context.Context) ([]string, error) { return nil, nil }}
+	g.endpoint = &Endpoint{Run: h.engine.run, Probe: h.engine.probe}
 	stop, cancelStop := context.WithCancel(context.Background())
 	kill, cancelKill := context.WithCancel(context.Background())
 	h.stop, h.ended = cancelStop, make(chan error, 1)
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -158,6 +158,8 @@
 	startedAt := g.Now()
 	usage, err := g.endpoint.Run(r.ctx, r.key, &r.work, r.buf)
 	g.detectCrash(r, startedAt, err)
+	g.detectRefusal(err)
+	g.announceDown(r, err)
 	g.end(r, usage, err)
 }
 
