rig: Freeze returns when the process has stopped

SIGSTOP takes effect once a thread of the process gets a processor to handle it; until then the others run on. Freeze now waits until the process has stopped, and the test holds the service call instead of relying on its 300 ms; its bounds are unchanged.

TestFreezeStops fails without the change (state R, want T).

--- a/internal/fakes/plain.go
+++ b/internal/fakes/plain.go
@@ -22,6 +22,8 @@
 	runs map[string]int
 	// bodies counts the calls received with each body.
 	bodies map[string]int
+	// held is closed when the calls that wait for it may end; nil if calls need not wait.
+	held chan struct{}
 }
 
 // PlainAnswer is the body of the service's answer: the request that it received.
@@ -52,6 +54,21 @@
 	return out
 }
 
+// Hold lets the calls that begin from now on wait until release is called, so that a fault can be
+// injected during them whatever the machine's speed. It must not be called again before release.
+func (s *Plain) Hold() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(chan struct{})
+	s.held = held
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.held = nil
+		close(held)
+	}
+}
+
 // Handle serves one HTTP call.
 func (s *Plain) Handle(ctx *fasthttp.RequestCtx) {
 	if s.handleFaults(ctx) {
@@ -73,7 +90,11 @@
 	s.mu.Lock()
 	s.runs[string(ctx.Request.Header.Peek(RunHeader))]++
 	s.bodies[string(ctx.PostBody())]++
+	held := s.held
 	s.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	sleep(s.work)
 	sleep(f.Delay)
 	if s.draw(f.FailureRate) {
--- a/internal/rig/keys_test.go
+++ b/internal/rig/keys_test.go
@@ -180,25 +180,41 @@
 }
 
 // TestEntryFrozen freezes the entry that holds the run of a key, until the repeat at another
-// entry has been answered.
+// entry has been answered. The call does not end before: on a busy machine, a call of a fixed time
+// ended before the freeze, and the entry answered the repeat before it had stopped.
 func TestEntryFrozen(t *testing.T) {
 	f := startFleet(t, Options{Entries: 2, Pools: slowServicePools("300ms")})
 	for _, kind := range keyKinds {
 		key := newKey(t, f, kind, 0)
+		release := holdCalls(f)
 		lost := send(f, 0, note(key, kind))
 		waitForCall(t, f, kind)
 		f.Entries[0].Freeze()
-		expectFrozen(t, f, key, kind, send(f, 1, note(key, kind)), lost)
+		expectFrozen(t, f, key, kind, send(f, 1, note(key, kind)), lost, release)
 	}
 }
 
-// expectFrozen checks the answers while an entry is frozen, and then thaws it. The repeat at
-// the other entry is answered at once that the request may have run. The first caller and a
-// later repeat get the answer of the one run.
-func expectFrozen(t *testing.T, f *Fleet, key, kind string, repeat, lost <-chan outcome) {
+// holdCalls lets the service calls that begin from now on wait until release is called.
+func holdCalls(f *Fleet) (release func()) {
+	var all []func()
+	for _, s := range f.Services {
+		all = append(all, s.Hold())
+	}
+	return func() {
+		for _, r := range all {
+			r()
+		}
+	}
+}
+
+// expectFrozen checks the answers while an entry is frozen, and then thaws it and calls release,
+// which lets the call end. The repeat at the other entry is answered at once that the request may
+// have run. The first caller and a later repeat get the answer of the one run.
+func expectFrozen(t *testing.T, f *Fleet, key, kind string, repeat, lost <-chan outcome, release func()) {
 	t.Helper()
 	got := <-repeat
 	f.Entries[0].Thaw()
+	release()
 	expect(t, kind+" while the entry is frozen", got, "keyUnsettled/mayHaveRun")
 	if got.took > maxPromptDelay {
 		t.Errorf("%s: got an answer after %v, want one at once", kind, got.took)
@@ -220,7 +236,7 @@
 		repeat := send(f, 1, note(key, kind))
 		waitForFollower(t, f.Entries[0])
 		f.Entries[0].Freeze()
-		expectFrozen(t, f, key, kind, repeat, lost)
+		expectFrozen(t, f, key, kind, repeat, lost, func() {})
 	}
 }
 
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/internal/tasks"
@@ -106,8 +107,24 @@
 	}
 }
 
-// Freeze suspends the process with SIGSTOP, as when its VM is paused.
-func (n *Node) Freeze() { _ = n.proc.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze suspends the process with SIGSTOP, as when its VM is paused, and returns when all its
+// threads have stopped, or the process has exited.
+func (n *Node) Freeze() {
+	p := n.proc
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	for p.running() {
+		var info unix.Siginfo
+		err := unix.Waitid(unix.P_PID, p.cmd.Process.Pid, &info, unix.WSTOPPED|unix.WNOWAIT|unix.WNOHANG, nil)
+		if info.Signo != 0 || err != nil && err != unix.EINTR {
+			return
+		}
+		time.Sleep(freezePollInterval)
+	}
+}
+
+// freezePollInterval is the interval at which Freeze checks whether the process has stopped. On a
+// busy machine the thread that handles the signal waits for a processor before it stops the others.
+const freezePollInterval = time.Millisecond
 
 // Thaw resumes a frozen process.
 func (n *Node) Thaw() { _ = n.proc.cmd.Process.Signal(syscall.SIGCONT) }
--- a/internal/rig/node_test.go
+++ b/internal/rig/node_test.go
@@ -4,6 +4,8 @@
 package rig
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -52,6 +54,36 @@
 	}
 }
 
+// TestFreezeStops checks that a process has stopped when Freeze returns. Guards against a frozen entry
+// that still answers for a moment on a busy machine.
+func TestFreezeStops(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "busy.sh")
+	if err := os.WriteFile(program, []byte("#!/bin/sh\nwhile :; do :; done\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	const role = "busy"
+	t.Setenv(envOtherProgram, program)
+	t.Setenv(envOtherRole, role)
+	n := &Node{VM: store.VM{Role: role}, logFile: filepath.Join(dir, "log")}
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer n.Kill()
+	for i := range 200 {
+		n.Freeze()
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.Pid()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := string(text[bytes.LastIndexByte(text, ')')+2]); got != "T" {
+			t.Fatalf("freeze %d: got the state %s, want T", i, got)
+		}
+		n.Thaw()
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // closedBy returns a channel that is closed once ch has received a value.
 func closedBy(ch <-chan error) <-chan struct{} {
 	done := make(chan struct{})
