--- a/internal/clock/median_test.go
+++ b/internal/clock/median_test.go
@@ -45,3 +45,38 @@
 		}
 	}
 }
+
+// TestDelayedMessagesDoNotSetTheClockBack observes clocks by messages of which later ones are delayed, as
+// on a busy VM. Guards against requests that are counted in the window before theirs: with a tenth of a
+// second of delay, a window had 42 requests reported and 35 begun. A clock that is really late, as its
+// process was restarted, is followed within two periods.
+func TestDelayedMessagesDoNotSetTheClockBack(t *testing.T) {
+	truth := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var boot time.Duration
+	k := NewMedianClock(func() time.Duration { return boot }, truth)
+	observe := func(behind time.Duration) {
+		for name := range 4 {
+			k.Observe(fmt.Sprint(name), truth.Add(boot-behind))
+		}
+	}
+	const prompt, delayed = time.Millisecond, 900 * time.Millisecond
+	for i := range 20 {
+		boot = time.Duration(i) * time.Second
+		behind := prompt
+		if i%2 == 1 {
+			behind = delayed
+		}
+		observe(behind)
+		if got := k.Now().Sub(truth.Add(boot)); got != -prompt {
+			t.Errorf("after %v: got %v ahead, want %v", boot, got, -prompt)
+		}
+	}
+	from := boot
+	for boot <= from+2*observationPeriod {
+		boot += time.Second
+		observe(delayed)
+	}
+	if got := k.Now().Sub(truth.Add(boot)); got != -delayed {
+		t.Errorf("%v after the clocks were late: got %v ahead, want %v", boot-from, got, -delayed)
+	}
+}
