--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -68,6 +68,7 @@
 	if !now.Before(finalizeDelay.After(d.windows.End(w))) {
 		// The final report of the window may have been sent; the request counts in the current one.
 		w = d.windows.At(now)
+		d.scope.Counter("usage_requests_late").Inc(1)
 	}
 	d.counter.Add(d.self, w, workspace)
 }
