--- a/internal/acct/account.go
+++ b/internal/acct/account.go
@@ -135,19 +135,19 @@
 	return s
 }
 
-// addLine adds one line. The lines of the attempts of a request come before that of its end.
+// addLine adds one line. The lines of the attempts of a request come before that of its end, and
+// those of other requests may come in between.
 func (a *Account) addLine(s *source, l line) {
 	switch l.Msg {
 	case msgStarted:
 		// Requests that were under way at a restart have no line of their end.
-		s.attempts = s.attempts[:0]
+		s.attempts = nil
 	case msgConfig:
 		s.recordConfig(&l)
 	case msgAttempt:
-		s.attempts = append(s.attempts, l)
+		s.addAttempt(l)
 	case msgEnded:
-		a.addRequest(s, &l)
-		s.attempts = s.attempts[:0]
+		a.addRequest(s, &l, s.takeAttempts(l.Request))
 	case msgStoreCall:
 		a.addCall(s, &l)
 	case msgSent:
@@ -155,14 +155,14 @@
 	}
 }
 
-// addRequest adds a request at the line of its end. s.attempts holds the lines of its attempts.
-func (a *Account) addRequest(s *source, end *line) {
+// addRequest adds a request at the line of its end. attempts holds the lines of its attempts.
+func (a *Account) addRequest(s *source, end *line, attempts []line) {
 	a.Requests++
-	for i := range s.attempts {
-		a.addAttempt(s, end.Route, &s.attempts[i])
+	for i := range attempts {
+		a.addAttempt(s, end.Route, &attempts[i])
 	}
 	e := miss{src: s, arrived: end.Time.Add(-time.Duration(end.TookMs) * time.Millisecond), route: end.Route}
-	if t := headAttempt(s.attempts); t != nil {
+	if t := headAttempt(attempts); t != nil {
 		e.model, e.endpoint, e.sent, e.headMs = t.Model, t.Endpoint, t.SentAt, t.HeadMs
 	}
 	r := inTime
@@ -170,14 +170,14 @@
 		a.Failed++
 		r = failed
 		e.mainCause, e.overMs, e.parts = notServed(end.Outcome), end.TookMs, []causeTime{{Held, end.held()}}
-	} else if e.overMs, e.mainCause, e.parts = latenessOf(s.attempts, end); e.overMs > 0 {
+	} else if e.overMs, e.mainCause, e.parts = latenessOf(attempts, end); e.overMs > 0 {
 		a.Late++
 		r = late
 	}
 	if r != inTime {
 		a.misses = append(a.misses, e)
 	}
-	a.addContention(s.attempts, end, r)
+	a.addContention(attempts, end, r)
 }
 
 // result is how a request was served.
