relay: Take out workspace shares, which do not pay

Mechanism 2 of docs/contention.md served what a workspace demands beyond a max-min fair share after the others.

The price alone serves all workspaces alike, so that a stricter share only makes the large ones late.

The price of routes without prompts goes too (observeSlots, and rejections of plain requests): only the shares used it.

--- a/internal/acct/account.go
+++ b/internal/acct/account.go
@@ -31,8 +31,8 @@
 	// OmittedAttempts is the number of attempts beyond maxHeadWaits, which are not considered as
 	// blockers of late requests. Read sets it.
 	OmittedAttempts int
-	// OmittedRequests is the number of requests beyond maxPayers, which are missing in the tables of
-	// shares and workspace classes. Read sets it.
+	// OmittedRequests is the number of requests beyond maxPayers, which are missing in the table of
+	// workspace classes. Read sets it.
 	OmittedRequests int
 
 	// interned holds the names of endpoints, routes and models in headWaits.
--- a/internal/acct/contention.go
+++ b/internal/acct/contention.go
@@ -14,19 +14,19 @@
 const (
 	// maxSamples is the maximum number of values that are kept for a quantile; see maxHeadTimes.
 	maxSamples = maxHeadTimes
-	// maxPayers is the maximum number of requests that are kept for the tables of shares and classes. At
+	// maxPayers is the maximum number of requests that are kept for the table of classes. At
 	// 32 bytes each they take 32 MB, about as much as the attempts of headWaits.
 	maxPayers = 1 << 20
 )
 
-// contention holds what the tables on admission control, shares, ends of answers and silent endpoints need.
+// contention holds what the tables on admission control, workspace classes, ends of answers and silent endpoints need.
 type contention struct {
 	// holds is by route.
 	holds    map[string]*hold
 	refusals map[refusalKey]*refusal
 	payers   []payer
 	// workspaces and routes hold the names in payers. contended holds the indexes of the routes with a
-	// request that met a price or was over its share.
+	// request that met a price.
 	workspaces, routes stringTable
 	contended          map[int32]bool
 	ends               map[headTimeKey]*endErrors
@@ -77,14 +77,13 @@
 	heldMs, ageMs samples
 }
 
-// payer is a request of which the tables of shares and classes tell.
+// payer is a request of which the table of classes tells.
 type payer struct {
 	// workspace and route are indexes in contention.workspaces and contention.routes.
 	workspace, route int32
 	price            float32
 	// unaskedCost is the largest price cost of a larger model that was not asked; 0 for none.
 	unaskedCost float32
-	over        bool
 	result      result
 }
 
@@ -168,16 +167,16 @@
 	}
 }
 
-// addPayer adds a request to those of which the tables of shares and classes tell.
+// addPayer adds a request to those of which the table of classes tells.
 func (a *Account) addPayer(attempts []line, end *line, r result) {
 	c := &a.contention
-	p := payer{workspace: c.workspaces.index(end.Workspace), route: c.routes.index(end.Route), price: float32(end.Price), over: end.OverShare, result: r}
+	p := payer{workspace: c.workspaces.index(end.Workspace), route: c.routes.index(end.Route), price: float32(end.Price), result: r}
 	for i := range attempts {
 		if t := &attempts[i]; t.Outcome != outcomeDropped {
 			p.unaskedCost = max(p.unaskedCost, float32(t.PriceCost))
 		}
 	}
-	if p.over || p.price > 0 {
+	if p.price > 0 {
 		c.contended[p.route] = true
 	}
 	if len(c.payers) >= maxPayers {
--- a/internal/acct/contentiontables.go
+++ b/internal/acct/contentiontables.go
@@ -48,7 +48,7 @@
 	return t
 }
 
-// payment holds sums over the requests of a row of the tables of shares and classes.
+// payment holds sums over the requests of a row of the table of classes.
 type payment struct {
 	requests, late, failed int
 	price                  samples
@@ -95,36 +95,6 @@
 	return fmt.Sprintf("%.2f", f)
 }
 
-// shareText tells in tables whether requests were over the share of their workspace.
-func shareText(over bool) string {
-	if over {
-		return "over"
-	}
-	return "within"
-}
-
-func (a *Account) shareTable() Table {
-	t := Table{Name: "shares", Title: "Who bore contention, by route and share of the workspace; routes that met a price", Head: append([]string{"route", "share"}, paymentHead...)}
-	type key struct {
-		route string
-		over  bool
-	}
-	sums := make(map[key]*payment)
-	c := &a.contention
-	for i := range c.payers {
-		if p := &c.payers[i]; c.contended[p.route] {
-			getOrNew(sums, key{c.routes.strings[p.route], p.over}).add(p)
-		}
-	}
-	keys := slices.SortedFunc(maps.Keys(sums), func(p, q key) int {
-		return cmp.Or(cmp.Compare(p.route, q.route), cmp.Compare(shareText(q.over), shareText(p.over)))
-	})
-	for _, k := range keys {
-		t.Rows = append(t.Rows, append([]string{k.route, shareText(k.over)}, sums[k].row()...))
-	}
-	return t
-}
-
 // workspaceClasses are the names of the classes in the order of rows: the workspace with most requests, the
 // next largeWorkspaces, the rest, and requests without a workspace. Tables name no workspace and have as
 // many rows for any number of them.
@@ -170,26 +140,18 @@
 }
 
 func (a *Account) classTable() Table {
-	t := Table{Name: "classes", Title: "Who bore contention, by class of workspaces, largest first by requests; routes that met a price", Head: append([]string{"class", "workspaces", "share"}, paymentHead...)}
+	t := Table{Name: "classes", Title: "Who bore contention, by class of workspaces, largest first by requests; routes that met a price", Head: append([]string{"class", "workspaces"}, paymentHead...)}
 	c := &a.contention
 	class, counts := c.classes()
-	var sums [len(workspaceClasses)][2]payment
+	var sums [len(workspaceClasses)]payment
 	for i := range c.payers {
-		p := &c.payers[i]
-		if !c.contended[p.route] {
-			continue
-		}
-		share := 0
-		if p.over {
-			share = 1
+		if p := &c.payers[i]; c.contended[p.route] {
+			sums[class[p.workspace]].add(p)
 		}
-		sums[class[p.workspace]][share].add(p)
 	}
 	for i, name := range workspaceClasses {
-		for share := range sums[i] {
-			if s := &sums[i][share]; s.requests > 0 {
-				t.Rows = append(t.Rows, append([]string{name, strconv.Itoa(counts[i]), shareText(share > 0)}, s.row()...))
-			}
+		if s := &sums[i]; s.requests > 0 {
+			t.Rows = append(t.Rows, append([]string{name, strconv.Itoa(counts[i])}, s.row()...))
 		}
 	}
 	return t
--- a/internal/acct/line.go
+++ b/internal/acct/line.go
@@ -66,10 +66,8 @@
 	HeldMs    *int64 `json:"heldMs"`
 	RoomCause string `json:"roomCause"`
 	RoomAgeMs *int64 `json:"roomAgeMs"`
-	// Price is the price of engine time that the request met, OverShare says that it was over the
-	// share of its workspace.
-	Price     float64 `json:"price"`
-	OverShare bool    `json:"overShare"`
+	// Price is the price of engine time that the request met.
+	Price float64 `json:"price"`
 
 	// The fields from SentAt to PassedCostMs are those of an attempt; see relay.Attempt.
 	// UnreadTokens is the predicted number of prompt tokens that the endpoint reads, WaitMs the
--- a/internal/acct/tables.go
+++ b/internal/acct/tables.go
@@ -175,7 +175,7 @@
 // Tables returns all tables. Call Finish before.
 func (a *Account) Tables() []Table {
 	return []Table{a.causes(), a.seconds(), a.waits(), a.zoneBytes(), a.storeCalls(), a.topCallers(), a.prompts(), a.headTimeTable(),
-		a.holdTable(), a.refusalTable(), a.shareTable(), a.classTable(), a.endTable(), a.moveTable(), a.silenceTable()}
+		a.holdTable(), a.refusalTable(), a.classTable(), a.endTable(), a.moveTable(), a.silenceTable()}
 }
 
 // missRowsBy sums the late and failed requests over the keys that group maps to the same key. The
--- a/internal/acct/write.go
+++ b/internal/acct/write.go
@@ -23,7 +23,7 @@
 		head += fmt.Sprintf("%d attempts too many to keep: what waited behind them is not told\n", a.OmittedAttempts)
 	}
 	if a.OmittedRequests > 0 {
-		head += fmt.Sprintf("%d requests too many to keep: the tables of shares and classes lack them\n", a.OmittedRequests)
+		head += fmt.Sprintf("%d requests too many to keep: the table of classes lacks them\n", a.OmittedRequests)
 	}
 	if _, err := io.WriteString(w, head); err != nil {
 		return errors.Wrap(err, "account")
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -186,9 +186,6 @@
 	if x.workspace != nil {
 		t.Rank += x.workspace.Rank * routeRanks
 	}
-	if x.over {
-		t.Rank += overShareRanks
-	}
 	t.Deadline = x.deadline
 	if !x.r.Deadline.IsZero() {
 		t.Deadline = x.r.Deadline
--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -92,7 +92,7 @@
 			x.recordPriceCost(&h)
 			break
 		}
-		x.recordRejected(size, &h, now)
+		x.recordRejected(&h)
 	}
 	return size
 }
@@ -114,8 +114,8 @@
 	// time is the expected time to the head, in seconds.
 	time float64
 	// cost is what other requests lose by the answer, as a fraction of what the request earns. price is
-	// the part of it that the price of engine time makes up, seconds the engine time.
-	cost, price, seconds float64
+	// the part of it that the price of engine time makes up.
+	cost, price float64
 	// unfinishedProb is the probability that the answer does not end before the deadline.
 	unfinishedProb float64
 }
@@ -132,13 +132,11 @@
 	}
 	wait, read := x.lastWant.Wait(p, now), x.readTime(x.unreadTokens(why))
 	stream := x.e.streamTimes[x.route.Name].expect(0)
-	engineTime := runCost(read, stream, p.Slots)
-	cost := x.priceCost(engineTime, now)
+	cost := x.priceCost(runCost(read, stream, p.Slots), now)
 	return headEstimate{
 		time:           wait + read,
 		cost:           x.lastWant.OthersLoss(read, wait) + cost,
 		price:          cost,
-		seconds:        engineTime,
 		unfinishedProb: x.unfinishedProb(size, p, wait+read, now),
 	}
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -22,7 +22,7 @@
 	if err := x.quarantineError(now); err != nil {
 		return nil, nil, err
 	}
-	x.beginShare(now)
+	x.price = e.enginePrice(x.service, now)
 	if err := x.admit(now); err != nil {
 		return nil, nil, err
 	}
@@ -46,10 +46,6 @@
 		a.Rank += x.workspace.Rank * routeRanks
 	}
 	e.trackSent(a)
-	x.recordContention(a, p, now)
-	if x.over {
-		a.Rank += overShareRanks
-	}
 	a.Rank = x.endpointRank(a)
 	return a, t, nil
 }
@@ -101,10 +97,9 @@
 	return min(a.Rank+1, maxRank)
 }
 
-// urgent reports whether a prompt with this reading time, in seconds, goes before others. One over the
-// share of its workspace does not.
+// urgent reports whether a prompt with this reading time, in seconds, goes before others.
 func (x *run) urgent(whole float64) bool {
-	return x.route.Affinity && !x.over && !x.e.disabled(ShortFirst) && whole < shortPromptFraction*time.Duration(x.route.Aim).Seconds()
+	return x.route.Affinity && !x.e.disabled(ShortFirst) && whole < shortPromptFraction*time.Duration(x.route.Aim).Seconds()
 }
 
 const (
@@ -114,9 +109,6 @@
 	// least urgent rank that endpoints know.
 	routeRanks = 3
 	maxRank    = 9
-	// overShareRanks is added to the rank of a request beyond the share of its workspace: as much as the
-	// ranks of routes differ.
-	overShareRanks = routeRanks
 )
 
 // pick returns an endpoint for the next attempt, and the reason; nil if there is none. It prefers
--- a/internal/relay/mechanisms.go
+++ b/internal/relay/mechanisms.go
@@ -50,8 +50,6 @@
 	FailureReports Mechanism = "toldFailures"
 	// EnginePrice charges larger models for the engine time that others wait for.
 	EnginePrice Mechanism = "enginePrice"
-	// WorkspaceShares serves what a workspace asks for beyond its share after all others.
-	WorkspaceShares Mechanism = "workspaceShares"
 	// Admission lets requests wait for room, in order, and rejects those that cannot be served in time.
 	Admission Mechanism = "admission"
 	// EndEstimates weighs the probability that an answer ends before its deadline.
@@ -61,10 +59,10 @@
 )
 
 // AllMechanisms holds every Mechanism.
-var AllMechanisms = []Mechanism{LargerModels, PrefixHolders, HomeEndpoints, DelayToOthers, ShortFirst, SilenceTimeouts, LoadReports, FailureReports, EnginePrice, WorkspaceShares, Admission, EndEstimates, JointSilence}
+var AllMechanisms = []Mechanism{LargerModels, PrefixHolders, HomeEndpoints, DelayToOthers, ShortFirst, SilenceTimeouts, LoadReports, FailureReports, EnginePrice, Admission, EndEstimates, JointSilence}
 
 // contentionMechanisms holds the mechanisms that are in use only for services with contention.
-var contentionMechanisms = []Mechanism{EnginePrice, WorkspaceShares, Admission, EndEstimates, JointSilence}
+var contentionMechanisms = []Mechanism{EnginePrice, Admission, EndEstimates, JointSilence}
 
 // enabled reports whether a mechanism of contentionMechanisms is in use for a service. The caller must
 // hold the engine's mu.
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -46,7 +46,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.addHeadEvidence(a, route, false, head)
-	e.recordServed(a, now)
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		p.Trust.RecordSuccess(now)
 	}
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -10,19 +10,11 @@
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/pkg/fault"
-	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/price"
-	"github.com/traildrift/traildrift/pkg/share"
 	"github.com/traildrift/traildrift/pkg/sizes"
 )
 
 const (
-	// takenSlotsWait is the wait, as a fraction of the target, that counts for an attempt of a route
-	// without prompts whose endpoint has no free slot: a queue that is half full takes 65 of the 150 ms at
-	// the plain endpoints of docs/contention.md. The actual wait is not known, as what its work takes is
-	// not. The service is short where more than price.Target/takenSlotsWait of the attempts, two in five,
-	// meet such an endpoint.
-	takenSlotsWait = 0.5
 	// rejectedWait is the wait, as a fraction of the target, that counts for an attempt that a full
 	// endpoint rejects: its queue would have taken at least the target.
 	rejectedWait = 1
@@ -44,8 +36,7 @@
 
 // serviceLoad is what this router knows of the competition for a service's engine time.
 type serviceLoad struct {
-	price  price.Controller
-	shares share.Table
+	price price.Controller
 	// bases holds the time to the head without any wait and without reading, in seconds, by sort of attempt;
 	// see timingKey.
 	bases map[string]*quantile
@@ -97,11 +88,7 @@
 	if x.workspace != nil {
 		rank += x.workspace.Rank * routeRanks
 	}
-	rank = min(max(rank, 0), maxRank)
-	if x.over {
-		rank += overShareRanks
-	}
-	return rank
+	return min(max(rank, 0), maxRank)
 }
 
 // exceedsGain reports whether the price of the engine time exceeds what a request may gain by the answer, given the
@@ -117,21 +104,20 @@
 	t.PriceCost = max(t.PriceCost, h.price)
 }
 
-// recordRejected records that the model with index size was not asked as its answer would not end or for its price.
-// The caller must hold the engine's mu.
-func (x *run) recordRejected(size int, h *headEstimate, now time.Time) {
+// recordRejected records that a larger model was not asked as its answer would not end or for its price.
+func (x *run) recordRejected(h *headEstimate) {
 	if !h.mayEnd() {
 		x.e.metrics.count("models_not_asked", x.route.Name, "would_not_end")
 		return
 	}
 	x.recordPriceCost(h)
-	x.recordUnasked(size, h.seconds, now)
+	x.countUnasked()
 }
 
 // chooseSize returns the index in list of the model to ask, as sizes.Choose does. It records in t what the
 // engine time of the model costs that would be asked if the time were free. estimates holds what is expected
 // of the models after the first one, in the order of the list. The caller must hold the engine's mu.
-func (x *run) chooseSize(t *attemptRecord, list []sizes.Model, estimates []headEstimate, now time.Time) int {
+func (x *run) chooseSize(t *attemptRecord, list []sizes.Model, estimates []headEstimate) int {
 	next, keep, asks := sizes.Choose(list)
 	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
 	x.countNotAsked(list, next)
@@ -149,24 +135,22 @@
 	}
 	t.PriceCost = estimates[free-1].price
 	if free > next {
-		x.recordUnasked(x.size+free, estimates[free-1].seconds, now)
+		x.countUnasked()
 	}
 	return next
 }
 
-// recordUnasked records that the model with index size was not asked for the price of its engine time, in
-// seconds. The caller must hold the engine's mu.
-func (x *run) recordUnasked(size int, seconds float64, now time.Time) {
+// countUnasked counts a larger model that was not asked for the price of its engine time.
+func (x *run) countUnasked() {
 	x.e.metrics.count("larger_models_not_asked", x.route.Name, "price")
-	x.recordDemand(size, seconds, now)
 }
 
 // observeWait records for the price of engine time how long, in seconds, an attempt of a route waited at
 // its endpoint apart from reading its prompt. What the least of them wait is no wait behind others. An
-// attempt that waited while this process stood still, one of a route without prompts and those of
-// ignoresWait are left out. The caller must hold the engine's mu.
+// attempt that waited while this process stood still and those of ignoresWait are left out. The caller must
+// hold the engine's mu.
 func (e *Engine) observeWait(a *Attempt, route *Route, wait float64, now time.Time) {
-	if !route.Affinity || e.ignoresWait(a, route) || e.stalls.Resuming(seconds(max(wait, 0)+a.readTime)) {
+	if e.ignoresWait(a, route) || e.stalls.Resuming(seconds(max(wait, 0)+a.readTime)) {
 		return
 	}
 	aim := time.Duration(route.Aim).Seconds()
@@ -178,10 +162,10 @@
 }
 
 // ignoresWait reports whether the wait of an attempt says nothing of the price: that at an endpoint that
-// warms up or has a version on trial, that of a route without a target, and all where the price is not in
-// use. The caller must hold mu.
+// warms up or has a version on trial, that of a route without prompts, which buys no larger models, or
+// without a target, and all where the price is not in use. The caller must hold mu.
 func (e *Engine) ignoresWait(a *Attempt, route *Route) bool {
-	if a.warming || route.Aim <= 0 || !e.enabled(EnginePrice, a.Endpoint.Service) {
+	if a.warming || !route.Affinity || route.Aim <= 0 || !e.enabled(EnginePrice, a.Endpoint.Service) {
 		return true
 	}
 	r := e.activeTrial(a.Endpoint.Service)
@@ -193,20 +177,6 @@
 	e.loadOf(a.Endpoint.Service).price.Observe(now, fraction)
 }
 
-// observeSlots records for an attempt of a route without prompts whether it finds a free slot. Endpoints
-// that have no known number of slots are left out. It is called once the attempt is counted at its endpoint.
-// The caller must hold mu.
-func (e *Engine) observeSlots(a *Attempt, route *Route, p *pool.Endpoint, now time.Time) {
-	if route.Affinity || p.Slots <= 0 || e.ignoresWait(a, route) {
-		return
-	}
-	wait := 0.0
-	if p.Load.Runs(now) > p.Slots {
-		wait = takenSlotsWait
-	}
-	e.addWait(a, wait, now)
-}
-
 // observeFailedWait records the wait of an attempt that ended without a head, which is at least the time
 // from sending it. An endpoint that has answered nothing since then may be silent, which is no load: only
 // the wait counts that was expected there. A rejection counts as a whole target, unless the endpoint leaves
@@ -262,8 +232,5 @@
 	if x.price > 0 {
 		f = append(f, zap.Float64("price", round(x.price)))
 	}
-	if x.over {
-		f = append(f, zap.Bool("overShare", true))
-	}
 	return f
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -111,9 +111,6 @@
 	harmless bool
 	// gotHead says that the head of an answer was received that may be passed on.
 	gotHead bool
-	// engineTime is the engine time that counts as served once the head has come, in seconds, or 1 on a route
-	// without prompts; 0 where it does not count for the share of a workspace.
-	engineTime float64
 	// countedAs is what the attempt counted as in the trial of its service; empty if it was not
 	// counted.
 	countedAs string
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -54,13 +54,8 @@
 	headAt  time.Time
 	tried   []string
 	records []attemptRecord
-	// price is the price of engine time at the last choice of an endpoint. over says that the request
-	// exceeds the share of its workspace; it is set before the first attempt.
+	// price is the price of engine time at the last choice of an endpoint.
 	price float64
-	over  bool
-	// demanded and used are one more than the index of the largest model whose engine time was recorded as
-	// demand of the workspace, and as used; 0 for none.
-	demanded, used int
 	// watch is that of the last attempt; nil if it has none.
 	watch *silenceWatch
 	// lastWant is what the last pick of an endpoint asked for.
--- a/internal/relay/worth.go
+++ b/internal/relay/worth.go
@@ -72,7 +72,7 @@
 		estimates = append(estimates, h)
 		list = append(list, sizes.Model{GoodProb: x.goodProb(size), InTimeProb: inTimeProb(h.time, aim), UnfinishedProb: h.unfinishedProb, TooLate: h.time > left, Cost: x.relativeCost(size) + h.cost})
 	}
-	return x.size + x.chooseSize(&x.records[len(x.records)-1], list, estimates, now)
+	return x.size + x.chooseSize(&x.records[len(x.records)-1], list, estimates)
 }
 
 // relativeCost returns the cost of an answer of the model with this index, as a fraction of what
--- a/pkg/room/queue.go
+++ b/pkg/room/queue.go
@@ -32,9 +32,9 @@
 	// MaxWaiting is the maximum number of requests that wait in a Queue. A router gets a few dozen
 	// requests a second for a service, and none waits longer than a second.
 	MaxWaiting = 64
-	// ageStep is how long a request waits until its rank improves by one. Requests over their share are
-	// three ranks behind others, and plain requests time out after 1,200 ms: after 600 ms of waiting
-	// the former rank with the latter, with half of that time left.
+	// ageStep is how long a request waits until its rank improves by one. One rank of a workspace is
+	// three ranks of routes, and plain requests time out after 1,200 ms: after 600 ms of waiting a
+	// request ranks with those of the next workspace rank, with half of that time left.
 	ageStep = 200 * time.Millisecond
 )
 
