--- a/internal/entry/keyed_test.go
+++ b/internal/entry/keyed_test.go
@@ -24,7 +24,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- e.sweep(ctx) }()
-		time.Sleep(sweepInterval.After(time.Now()).Sub(time.Now()) + time.Millisecond)
+		time.Sleep(time.Duration(sweepInterval) + time.Millisecond)
 		cancel()
 		<-ended
 		if g, ok := scope.Snapshot().Gauges()["under_way+"]; !ok || g.Value() != 3 {
