pkg/pool: Room looks for open endpoints first

Of a service with more endpoints than are considered for one request, Room counted an arc of which all could be full while others had places, so that requests waited beside these. It takes open endpoints now, and full ones only if there are no others.

--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -513,6 +513,82 @@
 	}
 }
 
+// Guards against waits and refusals in services with more endpoints than are considered for one request, where
+// only a few others have places.
+func TestManyFullEndpoints(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{}}
+	e := contendedEngine(onceRoute, f)
+	e.mu.Lock()
+	now := time.Now()
+	for i := range 1000 {
+		id := fmt.Sprint("e", i)
+		e.book.Put(pool.Entry{ID: id, Service: "s", Slots: 4, Revision: 1})
+		if i > 2 {
+			e.book.Get(id).Room.Reject(now.Add(100*time.Millisecond), time.Second, 1, 0)
+		}
+	}
+	e.mu.Unlock()
+	for i := range 50 {
+		if w, took := call(t.Context(), e, fmt.Sprint(i), 2500*time.Millisecond); w.Code != http.StatusOK || took > 100*time.Millisecond {
+			t.Fatalf("got status %d after %v: %s", w.Code, took, w.Body)
+		}
+	}
+}
+
+// Guards against a wait for the estimated time though an answer shows that a place is free.
+func TestAnswerOpensEndpoint(t *testing.T) {
+	answered := make(chan struct{})
+	e := contendedEngine(onceRoute, &busyEndpoints{})
+	e.Send = func(_ context.Context, a *Attempt) (*Reply, error) {
+		if a.Request.ID == "earlier" {
+			<-answered
+		}
+		return answer(4, 3), nil
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { call(t.Context(), e, "earlier", 2500*time.Millisecond) })
+	for range 1000 {
+		if e.ActiveRequests() > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond)
+	e.mu.Lock()
+	e.book.Get("e").Room.Reject(time.Now().Add(120*time.Millisecond), time.Second, 1, 0)
+	e.mu.Unlock()
+	wg.Go(func() {
+		if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 120*time.Millisecond {
+			t.Errorf("got status %d after %v, want 200 within 120 ms", w.Code, took)
+		}
+	})
+	awaitWaiting(t, e, 1)
+	close(answered)
+	wg.Wait()
+}
+
+// Guards against a request that may have run and is given up after the time for which others are held: its caller
+// can't return for free.
+func TestHoldAfterAttemptThatMayHaveRun(t *testing.T) {
+	f := &busyEndpoints{full: map[string]bool{"e": false}}
+	e := contendedEngine(Route{Kind: Safe, MaxAttempts: 3, Aim: onceRoute.Aim, Timeout: config.Span(400 * time.Millisecond)}, f)
+	first := true
+	e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+		if first {
+			first = false
+			e.mu.Lock()
+			e.book.Get("e").Room.Reject(time.Now().Add(70*time.Millisecond), time.Second, 1, 0)
+			e.mu.Unlock()
+			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+		}
+		return f.send(ctx, a)
+	}
+	// Full for 120 ms, while requests that have not run are held for 80 ms.
+	if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took < 80*time.Millisecond {
+		t.Errorf("got status %d after %v, want 200 after 80 ms or more", w.Code, took)
+	}
+}
+
 // Guards against a request that may have run and is then refused as if it had not.
 func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
 	f := &busyEndpoints{full: map[string]bool{"e": true}}
--- a/pkg/pool/room.go
+++ b/pkg/pool/room.go
@@ -14,7 +14,7 @@
 // Room is what the endpoints of a service are expected to accept.
 type Room struct {
 	room.Capacity
-	// Slots is the sum of the slots of the eligible endpoints.
+	// Slots is the sum of the slots of the endpoints counted as eligible.
 	Slots int
 	// Reported says that one of them has reported its load, ever.
 	Reported bool
@@ -40,24 +40,12 @@
 	return (!w.OnlyOpen || p.Room.Open(now) && !slices.Contains(w.Reserved, p.hash)) && (len(w.Only) == 0 || slices.Contains(w.Only, p.hash))
 }
 
-// Room returns what the endpoints that Pick would consider for a request accept, whether they are full or
-// not. work is the time in which one of them serves a request without waiting, and read the least reading
+// Room returns what the endpoints that Pick would consider for a request accept: the open ones, or all if all
+// are full. work is the time in which one of them serves a request without waiting, and read the least reading
 // time of the request's prompt, in seconds; 0 if unknown. Endpoints that are not trusted do not count.
 func (b *Book) Room(now time.Time, w *Want, work time.Duration, read float64) (r Room) {
-	all := *w
-	all.OnlyOpen, all.Avoid = false, nil
 	var buf [maxScan]*Endpoint
-	list := b.byService[w.Service]
-	all.firstHash = all.firstTrusted(list, now)
-	// An endpoint whose last answer was an error counts also for requests that may not be retried: where an
-	// endpoint answers one request in seven with an error, few are healthy at any time.
-	eligible := buf[:0]
-	if w.NoRetry {
-		eligible = fitting(eligible, list, now, &all, (*Endpoint).settled)
-	}
-	if len(eligible) == 0 {
-		eligible = fitting(buf[:0], list, now, &all, (*Endpoint).mayTry)
-	}
+	eligible := b.capable(buf[:0], now, *w)
 	if len(eligible) == 0 {
 		return r
 	}
@@ -78,6 +66,29 @@
 	return r
 }
 
+// capable appends to dst the endpoints that are trusted with a request: the open ones, so that none is missed in
+// a service with more endpoints than are considered at once, or the full ones if there are no others. One whose
+// last answer was an error counts also for a request that may not be retried: where an endpoint answers one
+// request in seven with an error, few are healthy at any time.
+func (b *Book) capable(dst []*Endpoint, now time.Time, w Want) []*Endpoint {
+	list := b.byService[w.Service]
+	w.Avoid = nil
+	w.firstHash = w.firstTrusted(list, now)
+	tests := []trustTest{(*Endpoint).settled, (*Endpoint).mayTry}
+	if !w.NoRetry {
+		tests = tests[1:]
+	}
+	for _, test := range tests {
+		for _, open := range []bool{true, false} {
+			w.OnlyOpen = open
+			if found := fitting(dst, list, now, &w, test); len(found) > 0 {
+				return found
+			}
+		}
+	}
+	return nil
+}
+
 // addOpen adds an endpoint that is not known to be full.
 func (r *Room) addOpen(p *Endpoint, now time.Time) {
 	r.Open++
--- a/pkg/room/decide.go
+++ b/pkg/room/decide.go
@@ -8,7 +8,7 @@
 // Capacity is what the endpoints that may serve a request are expected to accept.
 type Capacity struct {
 	// Eligible is the number of trusted endpoints that may serve the request, Open that of those that are
-	// not known to be full.
+	// not known to be full. Full ones may be left out if there are open ones.
 	Eligible, Open int
 	// NextAt is when the first of the full ones is expected to accept a request.
 	NextAt time.Time
