--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -128,12 +128,12 @@
 	}
 }
 
-// sheds reports whether a request for which d was decided at its arrival is refused for its aim instead. The
-// caller must hold the engine's mu.
+// sheds reports whether a request for which d was decided at its arrival is refused for its aim instead, as the
+// last answers and the wait take too long. Without recent answers none is. The caller must hold the engine's mu.
 func (x *run) sheds(s *serviceRoom, q *room.Request, c *room.Capacity, d room.Decision, now time.Time) bool {
 	arriving := x.room.n == 0 && x.room.ticket.Since.IsZero()
-	sojourn := s.sojourn.Mean(now) + max(d.At.Sub(now), 0)
-	return arriving && d.Action != room.Refuse && room.Shed(now, q, c, sojourn, rand.Float64())
+	mean := s.sojourn.Mean(now)
+	return arriving && mean > 0 && d.Action != room.Refuse && room.Shed(now, q, c, mean+max(d.At.Sub(now), 0), rand.Float64())
 }
 
 // pollAt returns when the waiting request is considered again. The caller must hold the engine's mu.
