stall: Name recoveries and suspension by usual terms

Rename the method to endObservation, the type to Recovery and blind to suspended, drop the parameter and describe the field for the models beyond maxModels.

--- a/internal/relay/joint.go
+++ b/internal/relay/joint.go
@@ -76,7 +76,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.stalls.Resuming(silenceResumeWindow) {
-		e.silence.Blind(now)
+		e.silence.Suspend(now)
 	}
 	e.silence.Tick(now)
 }
@@ -94,7 +94,7 @@
 
 // applySilence informs the other routers and has an endpoint probed, as a verdict says. The caller must
 // hold the engine's mu.
-func (e *Engine) applySilence(_ time.Time, v stall.Verdict) {
+func (e *Engine) applySilence(v stall.Verdict) {
 	p := e.book.ByHash(v.Endpoint)
 	if p == nil || !e.enabled(JointSilence, p.Service) {
 		return
@@ -303,7 +303,7 @@
 
 // recordHeardAgain records that an endpoint that was found silent was heard. The caller must hold the engine's
 // mu.
-func (e *Engine) recordHeardAgain(a *Attempt, r stall.Return, now time.Time) {
+func (e *Engine) recordHeardAgain(a *Attempt, r stall.Recovery, now time.Time) {
 	p := e.book.ByHash(a.hash)
 	if p == nil {
 		return
@@ -339,9 +339,9 @@
 	e.silence.Remove(e.Now(), &a.watch.stream)
 }
 
-// endWatch ends the observation of an attempt that has ended, and returns an extra attempt that was taken for it
+// endObservation ends the observation of an attempt that has ended, and returns an extra attempt that was taken for it
 // and not made. The caller must hold the engine's mu.
-func (e *Engine) endWatch(a *Attempt, now time.Time) {
+func (e *Engine) endObservation(a *Attempt, now time.Time) {
 	if a.watch == nil {
 		return
 	}
--- a/internal/relay/joint_test.go
+++ b/internal/relay/joint_test.go
@@ -489,8 +489,8 @@
 	b := w.e.budget("s")
 	before := b.Remaining(w.now)
 	a := &Attempt{watch: &silenceWatch{service: "s", paid: b.Take(w.now, 0)}}
-	w.e.endWatch(a, w.now)
-	w.e.endWatch(a, w.now)
+	w.e.endObservation(a, w.now)
+	w.e.endObservation(a, w.now)
 	if got := b.Remaining(w.now); got != before {
 		t.Errorf("budget: got %v, want %v", got, before)
 	}
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -124,7 +124,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.trackEnded(a, e.Now())
-	e.endWatch(a, e.Now())
+	e.endObservation(a, e.Now())
 	if p := e.book.Get(a.Endpoint.ID); p != nil {
 		// An endpoint that lapsed and was listed again starts at 0.
 		p.Load.InFlight = max(p.Load.InFlight-1, 0)
--- a/pkg/stall/detector.go
+++ b/pkg/stall/detector.go
@@ -52,11 +52,11 @@
 	// its own. A report of 40 bytes to 32 routers makes 64 kB/s of that, a twentieth of a 10 Mbit/s link.
 	reportsPerSecond = 50
 	// maxTickGap is the longest time between ticks after which this process counts as having been
-	// running: a busy processor delays a tick by 0.1 s. blindFor is how long after a longer gap or a cut
+	// running: a busy processor delays a tick by 0.1 s. suspendFor is how long after a longer gap or a cut
 	// of its own the process trusts no pause: what arrived meanwhile is read within some milliseconds,
 	// and packets that were lost are sent again within 0.2 s.
 	maxTickGap = 150 * time.Millisecond
-	blindFor   = 300 * time.Millisecond
+	suspendFor = 300 * time.Millisecond
 	// ownCutFraction is the fraction of the endpoints with streams of this process above which overdue
 	// streams mean that its own network is cut; more than half of all endpoints may be silent at once.
 	// Below minCutEndpoints the fraction says nothing.
@@ -75,7 +75,7 @@
 	// which a sign of the endpoint is worth a log line.
 	idleTTL = 30 * time.Second
 	// maxEndpoints bounds the endpoints with state: 1,400 are in use. maxModels bounds the models whose gaps
-	// are learned; further ones share the last place.
+	// are learned separately; further ones share one estimate.
 	maxEndpoints = 2048
 	maxModels    = 32
 )
@@ -93,8 +93,8 @@
 	Quiet     time.Duration
 }
 
-// Return says that an endpoint that was found silent was heard again.
-type Return struct {
+// Recovery is the result of Receive: whether an endpoint that had been found silent was heard again.
+type Recovery struct {
 	// After is the time since the alarm; 0 if the endpoint was not silent. FalseAlarm says that it was
 	// so short that the alarm was false.
 	After      time.Duration
@@ -110,22 +110,23 @@
 	Processes func() int
 	// Act is called with each Verdict that informs others or finds an endpoint silent, by Tick and Report. It
 	// must not call methods of the Detector.
-	Act func(now time.Time, v Verdict)
+	Act func(Verdict)
 
 	// list holds the endpoints with state in the order of their hashes, at most maxEndpoints.
 	list []*endpoint
 	// usual holds the usual gaps by model, at most maxModels.
 	usual map[string]*gapQuantile
-	rest  gapQuantile
+	// rest holds the usual gaps of all models beyond maxModels.
+	rest gapQuantile
 	// reports limits the rate of reports.
 	reports  *rate.Limiter
 	lastTick time.Time
-	// blindUntil is when pauses count again after a stall of this process or a cut of its network.
-	blindUntil time.Time
+	// suspendedUntil is when pauses count again after a stall of this process or a cut of its network.
+	suspendedUntil time.Time
 }
 
 // NewDetector returns a detector without streams. The arguments set its function fields.
-func NewDetector(endpoints func(service string) int, processes func() int, act func(time.Time, Verdict)) *Detector {
+func NewDetector(endpoints func(service string) int, processes func() int, act func(Verdict)) *Detector {
 	return &Detector{Endpoints: endpoints, Processes: processes, Act: act, usual: make(map[string]*gapQuantile), reports: rate.NewLimiter(reportsPerSecond, reportsPerSecond)}
 }
 
@@ -177,12 +178,12 @@
 
 // Receive records that an attempt received its head or a part of a stream, which is now passed on until
 // Wait is called.
-func (d *Detector) Receive(now time.Time, s *Stream) Return {
+func (d *Detector) Receive(now time.Time, s *Stream) Recovery {
 	e := s.endpoint
 	if e == nil {
-		return Return{}
+		return Recovery{}
 	}
-	if s.begun && !s.delivering && !d.blind(now) {
+	if s.begun && !s.delivering && !d.suspended(now) {
 		gap := min(max(now.Sub(s.waitsSince), minLearnedGap), maxLearnedGap)
 		e.peak.add(now, gap)
 		s.usual.add(time.Duration(float64(gap) / s.Pace))
@@ -192,7 +193,7 @@
 }
 
 // hear records that something was received from the endpoint.
-func (e *endpoint) hear(now time.Time) (r Return) {
+func (e *endpoint) hear(now time.Time) (r Recovery) {
 	if !e.silentAt.IsZero() {
 		r.After = max(now.Sub(e.silentAt), 1)
 		r.FalseAlarm = r.After <= falseAlarmWithin
@@ -227,7 +228,7 @@
 // Report records a report of the process at address by that its streams at an endpoint are overdue. Reports
 // that arrive while this process trusts no pause are ignored, as they may have waited for long.
 func (d *Detector) Report(now time.Time, hash uint64, service string, by netip.Addr) {
-	if d.blind(now) {
+	if d.suspended(now) {
 		return
 	}
 	if e := d.get(now, hash, service); e != nil {
@@ -239,7 +240,7 @@
 // Tick judges all endpoints. It must be called at intervals of a fraction of maxTickGap.
 func (d *Detector) Tick(now time.Time) {
 	if now.Sub(d.lastTick) > maxTickGap {
-		d.blindUntil = now.Add(blindFor)
+		d.suspendedUntil = now.Add(suspendFor)
 	}
 	d.lastTick = now
 	begun, overdue := 0, 0
@@ -253,7 +254,7 @@
 		}
 	}
 	if begun >= minCutEndpoints && float64(overdue) > ownCutFraction*float64(begun) {
-		d.blindUntil = now.Add(blindFor)
+		d.suspendedUntil = now.Add(suspendFor)
 	}
 	for _, e := range d.list {
 		d.judge(now, e)
@@ -261,18 +262,18 @@
 	d.list = slices.DeleteFunc(d.list, func(e *endpoint) bool { return len(e.streams) == 0 && now.Sub(e.usedAt) > idleTTL })
 }
 
-// Blind makes the detector trust no pause for blindFor, as after a stall of this process that ticks did not
+// Suspend makes the detector trust no pause for suspendFor, as after a stall of this process that ticks did not
 // show.
-func (d *Detector) Blind(now time.Time) { d.blindUntil = now.Add(blindFor) }
+func (d *Detector) Suspend(now time.Time) { d.suspendedUntil = now.Add(suspendFor) }
 
-// blind reports whether pauses say nothing of endpoints: this process stood still or its network was cut.
-func (d *Detector) blind(now time.Time) bool {
-	return now.Before(d.blindUntil) || now.Sub(d.lastTick) > maxTickGap
+// suspended reports whether pauses say nothing of endpoints: this process stood still or its network was cut.
+func (d *Detector) suspended(now time.Time) bool {
+	return now.Before(d.suspendedUntil) || now.Sub(d.lastTick) > maxTickGap
 }
 
 // judge calls Act if others are to be informed of an endpoint or if it is found silent.
 func (d *Detector) judge(now time.Time, e *endpoint) {
-	if d.blind(now) {
+	if d.suspended(now) {
 		return
 	}
 	overdue := e.overdue(now)
@@ -292,7 +293,7 @@
 		e.silentAt, e.byOwn = now, overdue
 	}
 	if v.Inform || v.Silent {
-		d.Act(now, v)
+		d.Act(v)
 	}
 }
 
--- a/pkg/stall/detector_test.go
+++ b/pkg/stall/detector_test.go
@@ -153,10 +153,10 @@
 func TestHeardAgain(t *testing.T) {
 	for _, c := range []struct {
 		after time.Duration
-		want  Return
-	}{{time.Second, Return{time.Second, true}}, {4 * time.Second, Return{4 * time.Second, false}}} {
+		want  Recovery
+	}{{time.Second, Recovery{time.Second, true}}, {4 * time.Second, Recovery{4 * time.Second, false}}} {
 		silent := 0
-		d := NewDetector(func(string) int { return 4 }, func() int { return 5 }, func(_ time.Time, v Verdict) {
+		d := NewDetector(func(string) int { return 4 }, func() int { return 5 }, func(v Verdict) {
 			if v.Silent {
 				silent++
 			}
@@ -212,7 +212,7 @@
 		{"heard after the reports", 1, false, true, false},
 	} {
 		verdicts := 0
-		d := NewDetector(func(string) int { return endpoints }, func() int { return 5 }, func(_ time.Time, v Verdict) {
+		d := NewDetector(func(string) int { return endpoints }, func() int { return 5 }, func(v Verdict) {
 			if v.Silent {
 				verdicts++
 			}
@@ -244,7 +244,7 @@
 		case c.noTicks:
 			now = now.Add(time.Second)
 			report()
-			tick(blindFor/2, c.overdue)
+			tick(suspendFor/2, c.overdue)
 			report()
 		case c.heardAfter:
 			report()
@@ -263,7 +263,7 @@
 
 // A caller that reads slowly must not make its endpoint look silent.
 func TestSlowCallerIsNotSilence(t *testing.T) {
-	d := NewDetector(func(string) int { return 4 }, func() int { return 5 }, func(_ time.Time, v Verdict) { t.Errorf("got %+v, want no verdict", v) })
+	d := NewDetector(func(string) int { return 4 }, func() int { return 5 }, func(v Verdict) { t.Errorf("got %+v, want no verdict", v) })
 	now := begin
 	tick := func() {
 		for range 60 {
@@ -287,7 +287,7 @@
 func TestSilentFractionIsBounded(t *testing.T) {
 	const endpoints = 8
 	found := 0
-	d := NewDetector(func(string) int { return endpoints }, func() int { return 12 }, func(_ time.Time, v Verdict) {
+	d := NewDetector(func(string) int { return endpoints }, func() int { return 12 }, func(v Verdict) {
 		if v.Silent {
 			found++
 		}
@@ -310,7 +310,7 @@
 // Reports of 384 routers on 1,400 endpoints, and on endpoints that do not exist, must not take more than a few
 // megabytes, and the state must be dropped once it is idle.
 func TestMemoryIsBounded(t *testing.T) {
-	d := NewDetector(func(string) int { return 1400 }, func() int { return 384 }, func(time.Time, Verdict) {})
+	d := NewDetector(func(string) int { return 1400 }, func() int { return 384 }, func(Verdict) {})
 	now := begin
 	for range 20 {
 		now = now.Add(25 * time.Millisecond)
@@ -349,7 +349,7 @@
 // The rate of reports must not grow with the number of overdue endpoints and the length of the silence.
 func TestReportsAreBounded(t *testing.T) {
 	reports := 0
-	d := NewDetector(func(string) int { return 400 }, func() int { return 5 }, func(_ time.Time, v Verdict) {
+	d := NewDetector(func(string) int { return 400 }, func() int { return 5 }, func(v Verdict) {
 		if v.Inform {
 			reports++
 		}
@@ -384,7 +384,7 @@
 
 // BenchmarkTick judges 64 endpoints with overdue streams.
 func BenchmarkTick(b *testing.B) {
-	d := NewDetector(func(string) int { return 64 }, func() int { return 24 }, func(time.Time, Verdict) {})
+	d := NewDetector(func(string) int { return 64 }, func() int { return 24 }, func(Verdict) {})
 	now := begin
 	for n := range uint64(64) {
 		s := &Stream{Endpoint: n, Service: "s"}
@@ -403,10 +403,10 @@
 
 // BenchmarkReport judges one of 64 endpoints.
 func BenchmarkReport(b *testing.B) {
-	d := NewDetector(func(string) int { return 64 }, func() int { return 24 }, func(time.Time, Verdict) {})
+	d := NewDetector(func(string) int { return 64 }, func() int { return 24 }, func(Verdict) {})
 	now := begin
 	d.Tick(now)
-	now = now.Add(blindFor)
+	now = now.Add(suspendFor)
 	d.lastTick = now
 	for n := range uint64(64) {
 		d.Add(now, &Stream{Endpoint: n, Service: "s"})
--- a/pkg/stall/world_test.go
+++ b/pkg/stall/world_test.go
@@ -86,7 +86,7 @@
 	}
 	for i := range routers {
 		r := &router{}
-		r.d = NewDetector(func(string) int { return endpoints }, func() int { return routers }, func(now time.Time, v Verdict) { w.act(i, now, v) })
+		r.d = NewDetector(func(string) int { return endpoints }, func() int { return routers }, func(v Verdict) { w.act(i, v) })
 		for _, n := range w.rnd.Perm(endpoints)[:min(perRouter, endpoints)] {
 			r.streams = append(r.streams, &testStream{Stream: Stream{Endpoint: uint64(n + 1), Service: "s", Model: "m"}, index: n, router: i})
 		}
@@ -96,18 +96,18 @@
 }
 
 // act applies a verdict of a router: it sends its reports, and notes the endpoint as silent.
-func (w *world) act(from int, now time.Time, v Verdict) {
+func (w *world) act(from int, v Verdict) {
 	if v.Inform {
 		for to := range w.routers {
-			if to != from && w.rnd.Float64() >= w.reportLoss && !w.cutPeers(from, to, now) {
-				w.mail = append(w.mail, message{now.Add(w.draw(time.Millisecond, 20*time.Millisecond)), from, to, v.Endpoint})
+			if to != from && w.rnd.Float64() >= w.reportLoss && !w.cutPeers(from, to, w.now) {
+				w.mail = append(w.mail, message{w.now.Add(w.draw(time.Millisecond, 20*time.Millisecond)), from, to, v.Endpoint})
 			}
 		}
 	}
 	if !v.Silent {
 		return
 	}
-	w.found[[2]int{from, int(v.Endpoint - 1)}] = now
+	w.found[[2]int{from, int(v.Endpoint - 1)}] = w.now
 	for _, s := range w.routers[from].streams {
 		if s.Endpoint == v.Endpoint {
 			s.ended = true
