acct: Name the requests of the table of classes plainly

payer and payment stood for requests and sums over them. Rename them to contentionRequest and classSums; the tables' texts stay.

No behaviour changes. go test -race ./internal/acct passes.

--- a/internal/acct/account.go
+++ b/internal/acct/account.go
@@ -31,7 +31,7 @@
 	// OmittedAttempts is the number of attempts beyond maxHeadWaits, which are not considered as
 	// blockers of late requests. Read sets it.
 	OmittedAttempts int
-	// OmittedRequests is the number of requests beyond maxPayers, which are missing in the table of
+	// OmittedRequests is the number of requests beyond maxContentionRequests, which are missing in the table of
 	// workspace classes. Read sets it.
 	OmittedRequests int
 
--- a/internal/acct/acct_test.go
+++ b/internal/acct/acct_test.go
@@ -79,9 +79,9 @@
 	const workspaces = 100_000
 	a := New()
 	for i := range workspaces {
-		a.addPayer(nil, &line{Route: "r", Workspace: fmt.Sprint("workspace-", i), Price: 1}, inTime)
+		a.addContentionRequest(nil, &line{Route: "r", Workspace: fmt.Sprint("workspace-", i), Price: 1}, inTime)
 	}
-	a.addPayer(nil, &line{Route: "r", Workspace: "workspace-7", Price: 1}, late)
+	a.addContentionRequest(nil, &line{Route: "r", Workspace: "workspace-7", Price: 1}, late)
 	table := a.classTable()
 	if got, limit := len(table.Rows), len(workspaceClasses); got > limit {
 		t.Errorf("rows: got %d, want %d at most", got, limit)
@@ -98,12 +98,12 @@
 // without saying so.
 func TestMemoryIsBounded(t *testing.T) {
 	a := New()
-	a.contention.payers = make([]payer, maxPayers)
-	a.addPayer(nil, &line{Route: "r"}, inTime)
-	if len(a.contention.payers) != maxPayers || a.OmittedRequests != 1 {
-		t.Errorf("requests kept and left out: got %d and %d, want %d and 1", len(a.contention.payers), a.OmittedRequests, maxPayers)
+	a.contention.requests = make([]contentionRequest, maxContentionRequests)
+	a.addContentionRequest(nil, &line{Route: "r"}, inTime)
+	if len(a.contention.requests) != maxContentionRequests || a.OmittedRequests != 1 {
+		t.Errorf("requests kept and left out: got %d and %d, want %d and 1", len(a.contention.requests), a.OmittedRequests, maxContentionRequests)
 	}
-	if got, limit := unsafe.Sizeof(payer{}), uintptr(32); got > limit {
+	if got, limit := unsafe.Sizeof(contentionRequest{}), uintptr(32); got > limit {
 		t.Errorf("size of a request: got %d bytes, want %d at most", got, limit)
 	}
 	var s samples
--- a/internal/acct/cause.go
+++ b/internal/acct/cause.go
@@ -18,7 +18,7 @@
 	// Router is the time in the router itself: before the first attempt and between attempts.
 	Router Cause = "router"
 	// Held is the time for which the router held the request until an endpoint had a place for it. It
-	// is also told of requests that were not served.
+	// is reported also for requests that were not served.
 	Held Cause = "held"
 	// FailedAttempt is the time of attempts without an answer that could be passed on,
 	// SilenceTimeout that of attempts which the router ended as the endpoint sent nothing for too
--- a/internal/acct/contention.go
+++ b/internal/acct/contention.go
@@ -14,9 +14,9 @@
 const (
 	// maxSamples is the maximum number of values that are kept for a quantile; see maxHeadTimes.
 	maxSamples = maxHeadTimes
-	// maxPayers is the maximum number of requests that are kept for the table of classes. At
+	// maxContentionRequests is the maximum number of requests that are kept for the table of classes. At
 	// 32 bytes each they take 32 MB, about as much as the attempts of headWaits.
-	maxPayers = 1 << 20
+	maxContentionRequests = 1 << 20
 )
 
 // contention holds what the tables on admission control, workspace classes, ends of answers and silent endpoints need.
@@ -24,8 +24,8 @@
 	// holds is by route.
 	holds    map[string]*hold
 	refusals map[refusalKey]*refusal
-	payers   []payer
-	// workspaces and routes hold the names in payers. contended holds the indexes of the routes with a
+	requests []contentionRequest
+	// workspaces and routes hold the names in requests. contended holds the indexes of the routes with a
 	// request that met a price.
 	workspaces, routes stringTable
 	contended          map[int32]bool
@@ -77,8 +77,8 @@
 	heldMs, ageMs samples
 }
 
-// payer is a request of which the table of classes tells.
-type payer struct {
+// contentionRequest is a request that counts in the table of classes.
+type contentionRequest struct {
 	// workspace and route are indexes in contention.workspaces and contention.routes.
 	workspace, route int32
 	price            float32
@@ -125,7 +125,7 @@
 func (a *Account) addContention(attempts []line, end *line, r result) {
 	c := &a.contention
 	c.addHold(end, r)
-	a.addPayer(attempts, end, r)
+	a.addContentionRequest(attempts, end, r)
 	for i := range attempts {
 		t := &attempts[i]
 		c.addEnd(end.Route, t)
@@ -167,10 +167,10 @@
 	}
 }
 
-// addPayer adds a request to those of which the table of classes tells.
-func (a *Account) addPayer(attempts []line, end *line, r result) {
+// addContentionRequest adds a request to those that count in the table of classes.
+func (a *Account) addContentionRequest(attempts []line, end *line, r result) {
 	c := &a.contention
-	p := payer{workspace: c.workspaces.index(end.Workspace), route: c.routes.index(end.Route), price: float32(end.Price), result: r}
+	p := contentionRequest{workspace: c.workspaces.index(end.Workspace), route: c.routes.index(end.Route), price: float32(end.Price), result: r}
 	for i := range attempts {
 		if t := &attempts[i]; t.Outcome != outcomeDropped {
 			p.unaskedCost = max(p.unaskedCost, float32(t.PriceCost))
@@ -179,11 +179,11 @@
 	if p.price > 0 {
 		c.contended[p.route] = true
 	}
-	if len(c.payers) >= maxPayers {
+	if len(c.requests) >= maxContentionRequests {
 		a.OmittedRequests++
 		return
 	}
-	c.payers = append(c.payers, p)
+	c.requests = append(c.requests, p)
 }
 
 // addEnd adds an attempt with a prediction of its end.
--- a/internal/acct/contentiontables.go
+++ b/internal/acct/contentiontables.go
@@ -48,15 +48,15 @@
 	return t
 }
 
-// payment holds sums over the requests of a row of the table of classes.
-type payment struct {
+// classSums holds sums over the requests of a row of the table of classes.
+type classSums struct {
 	requests, late, failed int
 	price                  samples
 	// unasked holds the price cost of each request for which a larger model was not asked.
 	unasked samples
 }
 
-func (s *payment) add(p *payer) {
+func (s *classSums) add(p *contentionRequest) {
 	s.requests++
 	switch p.result {
 	case late:
@@ -71,10 +71,10 @@
 	}
 }
 
-// paymentHead holds the names of the columns of payment.row.
-var paymentHead = []string{"requests", "late", "not served", "price mean", "price p90", "unasked", "their price cost"}
+// classColumns holds the names of the columns that classSums.row fills.
+var classColumns = []string{"requests", "late", "not served", "price mean", "price p90", "unasked", "their price cost"}
 
-func (s *payment) row() []string {
+func (s *classSums) row() []string {
 	return []string{strconv.Itoa(s.requests), strconv.Itoa(s.late), strconv.Itoa(s.failed), formatFraction(s.price.mean()), formatFraction(s.price.quantile(0.9)), strconv.Itoa(s.unasked.n), formatFraction(s.unasked.mean())}
 }
 
@@ -107,8 +107,8 @@
 // workspaces in each. Only requests on contended routes count.
 func (c *contention) classes() (class []int, counts [len(workspaceClasses)]int) {
 	requests := make([]int, len(c.workspaces.strings))
-	for i := range c.payers {
-		if p := &c.payers[i]; c.contended[p.route] {
+	for i := range c.requests {
+		if p := &c.requests[i]; c.contended[p.route] {
 			requests[p.workspace]++
 		}
 	}
@@ -140,12 +140,12 @@
 }
 
 func (a *Account) classTable() Table {
-	t := Table{Name: "classes", Title: "Who bore contention, by class of workspaces, largest first by requests; routes that met a price", Head: append([]string{"class", "workspaces"}, paymentHead...)}
+	t := Table{Name: "classes", Title: "Who bore contention, by class of workspaces, largest first by requests; routes that met a price", Head: append([]string{"class", "workspaces"}, classColumns...)}
 	c := &a.contention
 	class, counts := c.classes()
-	var sums [len(workspaceClasses)]payment
-	for i := range c.payers {
-		if p := &c.payers[i]; c.contended[p.route] {
+	var sums [len(workspaceClasses)]classSums
+	for i := range c.requests {
+		if p := &c.requests[i]; c.contended[p.route] {
 			sums[class[p.workspace]].add(p)
 		}
 	}
