relay: Use one name for one thing under contention

returnInterval was a constant and a method, Room a field of pool.Endpoint, a type and a method of Book, and load both the load of an endpoint and the price state of a service; countUnasked and countNotAsked counted different metrics; unfinishedProb had an unused parameter. Rename these, drop the parameter, and correct comments that named a parameter that does not exist or needed a second reading. Metrics, log keys and settings keep their names.

No behaviour changes. go test -race ./pkg/pool ./pkg/room ./internal/relay ./internal/names passes.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -64,8 +64,8 @@
 	// endpoint's load made them wait, that is taken as the time without waiting. Load reports lag, so
 	// that a larger quantile includes waits.
 	workQuantile = 0.25
-	// shedMemory is how long after a refusal for an aim late requests leave places to others: a few
-	// refusals of one router, whose peaks last for seconds.
+	// shedMemory is how long after a refusal for an aim late requests leave their places to others. A peak
+	// lasts for seconds, and a router refuses several requests within this time while one lasts.
 	shedMemory = config.Span(500 * time.Millisecond)
 	// firstPollInterval is how often the first waiting request is considered again if nothing wakes it, as
 	// endpoints that fall silent or end their ejection wake none. It is an eighth of the shortest aim, for
@@ -77,11 +77,11 @@
 	// minReturn is the shortest time after which a refused caller is asked to return: half of the shortest
 	// aim, so that one that is served then may still be in time.
 	minReturn = config.Span(50 * time.Millisecond)
-	// returnInterval is the time between two returns if the rate at which places open is not known: ten
-	// within retryDelay.
-	returnInterval = 15 * time.Millisecond
-	// optimisticRead is the fraction of the expected reading time that is certainly needed: the estimate
-	// includes waits, and the endpoint may hold more of the prompt than is known.
+	// defaultReturnInterval is the time between two returns if the rate at which places open is not known:
+	// ten within retryDelay.
+	defaultReturnInterval = 15 * time.Millisecond
+	// optimisticRead is the fraction of the expected reading time that is taken as certainly needed: the
+	// estimate includes waits, and the endpoint may hold more of the prompt than this router knows.
 	optimisticRead = 0.5
 )
 
@@ -235,7 +235,7 @@
 	return fault.New(kind, fault.NotRun, "No endpoint is expected to have a place for the request in time (%s).", d.Cause).WithRetryAt(at)
 }
 
-// returnAt returns when the caller is asked to return, if places are expected from earliest on, one each
+// returnAt returns when the caller is asked to return, if places are expected from a time on, one each
 // interval. The caller must hold the engine's mu.
 func (x *run) returnAt(s *serviceRoom, from time.Time, interval time.Duration, now time.Time) time.Time {
 	from = latest(from, minReturn.After(now)).Add(jitter(x.e.draw(), interval))
@@ -247,7 +247,7 @@
 func (x *run) returnInterval(s *serviceRoom, c *pool.Room) time.Duration {
 	work := x.workTime(s)
 	if work <= 0 || c.Slots <= 0 {
-		return returnInterval
+		return defaultReturnInterval
 	}
 	return max(work*time.Duration(max(x.e.RouterCount(), 1))/time.Duration(c.Slots), time.Millisecond)
 }
@@ -258,7 +258,7 @@
 	if !x.e.enabled(Admission, x.service) {
 		return
 	}
-	p.Room.Offer(now)
+	p.Place.Offer(now)
 	h := &x.room
 	if h.added = h.n < len(h.endpoints) && !slices.Contains(h.endpoints[:h.n], p.Hash()); h.added {
 		h.endpoints[h.n] = p.Hash()
@@ -378,13 +378,13 @@
 		// An endpoint that is not busy refused for another reason, such as that it leaves.
 		if known && reply.Waiting > 0 && reply.Running >= max(p.Slots, 1) {
 			a.rejected = true
-			p.Room.Reject(now, seconds(s.work.value)/time.Duration(max(p.Slots, 1)), e.RouterCount(), e.draw())
+			p.Place.Reject(now, seconds(s.work.value)/time.Duration(max(p.Slots, 1)), e.RouterCount(), e.draw())
 		}
 		return
 	}
-	p.Room.Answer(t.At)
+	p.Place.Answer(t.At)
 	if known && reply.Running+reply.Waiting < p.Slots {
-		p.Room.Free()
+		p.Place.Free()
 	}
 	if a.prefix == 0 && reply.Status < 300 {
 		s.sojourn.Add(now, now.Sub(t.At))
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -113,7 +113,7 @@
 	defer e.mu.Unlock()
 	p := e.book.Get("e")
 	p.Load.RecordReport(time.Now(), 4, 24)
-	p.Room.Reject(time.Now(), perEnd, 1, 0)
+	p.Place.Reject(time.Now(), perEnd, 1, 0)
 }
 
 // awaitWaiting returns once n requests wait.
@@ -430,7 +430,7 @@
 			if w.Code != http.StatusServiceUnavailable || len(sent) != maxAttempts || took > 100*time.Millisecond || after < 0.14 || after > 0.15 {
 				t.Errorf("%s, %d attempts: got status %d, %d attempts in %v, Retry-After %v, want 503, %d at once, 0.150", c.name, maxAttempts, w.Code, len(sent), took, after, maxAttempts)
 			}
-			if p := e.book.Get("e"); len(e.rooms) != 0 || p.Room != (room.Place{}) {
+			if p := e.book.Get("e"); len(e.rooms) != 0 || p.Place != (room.Place{}) {
 				t.Errorf("%s: got state of admission control, want none", c.name)
 			}
 		}
@@ -524,7 +524,7 @@
 		id := fmt.Sprint("e", i)
 		e.book.Put(pool.Entry{ID: id, Service: "s", Slots: 4, Revision: 1})
 		if i > 2 {
-			e.book.Get(id).Room.Reject(now.Add(100*time.Millisecond), time.Second, 1, 0)
+			e.book.Get(id).Place.Reject(now.Add(100*time.Millisecond), time.Second, 1, 0)
 		}
 	}
 	e.mu.Unlock()
@@ -555,7 +555,7 @@
 	}
 	time.Sleep(10 * time.Millisecond)
 	e.mu.Lock()
-	e.book.Get("e").Room.Reject(time.Now().Add(120*time.Millisecond), time.Second, 1, 0)
+	e.book.Get("e").Place.Reject(time.Now().Add(120*time.Millisecond), time.Second, 1, 0)
 	e.mu.Unlock()
 	wg.Go(func() {
 		if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 120*time.Millisecond {
@@ -577,7 +577,7 @@
 		if first {
 			first = false
 			e.mu.Lock()
-			e.book.Get("e").Room.Reject(time.Now().Add(70*time.Millisecond), time.Second, 1, 0)
+			e.book.Get("e").Place.Reject(time.Now().Add(70*time.Millisecond), time.Second, 1, 0)
 			e.mu.Unlock()
 			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
 		}
--- a/internal/relay/borrow_test.go
+++ b/internal/relay/borrow_test.go
@@ -101,8 +101,9 @@
 }
 
 // A request that may be repeated, whose attempt was given up as its endpoint was silent and for which no
-// other endpoint has room or no retry is left, is told when to come back. Guards against an error without a time, which callers
-// got on a busy machine: the runner named its limit and then answered later than the silence timeout.
+// other endpoint has room or no retry is left, is told when to come back. Guards against an error without a
+// time, which callers got on a busy machine: the runner named its limit and then answered later than the
+// silence timeout.
 func TestSilenceAtLimitNamesRetryTime(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/relay/bounds_test.go
+++ b/internal/relay/bounds_test.go
@@ -47,7 +47,7 @@
 func contentionState(e *Engine) (n uintptr) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, l := range e.loads {
+	for _, l := range e.prices {
 		n += unsafe.Sizeof(*l) + uintptr(len(l.bases))*unsafe.Sizeof(quantile{})
 	}
 	for _, s := range e.rooms {
@@ -98,7 +98,7 @@
 			}
 			x.reportPrompt(a)
 			e.recordAnswer(a, x.route, 300*time.Millisecond, e.Now())
-			x.watchEnd(a, record)
+			x.newEndWatch(a, record)
 			e.endPromptWait(a, true, e.Now())
 			e.recordAttemptEnd(a)
 		}
@@ -156,7 +156,7 @@
 		e.PutEndpoint(pool.Entry{ID: id, Service: "s", Slots: 64, Revision: 1})
 		e.mu.Lock()
 		p := e.book.Get(id)
-		p.Room.Reject(now, 10*time.Millisecond, 4000, uint64(i))
+		p.Place.Reject(now, 10*time.Millisecond, 4000, uint64(i))
 		if len(e.ends.recent) >= maxRecent {
 			clear(e.ends.recent)
 		}
--- a/internal/relay/cascade.go
+++ b/internal/relay/cascade.go
@@ -92,7 +92,7 @@
 			x.recordPriceCost(&h)
 			break
 		}
-		x.recordRejected(&h)
+		x.recordNotAsked(&h)
 	}
 	return size
 }
@@ -137,6 +137,6 @@
 		time:           wait + read,
 		cost:           x.lastWant.OthersLoss(read, wait) + cost,
 		price:          cost,
-		unfinishedProb: x.unfinishedProb(size, p, wait+read, now),
+		unfinishedProb: x.unfinishedProb(p, wait+read, now),
 	}
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -133,7 +133,7 @@
 	buf := make([]byte, eventBufferSize)
 	lastRead := x.e.Now()
 	var p pace
-	w := x.watchEnd(a, t)
+	w := x.newEndWatch(a, t)
 	for {
 		n, err := x.readWatched(a, reply.Body, buf)
 		if n > 0 {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -141,8 +141,8 @@
 	silence *stall.Detector
 	// paceReported holds the services of which an endpoint has reported its pace.
 	paceReported map[string]bool
-	// loads holds the competition for engine time, by service; only for services with contention.
-	loads map[string]*serviceLoad
+	// prices holds the price of engine time and what it is learned from, by service; only for services with contention.
+	prices map[string]*servicePrice
 	// rooms holds the state of admission control, by service.
 	rooms map[string]*serviceRoom
 	// rollouts holds the trials, by service.
@@ -186,7 +186,7 @@
 		paceReported:       make(map[string]bool),
 		silenceUsed:        make(chan struct{}),
 		silenceProbes:      make(chan silenceProbe, maxPendingProbes),
-		loads:              make(map[string]*serviceLoad),
+		prices:             make(map[string]*servicePrice),
 		rooms:              make(map[string]*serviceRoom),
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -46,7 +46,7 @@
 
 // runEnd is what a run expects of the end of its answer.
 type runEnd struct {
-	// rest is the estimate as of at, and gaps the times between events of the service; nil without data.
+	// rest is the estimate as of at, and gaps the times between events of the service; gaps is nil without data.
 	rest finish.End
 	gaps *finish.Gaps
 	at   time.Time
@@ -113,9 +113,9 @@
 }
 
 // unfinishedProb returns the probability, 0 to 1, that an answer does not end at endpoint p before the
-// deadline, if its head comes after head seconds. The model does not matter beyond its time to the head. The
+// deadline, if its head comes after head seconds. The model matters only by its time to the head. The
 // probability is 0 without data. The caller must hold the engine's mu.
-func (x *run) unfinishedProb(_ int, p *pool.Endpoint, head float64, now time.Time) float64 {
+func (x *run) unfinishedProb(p *pool.Endpoint, head float64, now time.Time) float64 {
 	if !x.prepareEnd(now) {
 		return 0
 	}
@@ -137,9 +137,9 @@
 // mayEnd reports whether an answer of a larger model is more likely to end in time than not.
 func (h *headEstimate) mayEnd() bool { return h.unfinishedProb <= maxUnfinishedProb }
 
-// countNotAsked counts that a larger model than next would have been chosen from list if all answers ended in
+// countWouldNotEnd counts that a larger model than next would have been chosen from list if all answers ended in
 // time.
-func (x *run) countNotAsked(list []sizes.Model, next int) {
+func (x *run) countWouldNotEnd(list []sizes.Model, next int) {
 	if !slices.ContainsFunc(list[1:], func(m sizes.Model) bool { return m.UnfinishedProb > 0 }) {
 		return
 	}
--- a/internal/relay/finish_test.go
+++ b/internal/relay/finish_test.go
@@ -401,7 +401,7 @@
 	x := &run{e: s.e, route: s.e.table.Load().Match("h", "/"), deadline: s.now.Add(time.Second), service: "s", r: &Request{Prefix: []string{"a", "b"}, PrefixTokens: []int{0, 10}, TokensIn: 10, Arrived: s.now}}
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	if p, _ := x.pick(s.now); x.unfinishedProb(0, p, 1, s.now) != 0 {
+	if p, _ := x.pick(s.now); x.unfinishedProb(p, 1, s.now) != 0 {
 		t.Error("the end of the answer is weighed")
 	}
 }
@@ -588,13 +588,13 @@
 		list = append(list, p)
 	}
 	x := &run{e: e, route: e.table.Load().Match("h", "/"), deadline: now.Add(15 * time.Second), service: "s", r: &Request{}}
-	if n := testing.AllocsPerRun(10, func() { x.unfinishedProb(0, list[0], 0.1, now) }); n > 0 {
+	if n := testing.AllocsPerRun(10, func() { x.unfinishedProb(list[0], 0.1, now) }); n > 0 {
 		b.Errorf("allocations: got %v, want none", n)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
 		for _, p := range list {
-			if !(x.unfinishedProb(0, p, 0.1, now) < 1) {
+			if !(x.unfinishedProb(p, 0.1, now) < 1) {
 				b.Fatal("probability out of range")
 			}
 		}
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -58,7 +58,7 @@
 			for _, id := range []string{"e", "f", "g", "h"} {
 				if p := s.e.book.Get(id); full && p != nil && len(s.sent) > 0 && id != s.sent[0].Endpoint.ID {
 					// A rejection counts for a tenth of a second at most, and the gap is added after this call.
-					p.Room.Reject(s.now.Add(slowFirst(n, event)), time.Minute, 1, 0)
+					p.Place.Reject(s.now.Add(slowFirst(n, event)), time.Minute, 1, 0)
 				}
 			}
 			return slowFirst(n, event)
@@ -81,7 +81,7 @@
 		x := &run{e: s.e, route: s.e.table.Load().Match("h", "/"), deadline: s.now.Add(time.Second), service: "s", r: &Request{LastEvent: lastEvent, Arrived: s.now}}
 		s.e.mu.Lock()
 		defer s.e.mu.Unlock()
-		return x.unfinishedProb(0, s.e.book.Get("e"), 0, s.now)
+		return x.unfinishedProb(s.e.book.Get("e"), 0, s.now)
 	}
 	whole, rest := prob(""), prob("85")
 	if whole < 0.95 || rest > 0.2 {
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -18,10 +18,10 @@
 	// rejectedWait is the wait, as a fraction of the target, that counts for an attempt that a full
 	// endpoint rejects: its queue would have taken at least the target.
 	rejectedWait = 1
-	// baseQuantile is the quantile of the waits of a sort of attempt that is assumed to be no wait but the way
-	// to the endpoint, a step of the model and reading that is not measured, as for very short prompts.
-	// maxBase bounds it, as a fraction of the target: in a shortage that lasts, even the shortest waits are
-	// waits for others.
+	// baseQuantile is the quantile of the measured waits, per timingKey, that is taken as the base: the time
+	// without any queue, for the way to the endpoint, a step of the model and reading that is not measured.
+	// maxBase bounds the base, as a fraction of the target, since in a lasting shortage even the shortest
+	// waits include a queue.
 	baseQuantile = speedQuantile
 	maxBase      = 0.2
 	// minBase is the least value of a base, in seconds, as reading may take less time than estimated.
@@ -34,11 +34,11 @@
 	minLateGain = 0.2
 )
 
-// serviceLoad is what this router knows of the competition for a service's engine time.
-type serviceLoad struct {
+// servicePrice is the price of a service's engine time, and what this router learns it from.
+type servicePrice struct {
 	price price.Controller
-	// bases holds the time to the head without any wait and without reading, in seconds, by sort of attempt;
-	// see timingKey.
+	// bases holds the time to the head without a queue and without reading, in seconds, by timingKey; see
+	// baseQuantile.
 	bases map[string]*quantile
 	// serving is the number of endpoints that may get work, counted at servingAt.
 	serving   int
@@ -47,13 +47,13 @@
 	priceGauge, waitGauge tally.Gauge
 }
 
-// loadOf returns the load of a service, which is created on first use. The caller must hold mu.
-func (e *Engine) loadOf(service string) *serviceLoad {
-	l, ok := e.loads[service]
+// priceOf returns the price state of a service, which is created on first use. The caller must hold mu.
+func (e *Engine) priceOf(service string) *servicePrice {
+	l, ok := e.prices[service]
 	if !ok {
 		s := e.metrics.scope.Tagged(map[string]string{"service": service})
-		l = &serviceLoad{bases: make(map[string]*quantile), priceGauge: s.Gauge("engine_price"), waitGauge: s.Gauge("engine_wait")}
-		e.loads[service] = l
+		l = &servicePrice{bases: make(map[string]*quantile), priceGauge: s.Gauge("engine_price"), waitGauge: s.Gauge("engine_wait")}
+		e.prices[service] = l
 	}
 	return l
 }
@@ -64,7 +64,7 @@
 	if !e.enabled(EnginePrice, service) {
 		return 0
 	}
-	return e.loadOf(service).price.Price(now)
+	return e.priceOf(service).price.Price(now)
 }
 
 // runCost returns the engine time of an answer in seconds: that for which the endpoint reads the prompt,
@@ -104,23 +104,23 @@
 	t.PriceCost = max(t.PriceCost, h.price)
 }
 
-// recordRejected records that a larger model was not asked as its answer would not end or for its price.
-func (x *run) recordRejected(h *headEstimate) {
+// recordNotAsked records that a larger model was not asked as its answer would not end or for its price.
+func (x *run) recordNotAsked(h *headEstimate) {
 	if !h.mayEnd() {
 		x.e.metrics.count("models_not_asked", x.route.Name, "would_not_end")
 		return
 	}
 	x.recordPriceCost(h)
-	x.countUnasked()
+	x.countTooExpensive()
 }
 
-// chooseSize returns the index in list of the model to ask, as sizes.Choose does. It records in t what the
-// engine time of the model costs that would be asked if the time were free. estimates holds what is expected
-// of the models after the first one, in the order of the list. The caller must hold the engine's mu.
+// chooseSize returns the index in list of the model to ask, as sizes.Choose does. It records in t the price cost
+// of the model that would be asked if engine time were free. estimates holds what is expected of the models
+// after the first one, in the order of the list. The caller must hold the engine's mu.
 func (x *run) chooseSize(t *attemptRecord, list []sizes.Model, estimates []headEstimate) int {
 	next, keep, asks := sizes.Choose(list)
 	t.GoodProb, t.KeepWorth, t.AskWorth = list[0].GoodProb, keep, asks
-	x.countNotAsked(list, next)
+	x.countWouldNotEnd(list, next)
 	priced := false
 	for i, h := range estimates {
 		priced = priced || h.price > 0
@@ -135,26 +135,25 @@
 	}
 	t.PriceCost = estimates[free-1].price
 	if free > next {
-		x.countUnasked()
+		x.countTooExpensive()
 	}
 	return next
 }
 
-// countUnasked counts a larger model that was not asked for the price of its engine time.
-func (x *run) countUnasked() {
+// countTooExpensive counts a larger model that was not asked for the price of its engine time.
+func (x *run) countTooExpensive() {
 	x.e.metrics.count("larger_models_not_asked", x.route.Name, "price")
 }
 
 // observeWait records for the price of engine time how long, in seconds, an attempt of a route waited at
-// its endpoint apart from reading its prompt. What the least of them wait is no wait behind others. An
-// attempt that waited while this process stood still and those of ignoresWait are left out. The caller must
-// hold the engine's mu.
+// its endpoint apart from reading its prompt; the base is subtracted. Attempts that waited while this process
+// stood still, and those of ignoresWait, are left out. The caller must hold the engine's mu.
 func (e *Engine) observeWait(a *Attempt, route *Route, wait float64, now time.Time) {
 	if e.ignoresWait(a, route) || e.stalls.Resuming(seconds(max(wait, 0)+a.readTime)) {
 		return
 	}
 	aim := time.Duration(route.Aim).Seconds()
-	base := getOrCreate(e.loadOf(a.Endpoint.Service).bases, timingKey(route, a.Model))
+	base := getOrCreate(e.priceOf(a.Endpoint.Service).bases, timingKey(route, a.Model))
 	if a.gotHead {
 		base.add(max(wait, minBase), baseQuantile)
 	}
@@ -174,7 +173,7 @@
 
 // addWait adds the wait of an attempt as a fraction of its target. The caller must hold mu.
 func (e *Engine) addWait(a *Attempt, fraction float64, now time.Time) {
-	e.loadOf(a.Endpoint.Service).price.Observe(now, fraction)
+	e.priceOf(a.Endpoint.Service).price.Observe(now, fraction)
 }
 
 // observeFailedWait records the wait of an attempt that ended without a head, which is at least the time
@@ -208,7 +207,7 @@
 	if !e.enabled(EnginePrice, service) {
 		return e.book.Size(service)
 	}
-	l := e.loadOf(service)
+	l := e.priceOf(service)
 	if l.servingAt.IsZero() || now.Sub(l.servingAt) >= servingRefresh {
 		l.serving, l.servingAt = e.book.Serving(service, now), now
 	}
@@ -220,7 +219,7 @@
 	now := e.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, l := range e.loads {
+	for _, l := range e.prices {
 		l.priceGauge.Update(l.price.Price(now))
 		l.waitGauge.Update(l.price.MeanWait(now))
 	}
--- a/internal/relay/price_test.go
+++ b/internal/relay/price_test.go
@@ -37,7 +37,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for at := now.Add(-d); !at.After(now); at = at.Add(50 * time.Millisecond) {
-		e.loadOf(service).price.Observe(at, 0.5)
+		e.priceOf(service).price.Observe(at, 0.5)
 	}
 }
 
@@ -209,7 +209,7 @@
 		{"head in time", prompts, 100 * time.Millisecond, nil, nil, false},
 		{"late head", prompts, time.Second, nil, nil, true},
 		{"late heads after some in time", prompts, time.Second, nil, func(e *Engine, a *Attempt, _ *pool.Endpoint, now time.Time) {
-			for range minKnownHeads * (1 - min(len(e.loads), 1)) {
+			for range minKnownHeads * (1 - min(len(e.prices), 1)) {
 				e.observeWait(a, e.table.Load().Match("h", "/"), 0.03, now.Add(-time.Second))
 			}
 		}, true},
@@ -346,12 +346,12 @@
 func TestNoStateWithoutContention(t *testing.T) {
 	var ranks []int
 	e, serve := workspaceEngine(t, Route{Kind: Stream, Resume: true, Affinity: true, Rank: 2, Aim: config.Span(2 * time.Second)}, true, &ranks)
-	clear(e.loads)
+	clear(e.prices)
 	serve("largeKey")
 	serve("smallKey")
 	e.recordFailure(&Attempt{Request: &Request{ID: "x"}, Endpoint: e.book.Get("e").Entry}, e.table.Load().Match("h", "/"), fault.New(fault.Overloaded, fault.NotRun, "full"), &attemptRecord{At: e.Now()}, e.Now())
-	if len(e.loads) != 0 {
-		t.Errorf("services with state: got %d, want 0", len(e.loads))
+	if len(e.prices) != 0 {
+		t.Errorf("services with state: got %d, want 0", len(e.prices))
 	}
 	if len(ranks) != 2 || ranks[0] != 0 || ranks[1] != 0 {
 		t.Errorf("ranks of short prompts: got %v, want [0 0]", ranks)
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -28,10 +28,12 @@
 	// maxMovedProb the largest one at the new endpoint. In between, a move would cost the reading of the prompt
 	// and an attempt for a result that is as uncertain.
 	minStuckProb, maxMovedProb = 0.7, 0.2
-	// safeMovedProb is the probability of not ending elsewhere in half of the time left up to which a stream stays where
-	// it is: slowness may pass, and an answer that is complete earns as much late as early.
+	// safeMovedProb is the probability of not ending elsewhere if the stream is moved only after half of the time
+	// left. Up to this value the stream stays for now: slowness may pass, and a complete answer earns as much at
+	// the deadline as before.
 	safeMovedProb = 0.05
-	// minCutEvents is the number of events from which on a stream that did not end shows the time between them.
+	// minCutEvents is the number of events from which on the mean time between them is learned from a stream that
+	// did not end.
 	minCutEvents = 4
 	// headSpread is how many times the expected time the head of a moved stream may take: the time is
 	// about uniform from 0 to twice the expected.
@@ -89,9 +91,9 @@
 	fromCount int
 }
 
-// watchEnd returns a watch for the stream whose head has come, and records the prediction of its end; nil if the
+// newEndWatch returns a watch for the stream whose head has come, and records the prediction of its end; nil if the
 // mechanism is not in use.
-func (x *run) watchEnd(a *Attempt, t *attemptRecord) *endWatch {
+func (x *run) newEndWatch(a *Attempt, t *attemptRecord) *endWatch {
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	p := x.e.book.Get(a.Endpoint.ID)
@@ -220,7 +222,7 @@
 		return nil, ""
 	}
 	head := x.lastWant.Wait(p, now) + p.Pace.Factor(now)*x.readTime(x.unreadTokens(why))
-	if x.unfinishedProb(size, p, headSpread*head, now) > maxMovedProb {
+	if x.unfinishedProb(p, headSpread*head, now) > maxMovedProb {
 		return nil, ""
 	}
 	half := x.end.left / 2
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -44,9 +44,9 @@
 	Load  Load
 	Trust Trust
 	Pace  Pace
-	// Room estimates when the endpoint accepts a request.
-	Room room.Place
-	hash uint64
+	// Place estimates when the endpoint accepts a request.
+	Place room.Place
+	hash  uint64
 	warming
 	// announced is what the endpoint announced about itself; cachedRank is this process's rank among its senders.
 	announced  announced
@@ -118,8 +118,8 @@
 		e.StartedAt = p.StartedAt
 	}
 	if !p.StartedAt.IsZero() && !e.StartedAt.Equal(p.StartedAt) {
-		// Announcements, pace and room of an earlier incarnation do not apply to this one.
-		changed, p.leaving, p.announced, p.Pace, p.Room = true, false, announced{}, Pace{}, room.Place{}
+		// Announcements, pace and place of an earlier incarnation do not apply to this one.
+		changed, p.leaving, p.announced, p.Pace, p.Place = true, false, announced{}, Pace{}, room.Place{}
 	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
--- a/pkg/pool/room.go
+++ b/pkg/pool/room.go
@@ -37,7 +37,7 @@
 
 // offered reports whether admission control lets a request be sent to the endpoint.
 func (p *Endpoint) offered(now time.Time, w *Want) bool {
-	return (!w.OnlyOpen || p.Room.Open(now) && !slices.Contains(w.Reserved, p.hash)) && (len(w.Only) == 0 || slices.Contains(w.Only, p.hash))
+	return (!w.OnlyOpen || p.Place.Open(now) && !slices.Contains(w.Reserved, p.hash)) && (len(w.Only) == 0 || slices.Contains(w.Only, p.hash))
 }
 
 // Room returns what the endpoints that Pick would consider for a request accept: the open ones, or all if all
@@ -50,19 +50,19 @@
 		return r
 	}
 	r.Busy, r.Work, r.Eligible, r.Head = work > 0 && w.Affinity == 0, work, len(eligible), math.Inf(1)
-	rivals := math.MaxInt
+	contenders := math.MaxInt
 	for _, p := range eligible {
 		r.Slots += max(p.Slots, 1)
 		r.Reported = r.Reported || !p.Load.reportedAt.IsZero()
 		r.Head = min(r.Head, w.leastHead(p, now, read))
-		rivals = min(rivals, max(p.Room.Rivals(), 1))
-		if p.Room.Open(now) && !slices.Contains(w.Reserved, p.hash) {
+		contenders = min(contenders, max(p.Place.Contenders(), 1))
+		if p.Place.Open(now) && !slices.Contains(w.Reserved, p.hash) {
 			r.addOpen(p, now)
-		} else if at := later(p.Room.OpenAt(), now); r.NextAt.IsZero() || at.Before(r.NextAt) {
+		} else if at := later(p.Place.OpenAt(), now); r.NextAt.IsZero() || at.Before(r.NextAt) {
 			r.NextAt = at
 		}
 	}
-	r.Interval = work * time.Duration(rivals) / time.Duration(max(r.Slots, 1))
+	r.Interval = work * time.Duration(contenders) / time.Duration(max(r.Slots, 1))
 	return r
 }
 
--- a/pkg/pool/room_test.go
+++ b/pkg/pool/room_test.go
@@ -27,14 +27,14 @@
 		{"one report", func(b *Book) { full(b.Get("e0")) }, t0, 2, 2, false},
 		{"both loaded", func(b *Book) { full(b.Get("e0")); full(b.Get("e1")) }, t0, 2, 2, true},
 		{"both loaded long ago", func(b *Book) { full(b.Get("e0")); full(b.Get("e1")) }, t0.Add(time.Second), 2, 2, false},
-		{"one rejected", func(b *Book) { full(b.Get("e0")); b.Get("e0").Room.Reject(t0, work, 1, 0) }, t0, 1, 1, false},
-		{"both rejected", func(b *Book) { b.Get("e0").Room.Reject(t0, work, 1, 0); b.Get("e1").Room.Reject(t0, work, 1, 0) }, t0, 2, 0, true},
-		{"one rejected long ago", func(b *Book) { b.Get("e0").Room.Reject(t0, work, 1, 0) }, t0.Add(time.Second), 2, 2, false},
+		{"one rejected", func(b *Book) { full(b.Get("e0")); b.Get("e0").Place.Reject(t0, work, 1, 0) }, t0, 1, 1, false},
+		{"both rejected", func(b *Book) { b.Get("e0").Place.Reject(t0, work, 1, 0); b.Get("e1").Place.Reject(t0, work, 1, 0) }, t0, 2, 0, true},
+		{"one rejected long ago", func(b *Book) { b.Get("e0").Place.Reject(t0, work, 1, 0) }, t0.Add(time.Second), 2, 2, false},
 		{"one ejected", func(b *Book) { b.Get("e0").Trust.RecordFailure(t0, true) }, t0, 1, 1, false},
 		{"one on trial after its ejection", func(b *Book) { b.Get("e0").Trust.RecordFailure(t0, true); b.Get("e0").Trust.failuresInRow = 5 }, t0.Add(2 * maxEject), 1, 1, false},
 		{"healthy one rejected, other failed once", func(b *Book) {
 			b.Get("e0").Trust.RecordFailure(t0, false)
-			b.Get("e1").Room.Reject(t0, work, 1, 0)
+			b.Get("e1").Place.Reject(t0, work, 1, 0)
 		}, t0, 1, 1, false},
 		{"all ejected", func(b *Book) { b.Get("e0").Trust.RecordFailure(t0, true); b.Get("e1").Trust.RecordFailure(t0, true) }, t0, 0, 0, false},
 		{"one gone", func(b *Book) { b.Remove("e0", 9, t0, t0) }, t0, 1, 1, false},
@@ -42,7 +42,7 @@
 		{"restarted after a rejection", func(b *Book) {
 			p := b.Get("e0")
 			p.StartedAt = t0
-			p.Room.Reject(t0, work, 1, 0)
+			p.Place.Reject(t0, work, 1, 0)
 			e := p.Entry
 			e.StartedAt, e.Revision = t0.Add(1), 2
 			b.Put(e)
@@ -65,7 +65,7 @@
 // healthy endpoint is full and another one has merely answered with an error.
 func TestPickBesideFullEndpoint(t *testing.T) {
 	b := book(3)
-	b.Get("e0").Room.Reject(t0, time.Second, 1, 0)
+	b.Get("e0").Place.Reject(t0, time.Second, 1, 0)
 	b.Get("e1").Trust.RecordFailure(t0, false)
 	b.Get("e2").Trust = Trust{failuresInRow: ejectAfterFailures}
 	for draw := range uint64(100) {
--- a/pkg/room/peak_test.go
+++ b/pkg/room/peak_test.go
@@ -105,7 +105,7 @@
 
 // capacity is what Book.Room returns for the endpoint.
 func (s *sim) capacity(r *simRouter) Capacity {
-	c := Capacity{Eligible: 1, Work: simWork, Interval: simWork / simSlots * time.Duration(max(r.place.Rivals(), 1))}
+	c := Capacity{Eligible: 1, Work: simWork, Interval: simWork / simSlots * time.Duration(max(r.place.Contenders(), 1))}
 	if !r.place.Open(s.now) {
 		c.NextAt = r.place.OpenAt()
 		return c
--- a/pkg/room/place.go
+++ b/pkg/room/place.go
@@ -82,6 +82,6 @@
 	return p.fullUntil
 }
 
-// Rivals returns the estimated number of routers that wait for the next place, this one included; 0 if
+// Contenders returns the estimated number of routers that wait for the next place, this one included; 0 if
 // the endpoint is not known to be full.
-func (p *Place) Rivals() int { return min(p.backoff, p.routers) }
+func (p *Place) Contenders() int { return min(p.backoff, p.routers) }
--- a/pkg/room/room_test.go
+++ b/pkg/room/room_test.go
@@ -332,8 +332,8 @@
 			if d := p.OpenAt().Sub(now); d < minFull/2 || d > 3*maxFull/2 {
 				t.Fatalf("full for %v", d)
 			}
-			if got := p.Rivals(); got < 1 || got > max(routers, 1) {
-				t.Fatalf("rivals: got %d of %d routers", got, routers)
+			if got := p.Contenders(); got < 1 || got > max(routers, 1) {
+				t.Fatalf("contenders: got %d of %d routers", got, routers)
 			}
 			now = p.OpenAt()
 			if !p.Open(now) {
