relay: Compute the rank of a request in one place

The sum of the ranks of workspace and route stood in three places, and mayMove and "moved" meant both a stream that is moved to end in time and an attempt that is ended as silent. Add run.rank, and rename the latter to endSilentAttempts and mayContinue. BenchmarkDecision says that estimates of the end take no part in the choice.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -182,10 +182,7 @@
 	if !t.Deadline.IsZero() {
 		return
 	}
-	t.Rank = x.route.Rank
-	if x.workspace != nil {
-		t.Rank += x.workspace.Rank * routeRanks
-	}
+	t.Rank = x.rank()
 	t.Deadline = x.deadline
 	if !x.r.Deadline.IsZero() {
 		t.Deadline = x.r.Deadline
--- a/internal/relay/bounds_test.go
+++ b/internal/relay/bounds_test.go
@@ -176,8 +176,9 @@
 	t.Logf("heap grew by %d kB with 100,000 endpoints", grown/1024)
 }
 
-// BenchmarkDecision measures a whole decision for a prompt: price, admission and the choice of the endpoint
-// with the expected end of the answer. The engine's mu is held meanwhile.
+// BenchmarkDecision measures a whole decision for a prompt: price, admission and the choice of the endpoint.
+// Estimates of the end of the answer take no part in it, so that the rows "ends" and "none" are alike. The
+// engine's mu is held meanwhile.
 func BenchmarkDecision(b *testing.B) {
 	for _, c := range []struct {
 		name    string
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -32,7 +32,7 @@
 	}
 	x.records = append(x.records, attemptRecord{Endpoint: p.ID, Model: x.model(), Version: p.Version, Why: why, At: now, Load: p.Load.Runs(now), Confidence: sizes.Unknown})
 	x.tried = append(x.tried, p.ID)
-	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.route.Rank, hash: p.Hash(), expectedHead: x.e.headTimes[timingKey(x.route, x.model())].expect(x.r.TokensIn)}
+	a := &Attempt{Request: x.r, Endpoint: p.Entry, Model: x.model(), LastEvent: x.lastEvent, Deadline: x.deadline, Rank: x.rank(), hash: p.Hash(), expectedHead: x.e.headTimes[timingKey(x.route, x.model())].expect(x.r.TokensIn)}
 	x.predict(a, p, why, now)
 	t := &x.records[len(x.records)-1]
 	x.recordReasons(t, a, p, now)
@@ -43,13 +43,20 @@
 	x.attempts++
 	if x.workspace != nil {
 		a.Workspace = x.workspace.Name
-		a.Rank += x.workspace.Rank * routeRanks
 	}
 	e.trackSent(a)
 	a.Rank = x.endpointRank(a)
 	return a, t, nil
 }
 
+// rank returns the rank of the request: that of its workspace first, then that of its route.
+func (x *run) rank() int {
+	if x.workspace == nil {
+		return x.route.Rank
+	}
+	return x.route.Rank + x.workspace.Rank*routeRanks
+}
+
 // predict sets the estimates of an attempt and records the prompt and its prefix at the endpoint.
 // The caller must hold the engine's mu.
 func (x *run) predict(a *Attempt, p *pool.Endpoint, why pool.Reason, now time.Time) {
--- a/internal/relay/finish_test.go
+++ b/internal/relay/finish_test.go
@@ -402,7 +402,7 @@
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
 	if p, _ := x.pick(s.now); x.unfinishedProb(p, 1, s.now) != 0 {
-		t.Error("the end of the answer is weighed")
+		t.Error("the end of the answer is estimated")
 	}
 }
 
--- a/internal/relay/joint.go
+++ b/internal/relay/joint.go
@@ -120,8 +120,8 @@
 }
 
 const (
-	// silenceProbers is the number of endpoints that are probed at a time: a quarter of 40, as fall silent
-	// together, within 0.4 s.
+	// silenceProbers is the number of endpoints that are probed at a time: a quarter of 40 endpoints may
+	// fall silent within 0.4 s.
 	silenceProbers = 10
 	// silenceProbeTimeout is how long a probe waits for the connection, which takes 4 ms between
 	// availability zones. With the threshold of overdue streams it leaves a third of a pause of 1.5 s to read
@@ -192,7 +192,7 @@
 	if p == nil || !e.silence.IsSilent(q.verdict.Endpoint) {
 		return
 	}
-	moved, kept := e.moveAttempts(q.verdict.Endpoint, now)
+	moved, kept := e.endSilentAttempts(q.verdict.Endpoint, now)
 	p.Trust.RecordSilence(now)
 	e.metrics.count("silent_endpoints", p.Service, "found")
 	if e.logLimits.notices.AllowN(now, 1) {
@@ -201,10 +201,10 @@
 	}
 }
 
-// moveAttempts ends the attempts at a silent endpoint that may continue elsewhere, and returns their number and
+// endSilentAttempts ends the attempts at a silent endpoint that may continue elsewhere, and returns their number and
 // that of the others, whose endpoint may come back. The caller must hold the engine's mu: canceling a context
 // runs no code that takes it.
-func (e *Engine) moveAttempts(endpoint uint64, now time.Time) (moved, kept int) {
+func (e *Engine) endSilentAttempts(endpoint uint64, now time.Time) (moved, kept int) {
 	b := e.inFlight[endpoint]
 	if b == nil {
 		return 0, 0
@@ -212,7 +212,7 @@
 	for _, s := range b.requests {
 		switch {
 		case s.attempt == nil || s.attempt.watch == nil || s.attempt.watch.ended:
-		case s.attempt.watch.mayMove() && e.budget(s.attempt.watch.service).Take(now, 0):
+		case s.attempt.watch.mayContinue() && e.budget(s.attempt.watch.service).Take(now, 0):
 			w := s.attempt.watch
 			w.ended, w.paid = true, true
 			w.cancel(errJointSilent)
@@ -224,8 +224,8 @@
 	return moved, kept
 }
 
-// mayMove reports whether the request may continue at another endpoint.
-func (w *silenceWatch) mayMove() bool { return w.retryable && (!w.gotHead || w.route.resumable()) }
+// mayContinue reports whether the request may continue at another endpoint.
+func (w *silenceWatch) mayContinue() bool { return w.retryable && (!w.gotHead || w.route.resumable()) }
 
 // claimPaid reports whether the next attempt has been taken from the retry budget when the present one was ended,
 // once. The caller must hold the engine's mu.
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -84,11 +84,7 @@
 
 // priceRank returns the rank by which the request pays for engine time.
 func (x *run) priceRank() int {
-	rank := x.route.Rank
-	if x.workspace != nil {
-		rank += x.workspace.Rank * routeRanks
-	}
-	return min(max(rank, 0), maxRank)
+	return min(max(x.rank(), 0), maxRank)
 }
 
 // exceedsGain reports whether the price of the engine time exceeds what a request may gain by the answer, given the
