finish, room, stall: Correct comments

Comments in pkg/finish said that estimates are needed for each candidate endpoint, which they no longer are. Others needed a second reading or described trials. Decision.At is also set for refusals.

--- a/pkg/finish/end.go
+++ b/pkg/finish/end.go
@@ -6,14 +6,14 @@
 import "math"
 
 const (
-	// minVar is the least variance of a logarithm that is believed: that of estimates right to a
-	// twentieth, which is what the steps of an engine differ by.
+	// minVar is the least variance of a logarithm: that of estimates with an error of a twentieth, by which
+	// the steps of an engine differ anyway.
 	minVar = 0.0025
 	// firstGapVar is the variance of the logarithm of the mean time between events until answers have
 	// shown it: estimates are then off by a factor of about 1.5.
 	firstGapVar = 0.15
-	// maxGapError bounds the error of the logarithm of one mean time between events: a factor of 20 is what one
-	// part of a long prompt more or less makes of a short answer, and single ones are not to widen all intervals.
+	// maxGapError bounds the error of the logarithm of one mean time between events, a factor of 20: reading one
+	// part of a long prompt lengthens a short answer that much, and single such errors must not widen all intervals.
 	maxGapError = 3.0
 	// maxZ bounds the standard score of what has come. In the tail beyond it, the error of exceeds is above
 	// a tenth of the probability.
@@ -105,8 +105,8 @@
 	return 1 / (1 + exp(z*(1.5976+0.07056*z*z)))
 }
 
-// exp returns math.Exp(x) with a relative error under 0.00002, for x from -700 to 700. It rises with x. It takes
-// a quarter of the time of math.Exp, and is needed for each candidate of a choice.
+// exp returns math.Exp(x) with a relative error under 0.00002, for x from -700 to 700. It rises with x and takes
+// a quarter of the time of math.Exp.
 func exp(x float64) float64 {
 	x *= math.Log2E
 	whole := math.Floor(x)
--- a/pkg/finish/gap.go
+++ b/pkg/finish/gap.go
@@ -99,8 +99,8 @@
 	return expected + w/(w+priorValues)*(r.shifted(logPace)-logPace)
 }
 
-// weightAt returns the weight at now, which halves about every recentTime. A square is computed faster than an
-// exponential function, which matters as the weight is needed for each candidate of a choice.
+// weightAt returns the weight at now, which halves within about recentTime. It falls with the square of the
+// time, which is computed faster than an exponential function.
 func (r *Recent) weightAt(now time.Time) float64 {
 	d := 1 + 0.4*max(now.Sub(r.at).Seconds(), 0)/recentTime
 	return r.weight / (d * d)
--- a/pkg/finish/line.go
+++ b/pkg/finish/line.go
@@ -23,8 +23,7 @@
 	n             int
 	mx, my        float64
 	sxx, sxy, syy float64
-	// slope is that of the regression; low and high bound x. They are kept as they are needed for each
-	// candidate of a choice.
+	// slope is that of the regression; low and high bound x. add computes them, so that at is cheap.
 	slope, low, high float64
 }
 
--- a/pkg/room/decide.go
+++ b/pkg/room/decide.go
@@ -74,14 +74,14 @@
 type Decision struct {
 	Action Action
 	Cause  Cause
-	// At is when a waiting request is expected to get a place.
+	// At is when the request is expected to get a place; zero if no endpoint is eligible.
 	At time.Time
 }
 
 const (
-	// holdFraction is the fraction of its time for which a request that will be late is held. Holding
-	// costs a request that is then not served its whole worth at three quarters of its time; at a fifth,
-	// a quarter of that, which is about as much as a second refusal.
+	// holdFraction is the fraction of its time for which a request is held. A request that is not served
+	// costs its whole worth if it was held for three quarters of its time, and a quarter of that at a fifth,
+	// which is about as much as a second refusal.
 	holdFraction = 0.2
 	// maxHold is the longest time for which any request is held: callers notice waits of a second or two,
 	// and some have no deadline.
@@ -91,8 +91,9 @@
 	// can be served in time: a late answer is worth a tenth of one in time.
 	lateReserve = 0.5
 	// aimMargin is the factor of the expected time to an answer that must fit into the aim, as load reports
-	// lag while a queue grows. In the simulated peak of 1.5 times the capacity 0.533 of the requests are
-	// served in time with it, 0.512 without and 0.526 with 1.43, and 654, 2,224 and 521 attempts are rejected.
+	// lag while a queue grows. In a simulated peak of 1.5 times the capacity, a factor of 1 lets over three
+	// times as many attempts be rejected (2,224, not 654), and 1.43 refuses requests that fit (0.526 are
+	// served in time, not 0.533).
 	aimMargin = 1.18
 )
 
--- a/pkg/stall/detector.go
+++ b/pkg/stall/detector.go
@@ -29,7 +29,7 @@
 	// prompts vary: single gaps of up to 0.5 s are measured where 0.3 s are usual.
 	gapFactor = 1.6
 	// minOthers is how many other processes must report an endpoint at which this process has overdue
-	// streams. Three in all are more than one with nonsense reports and one with a lost packet.
+	// streams, so that one that sends false reports and one that lost a packet are not enough together.
 	minOthers = 2
 	// minOthersAlone and aloneFraction, of the processes that send reports here, are how many must report
 	// an endpoint at which no stream of this process pauses. A quarter of the processes is in one zone and
@@ -48,8 +48,8 @@
 	repeatInterval     = 100 * time.Millisecond
 	repeatFor          = time.Second
 	slowRepeatInterval = time.Second
-	// reportsPerSecond is the maximum rate of reports of a process: each of 50 streams at an endpoint of
-	// its own. A report of 40 bytes to 32 routers makes 64 kB/s of that, a twentieth of a 10 Mbit/s link.
+	// reportsPerSecond is the maximum rate of reports of a process, which may have 50 streams at different
+	// endpoints. A report of 40 bytes to 32 routers makes 64 kB/s of that, a twentieth of a 10 Mbit/s link.
 	reportsPerSecond = 50
 	// maxTickGap is the longest time between ticks after which this process counts as having been
 	// running: a busy processor delays a tick by 0.1 s. suspendFor is how long after a longer gap or a cut
@@ -71,8 +71,8 @@
 	falseAlarmWithin = 2500 * time.Millisecond
 	// maxEjection is the longest time for which pool.Trust ejects an endpoint.
 	maxEjection = 6 * time.Second
-	// idleTTL is how long the state of an endpoint without streams is kept: as long as an outage lasts for
-	// which a sign of the endpoint is worth a log line.
+	// idleTTL is how long the state of an endpoint without streams is kept. One that is heard after a longer
+	// outage is not logged as heard again.
 	idleTTL = 30 * time.Second
 	// maxEndpoints bounds the endpoints with state: 1,400 are in use. maxModels bounds the models whose gaps
 	// are learned separately; further ones share one estimate.
