relay: Describe the mechanisms as they are

The comment on endEstimates named no effect and that on jointSilence suggested one router's streams. shortest was a verbless method that records, and a getter elsewhere. Name it recordShortest, and the pending reports of the stall tests by that word.

No behaviour changes. go test -race ./pkg/stall ./internal/relay ./internal/names passes.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -140,7 +140,7 @@
 			now := x.e.Now()
 			if p.add(now.Sub(lastRead)) {
 				x.e.addPaceEvidence(a, &p)
-				w.shortest(&p)
+				w.recordShortest(&p)
 				t.Pace, t.CountedAs = p.minGap, a.countedAs
 			}
 			t.PauseMillis = max(t.PauseMillis, now.Sub(lastRead).Milliseconds())
--- a/internal/relay/mechanisms.go
+++ b/internal/relay/mechanisms.go
@@ -50,11 +50,12 @@
 	FailureReports Mechanism = "toldFailures"
 	// EnginePrice charges larger models for the engine time that others wait for.
 	EnginePrice Mechanism = "enginePrice"
-	// Admission lets requests wait for room, in order, and rejects those that cannot be served in time.
+	// Admission lets requests wait for a place, in order, and refuses those that cannot be served in time.
 	Admission Mechanism = "admission"
-	// EndEstimates weighs the probability that an answer ends before its deadline.
+	// EndEstimates asks no larger model whose answer will probably not end before the deadline, and moves
+	// streams that will not end where they are.
 	EndEstimates Mechanism = "endEstimates"
-	// JointSilence finds silent endpoints by all their streams together.
+	// JointSilence finds silent endpoints by the streams of several routers.
 	JointSilence Mechanism = "jointSilence"
 )
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -120,8 +120,8 @@
 // maxPredicted bounds predictions, so that they fit a duration.
 const maxPredicted = time.Hour
 
-// shortest records the shortest sum of paceWindow times between events in a row.
-func (w *endWatch) shortest(p *pace) {
+// recordShortest records the shortest sum of paceWindow times between events in a row.
+func (w *endWatch) recordShortest(p *pace) {
 	if w == nil || w.unusual {
 		return
 	}
--- a/pkg/stall/world_test.go
+++ b/pkg/stall/world_test.go
@@ -51,7 +51,7 @@
 	// lastEvent and found hold, by router and endpoint, when the last event was received and when the
 	// endpoint was found silent.
 	lastEvent, found map[[2]int]time.Time
-	mail             []message
+	pending          []message
 	endpoints        int
 }
 
@@ -100,7 +100,7 @@
 	if v.Inform {
 		for to := range w.routers {
 			if to != from && w.rnd.Float64() >= w.reportLoss && !w.cutPeers(from, to, w.now) {
-				w.mail = append(w.mail, message{w.now.Add(w.draw(time.Millisecond, 20*time.Millisecond)), from, to, v.Endpoint})
+				w.pending = append(w.pending, message{w.now.Add(w.draw(time.Millisecond, 20*time.Millisecond)), from, to, v.Endpoint})
 			}
 		}
 	}
@@ -122,7 +122,7 @@
 // run plays d.
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
-		w.deliverMail()
+		w.deliverReports()
 		for i, r := range w.routers {
 			// A router that has stood still may look at its streams before it has read what waits there.
 			if !w.stalled(i, w.now) && (w.now.Sub(begin)/step)%3 == time.Duration(i%3) {
@@ -135,8 +135,8 @@
 	}
 }
 
-// deliverMail delivers the reports that have arrived at routers that run.
-func (w *world) deliverMail() {
+// deliverReports delivers the reports that have arrived at routers that run.
+func (w *world) deliverReports() {
 	if w.nonsense >= 0 && w.now.Sub(begin)/step%5 == 0 {
 		for to, r := range w.routers {
 			for n := range w.endpoints {
@@ -146,15 +146,15 @@
 			}
 		}
 	}
-	late := w.mail[:0]
-	for _, m := range w.mail {
+	late := w.pending[:0]
+	for _, m := range w.pending {
 		if m.at.After(w.now) || w.stalled(m.to, w.now) {
 			late = append(late, m)
 			continue
 		}
 		w.routers[m.to].d.Report(w.now, m.endpoint, "s", address(m.from))
 	}
-	w.mail = late
+	w.pending = late
 }
 
 func address(router int) netip.Addr {
