--- a/internal/relay/bounds_test.go
+++ b/internal/relay/bounds_test.go
@@ -47,7 +47,7 @@
 func contentionState(e *Engine) (n uintptr) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, l := range e.loads {
+	for _, l := range e.prices {
 		n += unsafe.Sizeof(*l) + uintptr(len(l.bases))*unsafe.Sizeof(quantile{})
 	}
 	for _, s := range e.rooms {
@@ -98,7 +98,7 @@
 			}
 			x.reportPrompt(a)
 			e.recordAnswer(a, x.route, 300*time.Millisecond, e.Now())
-			x.watchEnd(a, record)
+			x.newEndWatch(a, record)
 			e.endPromptWait(a, true, e.Now())
 			e.recordAttemptEnd(a)
 		}
@@ -156,7 +156,7 @@
 		e.PutEndpoint(pool.Entry{ID: id, Service: "s", Slots: 64, Revision: 1})
 		e.mu.Lock()
 		p := e.book.Get(id)
-		p.Room.Reject(now, 10*time.Millisecond, 4000, uint64(i))
+		p.Place.Reject(now, 10*time.Millisecond, 4000, uint64(i))
 		if len(e.ends.recent) >= maxRecent {
 			clear(e.ends.recent)
 		}
@@ -176,8 +176,9 @@
 	t.Logf("heap grew by %d kB with 100,000 endpoints", grown/1024)
 }
 
-// BenchmarkDecision measures a whole decision for a prompt: price, admission and the choice of the endpoint
-// with the expected end of the answer. The engine's mu is held meanwhile.
+// BenchmarkDecision measures a whole decision for a prompt: price, admission and the choice of the endpoint.
+// Estimates of the end of the answer take no part in it, so that the rows "ends" and "none" are alike. The
+// engine's mu is held meanwhile.
 func BenchmarkDecision(b *testing.B) {
 	for _, c := range []struct {
 		name    string
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -133,14 +133,14 @@
 	buf := make([]byte, eventBufferSize)
 	lastRead := x.e.Now()
 	var p pace
-	w := x.watchEnd(a, t)
+	w := x.newEndWatch(a, t)
 	for {
 		n, err := x.readWatched(a, reply.Body, buf)
 		if n > 0 {
 			now := x.e.Now()
 			if p.add(now.Sub(lastRead)) {
 				x.e.addPaceEvidence(a, &p)
-				w.shortest(&p)
+				w.recordShortest(&p)
 				t.Pace, t.CountedAs = p.minGap, a.countedAs
 			}
 			t.PauseMillis = max(t.PauseMillis, now.Sub(lastRead).Milliseconds())
--- a/internal/relay/joint.go
+++ b/internal/relay/joint.go
@@ -77,7 +77,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.stalls.Resuming(silenceResumeWindow) {
-		e.silence.Blind(now)
+		e.silence.Suspend(now)
 	}
 	e.silence.Tick(now)
 }
@@ -95,7 +95,7 @@
 
 // applySilence informs the other routers and has an endpoint probed, as a verdict says. The caller must
 // hold the engine's mu.
-func (e *Engine) applySilence(_ time.Time, v stall.Verdict) {
+func (e *Engine) applySilence(v stall.Verdict) {
 	p := e.book.ByHash(v.Endpoint)
 	if p == nil || !e.enabled(JointSilence, p.Service) {
 		return
@@ -121,8 +121,8 @@
 }
 
 const (
-	// silenceProbers is the number of endpoints that are probed at a time: a quarter of 40, as fall silent
-	// together, within 0.4 s.
+	// silenceProbers is the number of endpoints that are probed at a time: a quarter of 40 endpoints may
+	// fall silent within 0.4 s.
 	silenceProbers = 10
 	// silenceProbeTimeout is how long a probe waits for the connection, which takes 4 ms between
 	// availability zones. With the threshold of overdue streams it leaves a third of a pause of 1.5 s to read
@@ -193,7 +193,7 @@
 	if p == nil || !e.silence.IsSilent(q.verdict.Endpoint) {
 		return
 	}
-	moved, kept := e.moveAttempts(q.verdict.Endpoint, now)
+	moved, kept := e.endSilentAttempts(q.verdict.Endpoint, now)
 	p.Trust.RecordSilence(now)
 	e.metrics.count("silent_endpoints", p.Service, "found")
 	if e.logLimits.notices.AllowN(now, 1) {
@@ -202,10 +202,10 @@
 	}
 }
 
-// moveAttempts ends the attempts at a silent endpoint that may continue elsewhere, and returns their number and
+// endSilentAttempts ends the attempts at a silent endpoint that may continue elsewhere, and returns their number and
 // that of the others, whose endpoint may come back. The caller must hold the engine's mu: canceling a context
 // runs no code that takes it.
-func (e *Engine) moveAttempts(endpoint uint64, now time.Time) (moved, kept int) {
+func (e *Engine) endSilentAttempts(endpoint uint64, now time.Time) (moved, kept int) {
 	b := e.inFlight[endpoint]
 	if b == nil {
 		return 0, 0
@@ -213,7 +213,7 @@
 	for _, s := range b.requests {
 		switch {
 		case s.attempt == nil || s.attempt.watch == nil || s.attempt.watch.ended:
-		case s.attempt.watch.mayMove() && e.budget(s.attempt.watch.service).Take(now, 0):
+		case s.attempt.watch.mayContinue() && e.budget(s.attempt.watch.service).Take(now, 0):
 			w := s.attempt.watch
 			w.ended, w.paid = true, true
 			w.cancel(errJointSilent)
@@ -225,8 +225,8 @@
 	return moved, kept
 }
 
-// mayMove reports whether the request may continue at another endpoint.
-func (w *silenceWatch) mayMove() bool { return w.retryable && (!w.gotHead || w.route.resumable()) }
+// mayContinue reports whether the request may continue at another endpoint.
+func (w *silenceWatch) mayContinue() bool { return w.retryable && (!w.gotHead || w.route.resumable()) }
 
 // claimPaid reports whether the next attempt has been taken from the retry budget when the present one was ended,
 // once. The caller must hold the engine's mu.
@@ -304,7 +304,7 @@
 
 // recordHeardAgain records that an endpoint that was found silent was heard. The caller must hold the engine's
 // mu.
-func (e *Engine) recordHeardAgain(a *Attempt, r stall.Return, now time.Time) {
+func (e *Engine) recordHeardAgain(a *Attempt, r stall.Recovery, now time.Time) {
 	p := e.book.ByHash(a.hash)
 	if p == nil {
 		return
@@ -340,9 +340,9 @@
 	e.silence.Remove(e.Now(), &a.watch.stream)
 }
 
-// endWatch ends the observation of an attempt that has ended, and returns an extra attempt that was taken for it
+// endObservation ends the observation of an attempt that has ended, and returns an extra attempt that was taken for it
 // and not made. The caller must hold the engine's mu.
-func (e *Engine) endWatch(a *Attempt, now time.Time) {
+func (e *Engine) endObservation(a *Attempt, now time.Time) {
 	if a.watch == nil {
 		return
 	}
--- a/pkg/stall/world_test.go
+++ b/pkg/stall/world_test.go
@@ -51,7 +51,7 @@
 	// lastEvent and found hold, by router and endpoint, when the last event was received and when the
 	// endpoint was found silent.
 	lastEvent, found map[[2]int]time.Time
-	mail             []message
+	pending          []message
 	endpoints        int
 }
 
@@ -86,7 +86,7 @@
 	}
 	for i := range routers {
 		r := &router{}
-		r.d = NewDetector(func(string) int { return endpoints }, func() int { return routers }, func(now time.Time, v Verdict) { w.act(i, now, v) })
+		r.d = NewDetector(func(string) int { return endpoints }, func() int { return routers }, func(v Verdict) { w.act(i, v) })
 		for _, n := range w.rnd.Perm(endpoints)[:min(perRouter, endpoints)] {
 			r.streams = append(r.streams, &testStream{Stream: Stream{Endpoint: uint64(n + 1), Service: "s", Model: "m"}, index: n, router: i})
 		}
@@ -96,18 +96,18 @@
 }
 
 // act applies a verdict of a router: it sends its reports, and notes the endpoint as silent.
-func (w *world) act(from int, now time.Time, v Verdict) {
+func (w *world) act(from int, v Verdict) {
 	if v.Inform {
 		for to := range w.routers {
-			if to != from && w.rnd.Float64() >= w.reportLoss && !w.cutPeers(from, to, now) {
-				w.mail = append(w.mail, message{now.Add(w.draw(time.Millisecond, 20*time.Millisecond)), from, to, v.Endpoint})
+			if to != from && w.rnd.Float64() >= w.reportLoss && !w.cutPeers(from, to, w.now) {
+				w.pending = append(w.pending, message{w.now.Add(w.draw(time.Millisecond, 20*time.Millisecond)), from, to, v.Endpoint})
 			}
 		}
 	}
 	if !v.Silent {
 		return
 	}
-	w.found[[2]int{from, int(v.Endpoint - 1)}] = now
+	w.found[[2]int{from, int(v.Endpoint - 1)}] = w.now
 	for _, s := range w.routers[from].streams {
 		if s.Endpoint == v.Endpoint {
 			s.ended = true
@@ -122,7 +122,7 @@
 // run plays d.
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
-		w.deliverMail()
+		w.deliverReports()
 		for i, r := range w.routers {
 			// A router that has stood still may look at its streams before it has read what waits there.
 			if !w.stalled(i, w.now) && (w.now.Sub(begin)/step)%3 == time.Duration(i%3) {
@@ -135,8 +135,8 @@
 	}
 }
 
-// deliverMail delivers the reports that have arrived at routers that run.
-func (w *world) deliverMail() {
+// deliverReports delivers the reports that have arrived at routers that run.
+func (w *world) deliverReports() {
 	if w.nonsense >= 0 && w.now.Sub(begin)/step%5 == 0 {
 		for to, r := range w.routers {
 			for n := range w.endpoints {
@@ -146,15 +146,15 @@
 			}
 		}
 	}
-	late := w.mail[:0]
-	for _, m := range w.mail {
+	late := w.pending[:0]
+	for _, m := range w.pending {
 		if m.at.After(w.now) || w.stalled(m.to, w.now) {
 			late = append(late, m)
 			continue
 		}
 		w.routers[m.to].d.Report(w.now, m.endpoint, "s", address(m.from))
 	}
-	w.mail = late
+	w.pending = late
 }
 
 func address(router int) netip.Addr {
