relay: Count larger models that were not asked under one name

models_not_asked and larger_models_not_asked named one thing by two causes; the metric is now larger_models_not_asked with price or would_not_end. Two comments named a shortest aim that the sheets do not have, and one did not say that mu must be held.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -67,8 +67,8 @@
 	// shedMemory is how long after a refusal for an aim late requests leave their places to others. A peak
 	// lasts for seconds, and a router refuses several requests within this time while one lasts.
 	shedMemory = config.Span(500 * time.Millisecond)
-	// minReturn is the shortest time after which a refused caller is asked to return: half of the shortest
-	// aim, so that one that is served then may still be in time.
+	// minReturn is the shortest time after which a refused caller is asked to return: a third of an aim of
+	// 150 ms, so that one that is served then may still be in time.
 	minReturn = config.Span(50 * time.Millisecond)
 	// defaultReturnInterval is the time between two returns if the rate at which places open is not known:
 	// ten within retryDelay.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -122,7 +122,8 @@
 	return x.end.rest.UnfinishedProb(x.end.left-head, x.logGap(p, 1))
 }
 
-// presentUnfinishedProb returns unfinishedProb for the answer whose head has come last.
+// presentUnfinishedProb returns unfinishedProb for the answer whose head has come last. The caller must hold
+// the engine's mu.
 func (x *run) presentUnfinishedProb(now time.Time) float64 {
 	if len(x.tried) == 0 {
 		return 0
@@ -148,6 +149,6 @@
 		list[i].UnfinishedProb = 0
 	}
 	if larger, _, _ := sizes.Choose(list); larger > next {
-		x.e.metrics.count("models_not_asked", x.route.Name, "would_not_end")
+		x.e.metrics.count("larger_models_not_asked", x.route.Name, "would_not_end")
 	}
 }
--- a/internal/relay/finish_test.go
+++ b/internal/relay/finish_test.go
@@ -514,7 +514,7 @@
 		}
 		teach(e, 100, 190*time.Millisecond)
 	})
-	if n := count(scope, "models_not_asked", "would_not_end"); n != 1 {
+	if n := count(scope, "larger_models_not_asked", "would_not_end"); n != 1 {
 		t.Errorf("models not asked: got %d, want 1", n)
 	}
 }
--- a/internal/relay/price.go
+++ b/internal/relay/price.go
@@ -103,7 +103,7 @@
 // recordNotAsked records that a larger model was not asked as its answer would not end or for its price.
 func (x *run) recordNotAsked(h *headEstimate) {
 	if !h.mayEnd() {
-		x.e.metrics.count("models_not_asked", x.route.Name, "would_not_end")
+		x.e.metrics.count("larger_models_not_asked", x.route.Name, "would_not_end")
 		return
 	}
 	x.recordPriceCost(h)
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -15,8 +15,8 @@
 
 const (
 	// firstPollInterval is how often the first waiting request is considered again if nothing wakes it, as
-	// endpoints that fall silent or end their ejection wake none. It is an eighth of the shortest aim, for
-	// which holding costs nothing. pollInterval is that for the others.
+	// endpoints that fall silent or end their ejection wake none. It is under an eighth of an aim of
+	// 150 ms; holding a request for that long costs its caller nothing. pollInterval is that for the others.
 	firstPollInterval = config.Span(12 * time.Millisecond)
 	pollInterval      = config.Span(100 * time.Millisecond)
 	// minPause is the shortest time until a waiting request is considered again without being woken.
