guard: Send the load before the refusal of a run while the endpoint is down

Callers of the own fleet lost attempts, and some requests as endpointLost: an entry whose run was refused, because a probe had found the endpoint down, went on choosing it until its next heartbeat. The load preceded the reply of a run that ended while the endpoint was down, but not the refusal on arrival.

Evidence: TestDownPrecedesReply prints the reply now.

The refusal is now preceded by the load as any other reply.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
@@ -84,16 +85,13 @@
 	g.down = true
 }
 
-// announceDown sends the load to the entry of a run that ended with err if the endpoint is down. It
-// precedes the reply on the same link, so that the entry does not choose this endpoint again, nor count
-// it among the maximum number of attempts of the next request. Other entries get the load a moment
-// later, from broadcastCrashes or in reply to a heartbeat.
-func (g *Guard) announceDown(r *record, err *fault.Error) {
-	if err == nil {
-		return
-	}
+// announceDown sends the load to the entry of a run that failed or was refused if the endpoint is down.
+// It precedes the reply on the same link, so that the entry does not choose this endpoint again, nor
+// count it among the maximum number of attempts of the next request. Other entries get the load a moment
+// later: from broadcastCrashes, in reply to a heartbeat, or before the refusal of their next run.
+func (g *Guard) announceDown(owner *link.Conn) {
 	g.mu.Lock()
-	down, owner := g.down, r.owner
+	down := g.down
 	notice := wire.LoadNotice{Stamp: g.Stamp(), Load: g.currentLoad()}
 	g.mu.Unlock()
 	if !down {
--- a/internal/guard/crash_test.go
+++ b/internal/guard/crash_test.go
@@ -45,7 +45,7 @@
 				t.Errorf("%s: got the load %+v before the reply, want one that says down", c.name, got)
 			}
 		default:
-			t.Errorf("%s: got no load before the reply, want one", c.name)
+			t.Errorf("%s: got no load before the reply, want one; the reply is %v", c.name, reply.Err)
 		}
 	}
 }
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -59,6 +59,7 @@
 	r, refused := g.enqueue(c, &p)
 	if refused != nil {
 		g.metrics.refused.Inc(1)
+		g.announceDown(c)
 		return wire.RunReply{Stamp: g.Stamp(), Err: refused}, nil
 	}
 	done := make(chan struct{})
@@ -159,7 +160,9 @@
 	usage, err := g.endpoint.Run(r.ctx, r.key, &r.work, r.buf)
 	g.detectCrash(r, startedAt, err)
 	g.detectRefusal(err)
-	g.announceDown(r, err)
+	if err != nil {
+		g.announceDown(g.ownerOf(r))
+	}
 	g.end(r, usage, err)
 }
 
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -84,6 +84,13 @@
 	close(r.ended)
 }
 
+// ownerOf returns the link that the answer of a run is sent over now.
+func (g *Guard) ownerOf(r *record) *link.Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r.owner
+}
+
 // newRecord creates and stores the record of a queued run; g.mu is held.
 func (g *Guard) newRecord(key wire.RunKey, w wire.Work, owner *link.Conn) *record {
 	r := &record{
