guard: A probe that began before the endpoint was lost does not mark it as up

Found by reading while TestDownPrecedesReply was traced, not seen by callers: a probe that begins before a crash and ends after it set the endpoint to up, so that entries sent it runs until the next probe a second later, each an attempt of a caller.

The result of a probe now counts only if no run has found the endpoint lost since the probe began.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -63,7 +63,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// The endpoint would refuse connections, so entries send no run until a probe succeeds.
-	g.down = true
+	g.down, g.lostAt = true, now
 	g.crashSeq++
 	g.crashes = append(g.crashes, crash{g.crashSeq, r.work.Fingerprint, now, now.Sub(startedAt)})
 	g.crashes = g.crashes[max(len(g.crashes)-maxCrashes, 0):]
@@ -82,7 +82,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.down = true
+	g.down, g.lostAt = true, g.Now()
 }
 
 // announceDown sends the load to the entry of a run that failed or was refused if the endpoint is down.
--- a/internal/guard/crash_test.go
+++ b/internal/guard/crash_test.go
@@ -50,6 +50,38 @@
 	}
 }
 
+// TestLateProbeKeepsEndpointDown checks that an endpoint which was lost during a probe stays down when the probe
+// ends. Guards against a probe that began before a crash and marks the endpoint as up after it: entries then
+// send it more runs, until the next probe.
+func TestLateProbeKeepsEndpointDown(t *testing.T) {
+	h := startHarness(t)
+	conn := h.dial(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	onProbe := func() {
+		select {
+		case began <- struct{}{}:
+			<-release
+		case <-t.Context().Done():
+		}
+	}
+	t.Cleanup(func() { close(release) })
+	h.engine.onProbe.Store(&onProbe)
+	<-began
+	h.engine.lost.Store(fault.New(fault.EndpointLost, fault.NotRun, "refused").WithCause(syscall.ECONNREFUSED))
+	var reply wire.RunReply
+	if err := conn.Call(t.Context(), wire.MethodRun, h.newRun("r", h.holder.Revision()), &reply); err != nil {
+		t.Fatal(err)
+	}
+	release <- struct{}{}
+	<-began
+	h.g.mu.Lock()
+	down := h.g.down
+	h.g.mu.Unlock()
+	if !down {
+		t.Error("after a probe that began before the endpoint was lost: got an endpoint that is up, want down")
+	}
+}
+
 // TestRefusedConnectionIsTheCause runs a request at a port that nothing listens on. The cause must tell a
 // refused connection from one that could not be opened in time, which is no proof that the endpoint is down.
 func TestRefusedConnectionIsTheCause(t *testing.T) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -72,6 +72,8 @@
 	// down reports that the last probe of the endpoint failed, or that it has
 	// crashed since.
 	down bool
+	// lostAt is when a run last found that the endpoint is down; zero for never.
+	lostAt time.Time
 	// backoffUntil is when the backoff that the engine asked for ends; it never
 	// decreases.
 	backoffUntil time.Time
@@ -239,15 +241,9 @@
 	t := time.NewTicker(probeInterval)
 	defer t.Stop()
 	for {
+		startedAt := g.Now()
 		versions, err := g.endpoint.Probe(ctx)
-		g.mu.Lock()
-		changed := g.down != (err != nil)
-		g.down = err != nil
-		g.versions = versions
-		g.mu.Unlock()
-		if changed {
-			g.Log.Warn("guard: The availability of the endpoint has changed.", zap.Bool("down", err != nil), logs.Err(err))
-		}
+		g.recordProbe(startedAt, versions, err)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -256,6 +252,18 @@
 	}
 }
 
+// recordProbe records the result of a probe that began at startedAt. A success says nothing about an endpoint
+// that a run has found lost since.
+func (g *Guard) recordProbe(startedAt time.Time, versions []string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	down := err != nil || g.lostAt.After(startedAt)
+	if g.down != down {
+		g.Log.Warn("guard: The availability of the endpoint has changed.", zap.Bool("down", down), logs.Err(err))
+	}
+	g.down, g.versions = down, versions
+}
+
 // onSettingsChange removes the queued runs that the new settings forbid. A version
 // that is withdrawn gets no new work, and a queued run has not started yet.
 func (g *Guard) onSettingsChange(s *config.Snapshot) {
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -57,6 +57,8 @@
 	release     chan struct{}
 	// lost, if it is set, is the outcome of all runs; probes then fail.
 	lost atomic.Pointer[fault.Error]
+	// onProbe, if it is set, is called by each probe between its measurement and its return.
+	onProbe atomic.Pointer[func()]
 }
 
 func (s *slowEngine) run(ctx context.Context, key wire.RunKey, _ *wire.Work, b *stream.Buffer) (wire.Usage, *fault.Error) {
@@ -79,7 +81,11 @@
 
 // probe returns an error if lost is set.
 func (s *slowEngine) probe(context.Context) ([]string, error) {
-	if err := s.lost.Load(); err != nil {
+	err := s.lost.Load()
+	if f := s.onProbe.Load(); f != nil {
+		(*f)()
+	}
+	if err != nil {
 		return nil, err
 	}
 	return nil, nil
