poison, relay: Log the evidence of a judgement, and reports of crashes

A judgement now carries for each crash its time, the request's age, the chance that it was another cause and how many other suspects were there; Detector.OnJudged takes the place of OnHeld. What is quarantined does not change.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -194,7 +194,7 @@
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
 	}
-	e.crashes.OnHeld = e.logHeld
+	e.crashes.OnJudged = e.logJudgement
 	e.silence = e.newSilenceDetector()
 	e.logLimits.init()
 	e.stalls = clock.StallDetector{Boot: func() time.Duration { return e.Boot() }, Now: func() time.Time { return e.Now() }, MinGap: minStall}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -198,7 +199,22 @@
 		e.clearRequest(r.Fingerprint, e.Now())
 		return
 	}
-	e.recordCrash(r, false, e.Now())
+	now := e.Now()
+	e.recordCrash(r, false, now)
+	if !e.logLimits.crashes.AllowN(now, 1) {
+		e.metrics.count("unlogged_crashes", "", "")
+		return
+	}
+	e.Log.Info("relay: Another router reported a crash under a request.", zap.String("endpoint", e.endpointName(r.Endpoint)),
+		zap.Stringer("fingerprint", r.Fingerprint), zap.Int("crashes", e.crashes.Crashes(r.Fingerprint)), zap.Int64("ageMs", r.Age.Milliseconds()))
+}
+
+// endpointName returns the ID of an endpoint, or the hash if the endpoint is not listed any more; mu is held.
+func (e *Engine) endpointName(hash uint64) string {
+	if p := e.book.ByHash(hash); p != nil {
+		return p.ID
+	}
+	return strconv.FormatUint(hash, 16)
 }
 
 // ReceiveVerdicts merges verdicts and suspicions of another router.
@@ -287,13 +303,35 @@
 	e.Log.Info(message, zap.Stringer("fingerprint", v.Fingerprint), zap.Int("round", v.Round), zap.Time("until", v.Until), zap.Int("crashes", len(v.Crashes)), zap.String("why", why))
 }
 
-// logHeld logs that a suspect is not quarantined because other suspects were at its crashes; mu is held.
-func (e *Engine) logHeld(p poison.Fingerprint, crashes int) {
-	if !e.logLimits.crashes.AllowN(e.Now(), 1) {
+// judgedCrash is a crash under a judged request as it is logged. Endpoint is the hash of the
+// endpoint's ID where the endpoint is not known here any more. Chance is 0 for a crash that a
+// quarantined request explains.
+type judgedCrash struct {
+	Endpoint string  `json:"endpoint"`
+	AgoMs    int64   `json:"agoMs"`
+	AgeMs    int64   `json:"ageMs"`
+	Chance   float64 `json:"chance"`
+	Besides  int     `json:"besides"`
+}
+
+// logJudgement logs the evidence on which a suspect is quarantined, or held as other suspects were at its
+// crashes; mu is held.
+func (e *Engine) logJudgement(j poison.Judgement) {
+	now := e.Now()
+	if !e.logLimits.crashes.AllowN(now, 1) {
 		e.metrics.count("unlogged_crashes", "", "")
 		return
 	}
-	e.Log.Info("relay: A suspect is held, as others were at its crashes.", zap.Stringer("fingerprint", p), zap.Int("crashes", crashes))
+	message := "relay: A suspect is to be quarantined."
+	if j.Held {
+		message = "relay: A suspect is held, as others were at its crashes."
+	}
+	list := make([]judgedCrash, 0, len(j.Crashes))
+	for _, c := range j.Crashes {
+		list = append(list, judgedCrash{e.endpointName(c.Endpoint), now.Sub(c.At).Milliseconds(), c.Age.Milliseconds(), round(c.Chance), c.Besides})
+	}
+	e.Log.Info(message, zap.Stringer("fingerprint", j.Fingerprint), zap.Int("crashes", len(j.Crashes)), zap.Int("unexplained", j.Unexplained),
+		zap.Int("disputed", j.Disputed), zap.Float64("weight", round(j.Weight)), zap.Any("evidence", list))
 }
 
 // maintainQuarantines sends recent verdicts again, as routers may have missed them, removes expired ones and
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -12,10 +12,10 @@
 // Detector holds the suspects and verdicts that one process knows, with the crashes behind them.
 // Create it with NewDetector. It is not safe for concurrent use.
 type Detector struct {
-	// OnHeld is called by Judge when a suspect becomes held: it would be quarantined, but other
-	// suspects were at its crashes. crashes is the number of crashes under it. Set it before the
-	// first crash; it may be nil.
-	OnHeld   func(p Fingerprint, crashes int)
+	// OnJudged is called by Judge when a suspect is to be quarantined or becomes held: it would be
+	// quarantined, but other suspects were at its crashes. Set it before the first crash; it may be
+	// nil.
+	OnJudged func(j Judgement)
 	suspects map[Fingerprint]*suspect
 	records  map[Fingerprint]*record
 	// causes indexes the records by endpoint: for the hash of an endpoint it holds the requests
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -133,7 +133,11 @@
 	for _, order := range [][]Fingerprint{{request(1), request(2)}, {request(2), request(1)}} {
 		d := NewDetector()
 		held := 0
-		d.OnHeld = func(Fingerprint, int) { held++ }
+		d.OnJudged = func(j Judgement) {
+			if j.Held {
+				held++
+			}
+		}
 		for i, e := range []uint64{10, 11, 12} {
 			for _, p := range order {
 				d.RecordCrash(at(100*i), p, e, requestAge, true)
@@ -141,7 +145,7 @@
 			d.Judge(at(100*i+99), view)
 		}
 		if held != 2 {
-			t.Errorf("order %v: calls of OnHeld: got %d, want 2", order, held)
+			t.Errorf("order %v: suspects held: got %d, want 2", order, held)
 		}
 		for _, p := range order {
 			if v := d.Refuses(at(300), p, first); v != nil {
--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -113,50 +113,94 @@
 		return false
 	}
 	f := d.assess(p, s, v, held)
+	was := s.held
+	quarantined := s.decide(&f)
+	f.Held = !quarantined
+	if d.OnJudged != nil && (quarantined || s.held && !was) {
+		d.OnJudged(f)
+	}
+	return quarantined
+}
+
+// decide reports whether the evidence is enough for a quarantine, and updates s.held.
+func (s *suspect) decide(f *Judgement) bool {
+	n := len(s.crashes)
 	switch {
 	case n >= unconditionalCrashes:
 		return true
 	case n >= sufficientCrashes:
-		return f.unexplained > 0
+		return f.Unexplained > 0
 	}
 	required := 1
 	if n == minCrashes {
 		required = 2
 	}
-	proven := f.unexplained >= required && f.weight >= minWeight
-	was := s.held
-	s.held = proven && f.unexplained-f.disputed < required
-	if s.held && !was && d.OnHeld != nil {
-		d.OnHeld(p, n)
-	}
+	proven := f.Unexplained >= required && f.Weight >= minWeight
+	s.held = proven && f.Unexplained-f.Disputed < required
 	return proven && !s.held
 }
 
-// evidence summarises the crashes under a suspect.
-type evidence struct {
-	// unexplained is the number of crashes that no quarantined request explains. disputed is the
+// Judgement is the evidence against a suspect when it was judged.
+type Judgement struct {
+	Fingerprint Fingerprint
+	// Held says that the suspect was not quarantined, as others were at its crashes.
+	Held bool
+	// Crashes are the crashes under the suspect, in the order in which they were reported.
+	Crashes []AssessedCrash
+	// Unexplained is the number of crashes that no quarantined request explains. Disputed is the
 	// number of these that are also under another suspect with as many crashes or more.
-	unexplained, disputed int
-	// weight is the negative natural logarithm of the probability that all unexplained crashes
+	Unexplained, Disputed int
+	// Weight is the negative natural logarithm of the probability that all unexplained crashes
 	// are chance.
-	weight float64
+	Weight float64
+}
+
+// AssessedCrash is a crash under a suspect with what it counts as evidence.
+type AssessedCrash struct {
+	Crash
+	// Age is how long the request had been at the endpoint.
+	Age time.Duration
+	// Chance is the probability, 0 to 1, that the endpoint crashed by chance. It is 0 for a crash
+	// that a quarantined request explains.
+	Chance float64
+	// Besides is the number of other suspects and quarantined requests that were at the crash.
+	Besides int
 }
 
 // assess returns the evidence against a suspect. held holds the crashes of all held suspects.
-func (d *Detector) assess(p Fingerprint, s *suspect, v View, held []Crash) (f evidence) {
+func (d *Detector) assess(p Fingerprint, s *suspect, v View, held []Crash) Judgement {
+	f := Judgement{Fingerprint: p}
 	for i, e := range s.crashes {
-		if d.explainedBy(e, p, 0) != nil {
-			continue
-		}
-		f.unexplained++
-		f.weight -= math.Log(d.chance(s, e, s.ages[i], v, held))
-		if d.disputed(p, e, len(s.crashes)) {
-			f.disputed++
+		c := AssessedCrash{Crash: e, Age: s.ages[i], Besides: d.countBesides(p, e)}
+		if d.explainedBy(e, p, 0) == nil {
+			c.Chance = d.chance(s, e, s.ages[i], v, held)
+			f.Unexplained++
+			f.Weight -= math.Log(c.Chance)
+			if d.disputed(p, e, len(s.crashes)) {
+				f.Disputed++
+			}
 		}
+		f.Crashes = append(f.Crashes, c)
 	}
 	return f
 }
 
+// countBesides returns the number of suspects and quarantined requests other than p that were at
+// a crash.
+func (d *Detector) countBesides(p Fingerprint, e Crash) (n int) {
+	for q, s := range d.suspects {
+		if q != p && contains(s.crashes, e) {
+			n++
+		}
+	}
+	for _, q := range d.causes[e.Endpoint] {
+		if q != p && d.records[q].Explains(e) {
+			n++
+		}
+	}
+	return n
+}
+
 // disputed reports whether a crash is also under a suspect other than p with at least so many
 // crashes.
 func (d *Detector) disputed(p Fingerprint, e Crash, atLeast int) bool {
