roll: Weigh the failures of the peak phase in full

Callers of its service would have met it in each later peak.

Cause: the discount for a single failing endpoint takes away that endpoint's bad answers and not its good ones. One endpoint gives all answers of the peak phase, so that the evidence left was at most 5 less 0.17 for each good answer. Own and others' counts stood in two rows for want of room in reports, which hid that, and the row began from a share of a tenth.

The row of the peak has its place in reports, begins from the share known on the routes, counts up to what one endpoint may contribute, and tests against a tenth more failures. TestFailuresInPeak failed in nine of its eleven rows before.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -169,9 +169,12 @@
 }
 
 func (e *Engine) addAspect(r *rollout, a *Attempt, aspect string, failed, slow bool) {
-	e.addEvidence(r, a, aspect, roll.AspectOf(pool.Hash(aspect)), failed, slow)
+	e.addEvidence(r, a, aspect, aspectID(aspect), failed, slow)
 }
 
+// aspectID returns the ID of an aspect in reports.
+func aspectID(aspect string) uint32 { return roll.AspectOf(pool.Hash(aspect)) }
+
 func (e *Engine) addEvidence(r *rollout, a *Attempt, name string, route uint32, failed, slow bool) {
 	r.setName(route, name)
 	a.countedAs = evidenceLabel(failed, slow)
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -48,7 +48,7 @@
 		return
 	}
 	if !ok || r.trial.Version != t.Version || t.State == roll.Ordered && r.trial.State != roll.Ordered {
-		r = &rollout{stepAt: e.Now(), fromStart: t.Step == 0}
+		r = &rollout{stepAt: e.Now(), fromStart: t.Step == 0, judge: roll.Judge{PeakAspect: aspectID(answersInPeak)}}
 		e.rollouts[t.Service] = r
 	} else {
 		t.Begun, t.Ends = r.trial.Begun, r.trial.Ends
--- a/pkg/roll/evidence.go
+++ b/pkg/roll/evidence.go
@@ -3,17 +3,26 @@
 
 package roll
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // evidence holds the sequential tests of one route, or of all routes together. They
 // compare two hypotheses about the new version: that its share of bad answers equals
-// the old version's, and that it is higher by excess. A positive log likelihood ratio
+// the old version's, and that it is higher by an excess. A positive log likelihood ratio
 // is evidence against the new version.
 type evidence struct {
 	// oldBadShare is the moving average of the old version's share of bad answers, 0
 	// to 1, and oldAnswers the number of its answers.
 	oldBadShare float64
 	oldAnswers  int
+	// prior is the share that the old version is assumed to have before its first answer; 0
+	// for priorBadShare.
+	prior float64
+	// peak is set for the answers in the peak phase of a trial, of which one endpoint after the
+	// other gives those of the new version.
+	peak bool
 	// cusum is the log likelihood ratio since it was last 0, never negative: the
 	// cumulative sum test (Page, 1954), which also detects a version that turns bad
 	// late. cusumByEndpoint holds the sum's positive terms, those of bad answers, by
@@ -30,8 +39,8 @@
 
 const (
 	// priorBadShare is the share of bad answers that an old version is assumed to have
-	// before its first answer, and priorAnswers the number of answers that this prior
-	// counts as.
+	// before its first answer on any route, and priorAnswers the number of answers that a
+	// prior counts as.
 	priorBadShare = 0.1
 	priorAnswers  = 5
 	// minOldWeight is the weight of one answer in the moving average of the old version's
@@ -44,10 +53,17 @@
 	// minOldAnswers is the number of the old version's answers on a route from which the
 	// route is tested by itself.
 	minOldAnswers = 10
-	// excess is how much higher the share of bad answers of a bad version is assumed to
+	// minOldSharePeak is minOldShare in the peak phase. Only failures that an endpoint signed
+	// count there, which an old version hardly has, and some 50 answers of the new version
+	// have to be enough.
+	minOldSharePeak = 0.01
+	// routeExcess is how much higher the share of bad answers of a bad version is assumed to
 	// be. A version with 8 bad answers of 100 more than the old one is as likely to be
 	// found bad as not.
-	excess = 0.15
+	routeExcess = 0.15
+	// peakExcess is routeExcess in the peak phase. It is lower, as the load of the endpoint
+	// varies there and a version that fails above a limit answers well below it.
+	peakExcess = 0.1
 	// loadedExcess is the excess of a version that is bad under load. It is higher, as
 	// few answers are given under that load.
 	loadedExcess = 0.2
@@ -81,7 +97,7 @@
 		x = 1
 	}
 	if e.oldAnswers == 0 {
-		e.oldBadShare = priorBadShare
+		e.oldBadShare = cmp.Or(e.prior, priorBadShare)
 	}
 	for range min(n, maxBatch) {
 		e.oldAnswers++
@@ -89,6 +105,22 @@
 	}
 }
 
+// minOldShare returns the lowest share of bad answers that the old version is assumed to have.
+func (e *evidence) minOldShare() float64 {
+	if e.peak {
+		return minOldSharePeak
+	}
+	return minOldShare
+}
+
+// excess returns how much higher the share of bad answers of a bad version is assumed to be.
+func (e *evidence) excess() float64 {
+	if e.peak {
+		return peakExcess
+	}
+	return routeExcess
+}
+
 // maxBatch is the maximum number of answers that one count of a report contributes.
 const maxBatch = 2000
 
@@ -96,9 +128,9 @@
 // have.
 func (e *evidence) oldShare() float64 {
 	if e.oldAnswers == 0 {
-		return priorBadShare
+		return cmp.Or(e.prior, priorBadShare)
 	}
-	return min(max(e.oldBadShare, minOldShare), maxOldShare)
+	return min(max(e.oldBadShare, e.minOldShare()), maxOldShare)
 }
 
 // addGood adds n good answers of the new version; loaded says that they were given under
@@ -106,7 +138,7 @@
 func (e *evidence) addGood(loaded bool, n int) {
 	e.newGood += n
 	old, times := e.oldShare(), float64(min(n, maxBatch))
-	ratio := math.Log((1-old-excess)/(1-old)) * times
+	ratio := math.Log((1-old-e.excess())/(1-old)) * times
 	e.llr = max(e.llr+ratio, -maxGoodLLR)
 	if loaded {
 		e.loadedLLR = max(e.loadedLLR+math.Log((1-old-loadedExcess)/(1-old))*times, -maxGoodLLR)
@@ -125,7 +157,7 @@
 	}
 	e.newBad += n
 	old, times := e.oldShare(), float64(min(n, maxBatch))
-	ratio := math.Log((old+excess)/old) * times
+	ratio := math.Log((old+e.excess())/old) * times
 	e.llr += ratio
 	e.cusum += ratio
 	if loaded {
@@ -137,12 +169,19 @@
 	e.cusumByEndpoint[endpoint] += ratio
 }
 
-// endpointOverage returns by how much the contribution of the endpoint with the most bad
-// answers exceeds maxEndpointSum; 0 if it does not.
-func (e *evidence) endpointOverage() float64 {
-	most := 0.0
-	for _, ratio := range e.cusumByEndpoint {
-		most = max(most, ratio)
+// withoutOneEndpoint returns ratio, a sum or log likelihood ratio of e, without the part that a
+// single failing endpoint may have caused. Where the endpoints share the answers, the good ones of
+// the others weigh against the part of the failing one that is left. Where one endpoint gives them
+// all, its good answers are in ratio already, and taking away its bad ones would leave the less
+// evidence the more answers it gives.
+func (e *evidence) withoutOneEndpoint(ratio float64) float64 {
+	most, all := 0.0, 0.0
+	for _, bad := range e.cusumByEndpoint {
+		most = max(most, bad)
+		all += bad
+	}
+	if e.peak {
+		return min(ratio, maxEndpointSum+all-most)
 	}
-	return max(most-maxEndpointSum, 0)
+	return ratio - max(most-maxEndpointSum, 0)
 }
--- a/pkg/roll/judge.go
+++ b/pkg/roll/judge.go
@@ -35,7 +35,10 @@
 	// date. With a single endpoint, a failure of the endpoint cannot be distinguished from
 	// one of the version.
 	Endpoints int
-	routes    map[uint32]*evidence
+	// PeakAspect is the ID of the aspect that says whether answers failed in the peak phase of
+	// the trial; 0 for none. It must be set before the first answer.
+	PeakAspect uint32
+	routes     map[uint32]*evidence
 	// overall is the evidence over all routes.
 	overall evidence
 	// own holds the counts of this process, and received the last report of each process
@@ -151,12 +154,22 @@
 		if j.routes == nil {
 			j.routes = make(map[uint32]*evidence)
 		}
-		e = &evidence{}
+		e = j.newEvidence(route)
 		j.routes[route] = e
 	}
 	return e
 }
 
+// newEvidence returns the evidence of a route or an aspect without answers. Answers in the peak
+// phase fail for the same reasons as those on the routes, of which many are known by then, so the
+// old version's share is theirs.
+func (j *Judge) newEvidence(route uint32) *evidence {
+	if j.PeakAspect == 0 || route != j.PeakAspect {
+		return &evidence{}
+	}
+	return &evidence{prior: j.overall.oldShare(), peak: true}
+}
+
 // aspectBit is set in the IDs of aspects and cleared in those of routes.
 const aspectBit uint32 = 1 << 31
 
@@ -213,15 +226,15 @@
 
 // adjustedSum returns the cumulative sum without the part that a single failing endpoint
 // may have caused.
-func (j *Judge) adjustedSum(e *evidence) float64 { return max(e.cusum-j.endpointDiscount(e), 0) }
+func (j *Judge) adjustedSum(e *evidence) float64 { return max(j.adjusted(e, e.cusum), 0) }
 
-// endpointDiscount returns the part of the evidence that a single failing endpoint may
-// have caused; 0 if the version has only one endpoint.
-func (j *Judge) endpointDiscount(e *evidence) float64 {
+// adjusted returns ratio, a sum or log likelihood ratio of e, without the part that a single
+// failing endpoint may have caused. It returns ratio if the version has only one endpoint.
+func (j *Judge) adjusted(e *evidence, ratio float64) float64 {
 	if j.Endpoints == 1 {
-		return 0
+		return ratio
 	}
-	return e.endpointOverage()
+	return e.withoutOneEndpoint(ratio)
 }
 
 // Verdict returns the verdict on the present evidence.
@@ -242,7 +255,7 @@
 
 // adjustedLLR returns the log likelihood ratio over all routes, without the part that a
 // single failing endpoint may have caused.
-func (j *Judge) adjustedLLR() float64 { return j.overall.llr - j.endpointDiscount(&j.overall) }
+func (j *Judge) adjustedLLR() float64 { return j.adjusted(&j.overall, j.overall.llr) }
 
 // llrDoubtful reports whether the log likelihood ratio of the answers under load, or that
 // of any route with enough answers of the old version, exceeds doubtfulLLR.
@@ -251,7 +264,7 @@
 		return true
 	}
 	for _, e := range j.routes {
-		if e.oldAnswers >= minOldAnswers && e.llr-j.endpointDiscount(e) > doubtfulLLR {
+		if e.oldAnswers >= minOldAnswers && j.adjusted(e, e.llr) > doubtfulLLR {
 			return true
 		}
 	}
--- a/pkg/roll/report.go
+++ b/pkg/roll/report.go
@@ -60,7 +60,7 @@
 // aspects holds all those without a row of their own.
 const (
 	MaxRoutes  = 16
-	MaxAspects = 4
+	MaxAspects = 5
 	MaxRows    = MaxRoutes + MaxAspects
 	MaxFaults  = 40
 )
--- a/pkg/roll/summary.go
+++ b/pkg/roll/summary.go
@@ -30,7 +30,7 @@
 	list := make([]RouteSummary, 0, len(j.routes))
 	for route, e := range j.routes {
 		list = append(list, RouteSummary{Route: route, OldAnswers: e.oldAnswers, OldBadShare: e.oldBadShare, NewGood: e.newGood, NewBad: e.newBad,
-			Sum: j.adjustedSum(e), LLR: e.llr - j.endpointDiscount(e)})
+			Sum: j.adjustedSum(e), LLR: j.adjusted(e, e.llr)})
 	}
 	slices.SortFunc(list, func(a, b RouteSummary) int {
 		return cmp.Or(cmp.Compare(b.Sum, a.Sum), cmp.Compare(b.LLR, a.LLR), cmp.Compare(a.Route, b.Route))
