poison: Crashes that are explained do not count towards the three

Callers: where several requests crash what runs them, one of 50 to 500 others was refused as quarantined for ten minutes.

Cause: crashes that a quarantined request explains were no evidence but counted towards the number, so that a request with four crashes needed one that was not explained, and one with three needed two; and reports of one crash that came more than a second apart counted twice.

Three unexplained crashes are needed now, or from the fourth on one at which no other suspect was; five and six are enough as before. Reports within 3 s are of one crash. TestCrashesBesideOthersDoNotQuarantine and TestLateReportsOfOneCrashCountOnce failed before.

--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -536,3 +536,55 @@
 		d.Judge(at(ms), view)
 	}
 }
+
+// A request that is retried while others crash endpoints meets crashes of theirs. Crashes that a quarantined
+// request explains are no evidence against it, and those at which other suspects were are little.
+//
+// Guards against a wrong quarantine: with three requests that crash endpoints among ten callers, one other of 47
+// was quarantined in 7 of 20 plays. Two of its crashes were explained, and at the others up to nine suspects had
+// been, among them one that crashed endpoints and had fewer crashes so far.
+func TestCrashesBesideOthersDoNotQuarantine(t *testing.T) {
+	d := NewDetector()
+	crasher, next, other := request(1), request(2), request(7)
+	crashAndJudgeEach(d, 0, crasher, 10, 11, 12, 13)
+	for i, e := range []uint64{14, 15} {
+		d.RecordCrash(at(1000+200*i), crasher, e, requestAge, true)
+		d.RecordCrash(at(1001+200*i), other, e, requestAge, true)
+		d.Judge(at(1100+200*i), view)
+	}
+	for i, e := range []uint64{16, 17} {
+		d.RecordCrash(at(2000+1000*i), next, e, requestAge, true)
+		d.RecordCrash(at(2001+1000*i), other, e, requestAge, true)
+		for k := range byte(8) {
+			d.RecordCrash(at(2002+1000*i), request(20+10*byte(i)+k), e, requestAge, true)
+		}
+		d.Judge(at(2100+1000*i), view)
+	}
+	if v := d.Refuses(at(4000), other, first); v != nil {
+		t.Errorf("a request at two crashes of a quarantined request and two of another: got %v, want no verdict", v)
+	}
+	crashAndJudgeEach(d, 4000, next, 18, 19)
+	if d.Refuses(at(4300), next, first) == nil {
+		t.Error("the other request that crashes endpoints, after its fourth crash: got no verdict")
+	}
+}
+
+// Two routers tell a starting one of the same crash with times that differ by how late their reports came.
+//
+// Guards against a wrong quarantine: a router that was short of processor time had recorded the reports of
+// others a second late, so that a starting router counted four crashes of one request as six, which is enough
+// whatever explains them.
+func TestLateReportsOfOneCrashCountOnce(t *testing.T) {
+	d := NewDetector()
+	crashes := func(late time.Duration) (list []Crash) {
+		for e := range uint64(4) {
+			list = append(list, Crash{e, at(3000 * int(e)).Add(late)})
+		}
+		return list
+	}
+	d.Merge(at(12_000), Verdict{Fingerprint: request(1), Crashes: crashes(0)})
+	d.Merge(at(12_000), Verdict{Fingerprint: request(1), Crashes: crashes(1030 * time.Millisecond)})
+	if got := d.Crashes(request(1)); got != 4 {
+		t.Errorf("crashes after two reports of four: got %d, want 4", got)
+	}
+}
--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -52,6 +52,9 @@
 	// minCrashes is the number of endpoints that must have crashed under a request for it to be
 	// quarantined. The specified limit on attempts counts from the third crash on.
 	minCrashes = 3
+	// minUndisputed is the number of undisputed crashes that a request must have to be
+	// quarantined for minCrashes that are not explained.
+	minUndisputed = 2
 	// sufficientCrashes is the number of crashes that is enough without the test against chance,
 	// if no quarantined request explains at least one of them: the specified limit allows three
 	// more than minCrashes. minCrashes alone is no proof: where a third of the endpoints crash
@@ -102,11 +105,12 @@
 
 // shouldQuarantine reports whether a suspect is to be quarantined, and updates s.held.
 //
-// A request that ran beside a quarantined one is affected by its crashes. A suspect of minCrashes
-// therefore needs two crashes that no quarantined request explains, and one of more crashes needs
-// one, as the quarantined request may itself have run beside this one. A crash is disputed if
-// another suspect with as many crashes or more was there too: the suspect judged first would be
-// quarantined for crashes that the other may have caused. The next attempt of each resolves that.
+// A request that ran beside a quarantined one is affected by its crashes. A suspect therefore needs
+// minCrashes that no quarantined request explains. As the quarantined request may itself have run
+// beside this one, a single one is enough from the next crash on if no other suspect was at it. A
+// crash is disputed if another suspect with as many crashes or more was there too: the suspect
+// judged first would be quarantined for crashes that the other may have caused. The next attempt
+// of each resolves that.
 func (d *Detector) shouldQuarantine(p Fingerprint, s *suspect, v View, held []Crash) bool {
 	n := len(s.crashes)
 	if n < minCrashes {
@@ -124,20 +128,17 @@
 
 // decide reports whether the evidence is enough for a quarantine, and updates s.held.
 func (s *suspect) decide(f *Judgement) bool {
-	n := len(s.crashes)
+	n, undisputed := len(s.crashes), f.Unexplained-f.Disputed
 	switch {
 	case n >= unconditionalCrashes:
 		return true
 	case n >= sufficientCrashes:
 		return f.Unexplained > 0
 	}
-	required := 1
-	if n == minCrashes {
-		required = 2
-	}
-	proven := f.Unexplained >= required && f.Weight >= minWeight
-	s.held = proven && f.Unexplained-f.Disputed < required
-	return proven && !s.held
+	enough := f.Weight >= minWeight && f.Unexplained >= minCrashes
+	alone := f.Weight >= minWeight && n > minCrashes && f.Alone > 0
+	s.held = enough && !alone && undisputed < minUndisputed
+	return alone || enough && !s.held
 }
 
 // Judgement is the evidence against a suspect when it was judged.
@@ -148,8 +149,9 @@
 	// Crashes are the crashes under the suspect, in the order in which they were reported.
 	Crashes []AssessedCrash
 	// Unexplained is the number of crashes that no quarantined request explains. Disputed is the
-	// number of these that are also under another suspect with as many crashes or more.
-	Unexplained, Disputed int
+	// number of these that are also under another suspect with as many crashes or more, Alone
+	// the number of those at which no other suspect was.
+	Unexplained, Disputed, Alone int
 	// Weight is the negative natural logarithm of the probability that all unexplained crashes
 	// are chance.
 	Weight float64
@@ -176,6 +178,9 @@
 			c.Chance = d.chance(s, e, s.ages[i], v, held)
 			f.Unexplained++
 			f.Weight -= math.Log(c.Chance)
+			if c.Besides == 0 {
+				f.Alone++
+			}
 			if d.disputed(p, e, len(s.crashes)) {
 				f.Disputed++
 			}
@@ -205,7 +210,7 @@
 // crashes.
 func (d *Detector) disputed(p Fingerprint, e Crash, atLeast int) bool {
 	for q, s := range d.suspects {
-		if q != p && len(s.crashes) >= atLeast && contains(s.crashes, e) {
+		if q != p && contains(s.crashes, e) && len(s.crashes) >= atLeast {
 			return true
 		}
 	}
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -23,9 +23,10 @@
 }
 
 // sameCrashWindow is the largest difference between the times in reports of one crash. Processes
-// notice a crash within milliseconds, reports take up to half a second, and endpoints are back
-// only after some seconds.
-const sameCrashWindow = time.Second
+// notice a crash within milliseconds, and stamp reports of others when they read them: one that is
+// short of processor time or was suspended is late by a second and more. An endpoint that is back
+// under its ID and crashes again within the window counts once.
+const sameCrashWindow = 3 * time.Second
 
 // Verdict is the decision on one request: quarantined, or lifted. A Verdict of round 0 is a
 // suspicion, as Detector.Suspicions returns it.
