relay: Read what arrived during a stall before an endpoint is taken for silent

Cause: the timer of an attempt without an answer fires after a stall before the answer that has arrived is read, and closes the connection with it.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"context"
 	"math"
 	"time"
 
@@ -132,13 +131,6 @@
 	e.wakeWaiting(&a.Endpoint)
 }
 
-// silenceTimer cancels an attempt whose endpoint sends nothing for too long, if the request may go to
-// another endpoint. The zero value never does. eventTimeout is the time to wait for the next event; 0 for no limit.
-type silenceTimer struct {
-	timer        *time.Timer
-	eventTimeout time.Duration
-}
-
 const (
 	// headTimeoutFactor times the expected time to the head is the head timeout. That is the mean, or
 	// the estimate for this attempt if it is longer. The timeout is at least minHeadTimeoutAims times
@@ -156,40 +148,3 @@
 func (a *Attempt) headTimeout(route *Route) time.Duration {
 	return max(seconds(headTimeoutFactor*max(a.expectedHead, a.wait+a.readTime)), time.Duration(minHeadTimeoutAims*float64(route.Aim)))
 }
-
-// startSilenceTimer starts the head timeout of an attempt, which calls cancel with errSilent. It returns a
-// timer that never fires if the request cannot be attempted again.
-func (x *run) startSilenceTimer(a *Attempt, cancel context.CancelCauseFunc) *silenceTimer {
-	if x.e.disabled(SilenceTimeouts) || !x.route.repeatable() || x.attempts >= x.route.MaxAttempts {
-		return &silenceTimer{}
-	}
-	x.e.mu.Lock()
-	inBudget := x.e.budget(x.service).Remaining(x.e.Now()) >= 1
-	x.e.mu.Unlock()
-	if !inBudget {
-		return &silenceTimer{}
-	}
-	s := &silenceTimer{timer: time.AfterFunc(a.headTimeout(x.route), func() { cancel(errSilent) })}
-	if x.route.resumable() {
-		s.eventTimeout = time.Duration(eventTimeoutFactor * float64(x.route.EventAim))
-	}
-	return s
-}
-
-// eventReceived restarts the timer for the next event, or stops it if there is no such timeout.
-func (s *silenceTimer) eventReceived() {
-	if s.timer == nil {
-		return
-	}
-	if s.eventTimeout > 0 {
-		s.timer.Reset(s.eventTimeout)
-	} else {
-		s.timer.Stop()
-	}
-}
-
-func (s *silenceTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -14,7 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
+	"github.com/traildrift/traildrift/pkg/pool"
 )
 
 // An attempt that fails just as its silence timeout fires must be followed by another one, as the
@@ -50,3 +52,51 @@
 		t.Errorf("answers with status 499: got %d, want none", got)
 	}
 }
+
+// An answer that arrives while this process stands still is read before its endpoint is taken for silent, and an
+// endpoint that is silent is left as soon as the process has read what had arrived.
+//
+// Guards against timers that fire before the sockets are read: a router that stood still for 0.7 s gave up
+// attempts whose answers had come. It let sound endpoints rest, sent their requests to others, and lost a
+// refusal that asked for rest, so that the endpoint got 23 requests in a rest of 3 s.
+func TestStalledProcessReadsAnswersBeforeSilence(t *testing.T) {
+	const headTimeout = 50 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		stalled bool
+		// headAt is when the head of the first answer is read after the request was sent.
+		headAt       time.Duration
+		wantAttempts int64
+	}{
+		{"readAfterStall", true, headTimeout + resumeDelay/2, 1},
+		{"silentAfterStall", true, time.Hour, 2},
+		{"silent", false, time.Hour, 2},
+	} {
+		var boot atomic.Int64
+		var attempts atomic.Int64
+		e := engine(Route{Kind: Safe, MaxAttempts: 2, Aim: config.Span(2 * headTimeout)}, func(ctx context.Context, _ *Attempt) (*Reply, error) {
+			if attempts.Add(1) == 1 {
+				if c.stalled {
+					boot.Add(int64(time.Second))
+				}
+				select {
+				case <-time.After(c.headAt):
+				case <-ctx.Done():
+					return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "cancelled")
+				}
+			}
+			return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody, IDMatches: true, Authenticated: true}, nil
+		})
+		e.PutEndpoint(pool.Entry{ID: "e2", Service: "s", Slots: 4, Revision: 1})
+		e.Boot = func() time.Duration { return time.Duration(boot.Load()) }
+		e.stalls.Tick()
+		w, began := httptest.NewRecorder(), time.Now()
+		e.Serve(t.Context(), w, &Request{ID: "x", Method: "GET", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: began})
+		if w.Code != http.StatusOK || attempts.Load() != c.wantAttempts {
+			t.Errorf("%s: got status %d after %d attempts, want 200 after %d", c.name, w.Code, attempts.Load(), c.wantAttempts)
+		}
+		if got, most := time.Since(began), headTimeout+2*time.Duration(maxResumeWait)+time.Second; got > most {
+			t.Errorf("%s: got an answer after %v, want %v at most", c.name, got, most)
+		}
+	}
+}
