--- a/pkg/poison/judge.go
+++ b/pkg/poison/judge.go
@@ -210,7 +210,7 @@
 // crashes.
 func (d *Detector) disputed(p Fingerprint, e Crash, atLeast int) bool {
 	for q, s := range d.suspects {
-		if q != p && contains(s.crashes, e) && len(s.crashes) >= atLeast {
+		if q != p && len(s.crashes) >= atLeast && contains(s.crashes, e) {
 			return true
 		}
 	}
