--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -541,7 +541,7 @@
 // request explains are no evidence against it, and those at which other suspects were are little.
 //
 // Guards against a wrong quarantine: with three requests that crash endpoints among ten callers, one other of 47
-// was quarantined in 7 of 20 plays. Two of its crashes were explained, and at the others up to nine suspects had
+// was quarantined in 4 of 20 plays. Two of its crashes were explained, and at the others up to nine suspects had
 // been, among them one that crashed endpoints and had fewer crashes so far.
 func TestCrashesBesideOthersDoNotQuarantine(t *testing.T) {
 	d := NewDetector()
