Log the store's epoch and lists that are older than a copy

Each line of a call to the store now names the epoch, and a dropped list has a line of its own. No logic changes.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -185,6 +185,9 @@
 		}
 	}
 	f.updateLapse(time.Now())
+	if had := f.Mirror.Revision(f.Kind); f.pages[0].Revision < had {
+		f.Log.Warn("mirror: A list is older than the copy and was dropped.", zap.String("kind", f.Kind), zap.Int64("revision", f.pages[0].Revision), zap.Int64("copy", had))
+	}
 	var objects []Object
 	for _, p := range f.pages {
 		objects = append(objects, p.Objects...)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -155,7 +155,7 @@
 
 // recordStoreCall logs and counts a call to the store, as each call costs money.
 func (r *Router) recordStoreCall(c StoreCall) {
-	r.Log.Info("store: A call has ended.", zap.String("verb", string(c.Verb)), zap.String("kind", c.Kind), zap.Int("status", c.Status),
+	r.Log.Info("store: A call has ended.", zap.String("verb", string(c.Verb)), zap.String("kind", c.Kind), zap.Int("status", c.Status), zap.Int64("epoch", c.Epoch),
 		zap.Int64("tookMs", c.Ended.Sub(c.Sent).Milliseconds()))
 	r.admin.Scope.Tagged(map[string]string{"verb": string(c.Verb), "kind": c.Kind, "status": strconv.Itoa(c.Status)}).Counter("store_calls").Inc(1)
 }
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -72,7 +72,10 @@
 	// Kind is the kind of the requested objects.
 	Kind string
 	// Status is the HTTP status of the response; 0 if there was none.
-	Status      int
+	Status int
+	// Epoch is the number of times that the store had come back from an older copy, as the response
+	// names it.
+	Epoch       int64
 	Sent, Ended time.Time
 }
 
