--- a/internal/mirror/doc.go
+++ b/internal/mirror/doc.go
@@ -11,4 +11,9 @@
 // The store counts its changes by a revision that covers all kinds. A copy has the revision up to
 // which it includes all changes, and the time at which it was last confirmed to be current. Neither
 // decreases, so that updates may arrive late, more than once and in any order.
+//
+// A store that comes back from an older copy of itself has lost its last changes and begins a new
+// epoch, which is part of each revision. Copies of an earlier epoch are replaced by a whole list, as
+// changes since a revision are known within its epoch only. The changes that this list makes are
+// marked as Restored: they may take back what the store has lost and its writers will write again.
 package mirror
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -14,13 +14,18 @@
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
-// ErrHistoryGone means that the store no longer has the changes after the requested revision, so
-// that the kind must be listed again.
+// ErrHistoryGone means that the store no longer has the changes after the requested revision, or is in a
+// later epoch, so that the kind must be listed again.
 const ErrHistoryGone fault.Const = "mirror: the history is gone"
 
+// errOutdated means that an answer of the store is older than what is known: it is of an earlier epoch, or
+// a list of a lower revision than the copy.
+const errOutdated fault.Const = "mirror: the answer is older than the copy"
+
 // Source makes the calls to the store. Tests replace its functions.
 type Source struct {
 	// Page returns a page of the objects of a kind in the order of their names: those after the
@@ -29,14 +34,14 @@
 	// Watch waits for changes of a kind after the revision since, and returns them with the revision
 	// that includes them. It returns no changes at the time until. The error is ErrHistoryGone if
 	// the store no longer has the changes after since.
-	Watch func(ctx context.Context, kind string, since int64, until time.Time) ([]Change, int64, error)
+	Watch func(ctx context.Context, kind string, since epoch.Revision, until time.Time) ([]Change, epoch.Revision, error)
 }
 
 // Page is a page of a list.
 type Page struct {
 	Objects []Object
 	// Revision is the store's revision at which the page was read.
-	Revision int64
+	Revision epoch.Revision
 	// More is set if there are objects after the last one of the page.
 	More bool
 }
@@ -64,7 +69,8 @@
 	// After a failed call only the next page is requested again, not the whole list.
 	pages    []Page
 	listedAt time.Time
-	// relist is set if the store no longer has the history, so that the kind must be listed again.
+	// relist is set if the store no longer has the history, or has begun a new epoch, so that the kind
+	// must be listed again.
 	relist bool
 	// resumed is set if other routers called the store until now.
 	resumed bool
@@ -122,8 +128,12 @@
 			f.recordSuccess(sent)
 			lastSuccess = time.Now()
 		case errors.Is(err, ErrHistoryGone):
-			f.Log.Info("mirror: The store no longer has the changes since this revision; listing all objects again.", zap.String("kind", f.Kind), zap.Int64("revision", f.Mirror.Revision(f.Kind)))
+			f.Log.Info("mirror: The store no longer has the changes since this revision; listing all objects again.", zap.String("kind", f.Kind), zap.Stringer("revision", f.Mirror.Revision(f.Kind)), zap.Int64("epoch", f.Mirror.Epoch()))
 			f.relist = true
+		case errors.Is(err, errOutdated):
+			f.Log.Warn("mirror: An answer of the store is older than the copy and was dropped.", zap.String("kind", f.Kind), zap.Stringer("revision", f.Mirror.Revision(f.Kind)), zap.Int64("epoch", f.Mirror.Epoch()), logs.Err(err))
+			f.failures++
+			tasks.Pause(ctx, time.Now().Add(f.backoff()))
 		default:
 			f.recordFailure(lastSuccess, err)
 			tasks.Pause(ctx, time.Now().Add(f.backoff()))
@@ -132,12 +142,16 @@
 	return nil
 }
 
-// step lists the kind, or makes one watch call if the copy has a revision. sent is the present time.
+// step lists the kind, or makes one watch call if the copy has a revision of the newest epoch. sent is the
+// present time.
 func (f *Follower) step(ctx context.Context, sent time.Time) error {
 	since := f.Mirror.Revision(f.Kind)
 	if since < 0 || f.relist {
 		return f.list(ctx, sent)
 	}
+	if since.Epoch() < f.Mirror.Epoch() {
+		return ErrHistoryGone
+	}
 	until := f.WatchTimeout.After(sent)
 	if !f.lostSince.IsZero() || f.resumed {
 		// The store answers this watch at once, without waiting for a change. So the end of an outage
@@ -147,7 +161,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, until.Add(callTimeout))
 	defer cancel()
-	changes, revision, err := f.Source.Watch(ctx, f.Kind, since, until)
+	changes, revision, err := f.watch(ctx, since, until)
 	if err != nil {
 		return err
 	}
@@ -163,20 +177,43 @@
 	return nil
 }
 
-// list reads the remaining pages of the kind and replaces the copy. The copy gets the revision of
-// the first page, so that the first watch returns all changes made while the pages were read.
+// watch makes a watch call, which ends early if a later epoch is observed meanwhile: its answer may not come
+// any more, and changes since a revision are known within its epoch only.
+func (f *Follower) watch(ctx context.Context, since epoch.Revision, until time.Time) ([]Change, epoch.Revision, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Mirror.AwaitEpoch(ctx, since.Epoch())
+		cancel()
+	}()
+	changes, revision, err := f.Source.Watch(ctx, f.Kind, since, until)
+	cancel()
+	<-ended
+	if err == nil {
+		f.Mirror.ObserveEpoch(revision.Epoch())
+	}
+	switch newest := f.Mirror.Epoch(); {
+	case newest > since.Epoch():
+		return nil, revision, ErrHistoryGone
+	case err == nil && revision.Epoch() < newest:
+		return nil, revision, errors.Wrapf(errOutdated, "revision %v", revision)
+	}
+	return changes, revision, err
+}
+
+// list reads the remaining pages of the kind and replaces the copy.
 func (f *Follower) list(ctx context.Context, sent time.Time) error {
 	if f.pages == nil || sent.Sub(f.listedAt) > pageTTL {
 		f.pages, f.listedAt = nil, sent
 	}
 	for {
-		page, err := f.nextPage(ctx)
+		last, err := f.readPage(ctx)
 		if err != nil {
 			return err
 		}
-		f.pages = append(f.pages, page)
-		if !page.More || len(page.Objects) == 0 {
-			break
+		if last {
+			return f.replace()
 		}
 		if !f.relist && f.Mirror.Revision(f.Kind) >= 0 {
 			// A peer has supplied the list in the meantime.
@@ -184,18 +221,50 @@
 			return nil
 		}
 	}
-	f.updateLapse(time.Now())
-	if had := f.Mirror.Revision(f.Kind); f.pages[0].Revision < had {
-		f.Log.Warn("mirror: A list is older than the copy and was dropped.", zap.String("kind", f.Kind), zap.Int64("revision", f.pages[0].Revision), zap.Int64("copy", had))
+}
+
+// readPage adds the next page to pages, and reports whether it is the last one. The pages are read anew if the
+// store begins a new epoch between them.
+func (f *Follower) readPage(ctx context.Context) (last bool, err error) {
+	asked := time.Now()
+	page, err := f.nextPage(ctx)
+	if err != nil {
+		return false, err
+	}
+	f.Mirror.ObserveEpoch(page.Revision.Epoch())
+	if page.Revision.Epoch() < f.Mirror.Epoch() {
+		f.pages = nil
+		return false, errors.Wrapf(errOutdated, "revision %v", page.Revision)
+	}
+	if len(f.pages) > 0 && page.Revision.Epoch() != f.pages[0].Revision.Epoch() {
+		f.pages, f.listedAt = nil, asked
+		return false, nil
 	}
+	f.pages = append(f.pages, page)
+	return !page.More || len(page.Objects) == 0, nil
+}
+
+// replace replaces the copy by the list in pages. The copy gets the revision of the first page, so that the first
+// watch returns all changes made while the pages were read.
+func (f *Follower) replace() error {
+	f.updateLapse(time.Now())
 	var objects []Object
 	for _, p := range f.pages {
 		objects = append(objects, p.Objects...)
 	}
-	f.Mirror.Replace(f.Kind, objects, f.pages[0].Revision, f.listedAt, f.lapsesAt)
-	f.Log.Info("mirror: All of a kind was read.", zap.String("kind", f.Kind), zap.Int64("revision", f.pages[0].Revision), zap.Int("objects", len(objects)),
-		zap.Int("pages", len(f.pages)), zap.Bool("historyLost", f.relist), zap.Int64("tookMs", time.Since(f.listedAt).Milliseconds()))
+	revision, had := f.pages[0].Revision, f.Mirror.Revision(f.Kind)
+	pages, historyLost := len(f.pages), f.relist
+	applied := f.Mirror.Replace(f.Kind, objects, revision, f.listedAt, f.lapsesAt)
 	f.relist, f.pages = false, nil
+	if !applied {
+		// A peer may have sent a later state meanwhile.
+		return errors.Wrapf(errOutdated, "revision %v", revision)
+	}
+	f.Log.Info("mirror: All of a kind was read.", zap.String("kind", f.Kind), zap.Stringer("revision", revision), zap.Int("objects", len(objects)),
+		zap.Int("pages", pages), zap.Bool("historyLost", historyLost), zap.Int64("tookMs", time.Since(f.listedAt).Milliseconds()))
+	if had >= 0 && revision.Epoch() > had.Epoch() {
+		f.Log.Warn("mirror: The store has come back from an older copy.", zap.String("kind", f.Kind), zap.Stringer("revision", revision), zap.Stringer("copy", had))
+	}
 	return nil
 }
 
@@ -223,14 +292,14 @@
 	f.failures++
 	if f.lostSince.IsZero() {
 		f.lostSince = lastSuccess
-		f.Log.Warn("mirror: The store was lost.", zap.String("kind", f.Kind), zap.Int64("revision", f.Mirror.Revision(f.Kind)), logs.Err(err))
+		f.Log.Warn("mirror: The store was lost.", zap.String("kind", f.Kind), zap.Stringer("revision", f.Mirror.Revision(f.Kind)), logs.Err(err))
 	}
 }
 
 // recordSuccess ends an outage, if there is one, with a call that was sent at now and answered.
 func (f *Follower) recordSuccess(now time.Time) {
 	if !f.lostSince.IsZero() {
-		f.Log.Info("mirror: The store is back.", zap.String("kind", f.Kind), zap.Int64("revision", f.Mirror.Revision(f.Kind)),
+		f.Log.Info("mirror: The store is back.", zap.String("kind", f.Kind), zap.Stringer("revision", f.Mirror.Revision(f.Kind)),
 			zap.Int("failures", f.failures), zap.Duration("away", now.Sub(f.lostSince)))
 	}
 	f.lostSince, f.failures = time.Time{}, 0
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -8,13 +8,15 @@
 	"encoding/json"
 	"sync"
 	"time"
+
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 // Object is a stored object.
 type Object struct {
 	Name string `json:"name"`
 	// Revision is the store's revision at the last change of the object.
-	Revision int64 `json:"revision"`
+	Revision epoch.Revision `json:"revision"`
 	// Spec is the desired state as its writer set it, and Status the observed state.
 	Spec   json.RawMessage `json:"spec,omitempty"`
 	Status json.RawMessage `json:"status,omitempty"`
@@ -28,6 +30,9 @@
 	// LapsesAt is when the removal takes effect; the zero time for at once. It lies ahead if the
 	// object may have been removed only because its owner could not reach the store.
 	LapsesAt time.Time
+	// Restored is set if the change was found by the first list of a new epoch. The store may have lost
+	// a later state of the object, which its writer will write again.
+	Restored bool
 }
 
 // Mirror holds copies of several kinds of objects. It must be created with New and is safe for
@@ -42,20 +47,24 @@
 	// changed is closed and replaced whenever a revision increases, or a copy is confirmed again
 	// after minConfirmationGap.
 	changed chan struct{}
+	// epoch is the newest epoch of the store that was observed. It never decreases. epochBegun is
+	// closed and replaced whenever it increases.
+	epoch      int64
+	epochBegun chan struct{}
 }
 
 // kindCopy is the copy of one kind.
 type kindCopy struct {
-	// revision is the revision up to which the copy includes all changes; -1 before the first
-	// list. It never decreases.
-	revision int64
+	// revision is the revision up to which the copy includes all changes; epoch.None before the
+	// first list. It never decreases. All objects and tombstones are of its epoch.
+	revision epoch.Revision
 	// confirmedAt is a time at which the copy is known to have been current. It never decreases.
 	confirmedAt time.Time
 	objects     map[string]Object
 	// tombstones holds the removals from the revision deltaFloor on, by object name. A copy with a
 	// lower revision than deltaFloor needs the full list.
 	tombstones map[string]Change
-	deltaFloor int64
+	deltaFloor epoch.Revision
 }
 
 // maxTombstones is the maximum number of tombstones of a kind. Once it is reached, the next removal
@@ -64,16 +73,16 @@
 
 // New returns a mirror with empty copies of the named kinds.
 func New(kinds ...string) *Mirror {
-	m := &Mirror{OnChange: func(string, Change) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{})}
+	m := &Mirror{OnChange: func(string, Change) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{})}
 	for _, k := range kinds {
-		m.kinds[k] = &kindCopy{revision: -1, objects: make(map[string]Object), tombstones: make(map[string]Change)}
+		m.kinds[k] = &kindCopy{revision: epoch.None, objects: make(map[string]Object), tombstones: make(map[string]Change)}
 	}
 	return m
 }
 
-// Revision returns the revision up to which the copy of a kind includes all changes; -1 before the
-// first list.
-func (m *Mirror) Revision(kind string) int64 {
+// Revision returns the revision up to which the copy of a kind includes all changes; epoch.None before
+// the first list.
+func (m *Mirror) Revision(kind string) epoch.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.kinds[kind].revision
@@ -87,38 +96,111 @@
 	return m.kinds[kind].confirmedAt
 }
 
+// Has reports whether the mirror has a copy of a kind, which may not have been listed yet.
+func (m *Mirror) Has(kind string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kinds[kind] != nil
+}
+
+// Epoch returns the newest epoch of the store that was observed.
+func (m *Mirror) Epoch() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch
+}
+
+// ObserveEpoch records that the store, or a copy of it, was in an epoch.
+func (m *Mirror) ObserveEpoch(e int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observeEpoch(e)
+}
+
+// observeEpoch is ObserveEpoch. The caller holds mu.
+func (m *Mirror) observeEpoch(e int64) {
+	if e > m.epoch {
+		m.epoch = e
+		close(m.epochBegun)
+		m.epochBegun = make(chan struct{})
+	}
+}
+
+// IsCurrent reports whether the copies of all kinds are of the newest epoch that was observed.
+func (m *Mirror) IsCurrent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.kinds {
+		if c.revision < 0 || c.revision.Epoch() < m.epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// AwaitEpoch blocks until an epoch after e was observed or ctx is done.
+func (m *Mirror) AwaitEpoch(ctx context.Context, e int64) {
+	for {
+		m.mu.Lock()
+		begun, newer := m.epochBegun, m.epoch > e
+		m.mu.Unlock()
+		if newer {
+			return
+		}
+		select {
+		case <-begun:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Replace replaces the copy of a kind by the full list of its objects as of a revision, which was
-// requested at the time at. Objects that are not in the list are removed with the given lapsesAt.
-// A list with a lower revision than the copy is ignored.
-func (m *Mirror) Replace(kind string, objects []Object, revision int64, at, lapsesAt time.Time) {
+// requested at the time at. Objects that are not in the list are removed with the given lapsesAt, or
+// after lapseGrace if the list is the first one of an epoch: their owners may write them again. A list
+// with a lower revision than the copy is ignored; Replace reports whether the list was applied.
+func (m *Mirror) Replace(kind string, objects []Object, revision epoch.Revision, at, lapsesAt time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.kinds[kind]
 	if revision < c.revision {
-		return
+		return false
+	}
+	m.observeEpoch(revision.Epoch())
+	restored := c.revision >= 0 && revision.Epoch() > c.revision.Epoch()
+	if restored {
+		if grace := lapseGrace.After(at); grace.After(lapsesAt) {
+			lapsesAt = grace
+		}
+		clear(c.tombstones)
+	}
+	if restored || c.revision < 0 {
+		c.deltaFloor = revision
 	}
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
-		m.apply(kind, c, Change{Object: o})
+		m.apply(kind, c, Change{Object: o, Restored: restored})
 	}
 	for name := range c.objects {
 		if !listed[name] {
-			m.apply(kind, c, Change{Object: Object{Name: name, Revision: revision}, Removed: true, LapsesAt: lapsesAt})
+			m.apply(kind, c, Change{Object: Object{Name: name, Revision: revision}, Removed: true, LapsesAt: lapsesAt, Restored: restored})
 		}
 	}
-	if c.revision < 0 {
-		c.deltaFloor = revision
-	}
 	m.advance(c, revision, at)
+	return true
 }
 
 // Apply applies the changes of a kind up to a revision, which were requested at the time at. Changes
-// that are older than the copy are ignored.
-func (m *Mirror) Apply(kind string, changes []Change, revision int64, at time.Time) {
+// that are older than the copy, or of another epoch, are ignored.
+func (m *Mirror) Apply(kind string, changes []Change, revision epoch.Revision, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeEpoch(revision.Epoch())
 	c := m.kinds[kind]
+	if revision.Epoch() != c.revision.Epoch() {
+		return
+	}
 	for _, ch := range changes {
 		m.apply(kind, c, ch)
 	}
@@ -155,7 +237,7 @@
 
 // advance raises the revision of a copy and the time of its confirmation, if the given ones are
 // higher. The caller holds mu.
-func (m *Mirror) advance(c *kindCopy, revision int64, at time.Time) {
+func (m *Mirror) advance(c *kindCopy, revision epoch.Revision, at time.Time) {
 	afterGap := false
 	if at.After(c.confirmedAt) && revision >= c.revision {
 		afterGap = at.Sub(c.confirmedAt) > minConfirmationGap
@@ -175,7 +257,7 @@
 // Delta is the difference between an older copy of a kind and a newer one.
 type Delta struct {
 	// Revision and ConfirmedAt are those of the newer copy.
-	Revision    int64
+	Revision    epoch.Revision
 	ConfirmedAt time.Time
 	// Full is set if Changes holds all objects of the newer copy. Objects that are not among them
 	// were removed, and no removals are listed.
@@ -183,9 +265,9 @@
 	Changes []Change
 }
 
-// Since returns the difference between a copy of a kind at a revision and the copy of this mirror.
-// ok is false if the mirror has not listed the kind yet.
-func (m *Mirror) Since(kind string, revision int64) (d Delta, ok bool) {
+// Since returns the difference between a copy of a kind at a revision and the copy of this mirror. It
+// holds all objects if that copy is of an earlier epoch, and none if it is of a later one. ok is false if the mirror has not listed the kind yet.
+func (m *Mirror) Since(kind string, revision epoch.Revision) (d Delta, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.kinds[kind]
@@ -208,19 +290,19 @@
 
 // AwaitChange blocks until a copy has changes after the revision that have holds for its kind, but
 // no later than the time until or until ctx is done.
-func (m *Mirror) AwaitChange(ctx context.Context, have map[string]int64, until time.Time) {
+func (m *Mirror) AwaitChange(ctx context.Context, have map[string]epoch.Revision, until time.Time) {
 	m.await(ctx, until, func() bool { return m.changedSince(have) })
 }
 
 // AwaitChangeOrConfirmation is like AwaitChange, but also returns once the copy of the given kind
 // was confirmed to be current later than after.
-func (m *Mirror) AwaitChangeOrConfirmation(ctx context.Context, have map[string]int64, kind string, after, until time.Time) {
+func (m *Mirror) AwaitChangeOrConfirmation(ctx context.Context, have map[string]epoch.Revision, kind string, after, until time.Time) {
 	m.await(ctx, until, func() bool { return m.changedSince(have) || m.kinds[kind].confirmedAt.After(after) })
 }
 
 // changedSince reports whether a copy has changes after the revision that have holds for its kind.
 // The caller holds mu.
-func (m *Mirror) changedSince(have map[string]int64) bool {
+func (m *Mirror) changedSince(have map[string]epoch.Revision) bool {
 	for kind, revision := range have {
 		if c := m.kinds[kind]; c != nil && c.changedSince(revision) {
 			return true
@@ -257,7 +339,7 @@
 
 // changedSince reports whether the copy has changes after a revision. A higher revision alone is no
 // change, as it may stem from other kinds.
-func (c *kindCopy) changedSince(revision int64) bool {
+func (c *kindCopy) changedSince(revision epoch.Revision) bool {
 	if c.revision <= revision {
 		return false
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -10,23 +10,25 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 var t0 = time.Unix(1_000_000, 0)
 
-func object(name string, revision int64) Object {
+func object(name string, revision epoch.Revision) Object {
 	return Object{Name: name, Revision: revision, Spec: json.RawMessage(fmt.Sprint(revision))}
 }
 
 // observed holds the last revision of each object that OnChange was called with, by name; negative
 // for a removal.
-type observed map[string]int64
+type observed map[string]epoch.Revision
 
 // observe records the changes of a mirror. The test fails if a revision of an object decreases.
 func observe(t *testing.T, m *Mirror) observed {
@@ -90,7 +92,7 @@
 			}
 			delayed = append(delayed, func() { applyDelta(to, d) })
 		}
-		for revision := int64(1); revision < 200; revision++ {
+		for revision := epoch.Revision(1); revision < 200; revision++ {
 			name := fmt.Sprint(rnd.IntN(12))
 			c := Change{Object: object(name, revision), Removed: rnd.IntN(3) == 0}
 			origin.Apply("k", []Change{c}, revision, t0)
@@ -140,7 +142,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		m.AwaitChange(context.Background(), map[string]int64{"k": 1}, time.Now().Add(time.Minute))
+		m.AwaitChange(context.Background(), map[string]epoch.Revision{"k": 1}, time.Now().Add(time.Minute))
 	}()
 	m.Apply("k", []Change{{Object: object("a", 2)}}, 2, t0)
 	<-ended
@@ -158,7 +160,7 @@
 		Page: func(context.Context, string, string) (Page, error) {
 			return Page{Objects: []Object{object("a", 1)}, Revision: 1}, nil
 		},
-		Watch: func(context.Context, string, int64, time.Time) ([]Change, int64, error) {
+		Watch: func(context.Context, string, epoch.Revision, time.Time) ([]Change, epoch.Revision, error) {
 			return []Change{{Object: Object{Name: "a", Revision: 2}, Removed: true}}, 2, nil
 		},
 	}}
@@ -182,7 +184,7 @@
 	var waits []time.Duration
 	f := Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k", WatchTimeout: config.Span(wait), Source: Source{
 		Page: func(context.Context, string, string) (Page, error) { return Page{Revision: 1}, nil },
-		Watch: func(_ context.Context, _ string, _ int64, until time.Time) ([]Change, int64, error) {
+		Watch: func(_ context.Context, _ string, _ epoch.Revision, until time.Time) ([]Change, epoch.Revision, error) {
 			waits = append(waits, time.Until(until))
 			return nil, 1, nil
 		},
@@ -224,9 +226,9 @@
 			if lists++; lists == 2 {
 				cancel()
 			}
-			return Page{Revision: int64(lists)}, nil
+			return Page{Revision: epoch.Revision(lists)}, nil
 		},
-		Watch: func(context.Context, string, int64, time.Time) ([]Change, int64, error) {
+		Watch: func(context.Context, string, epoch.Revision, time.Time) ([]Change, epoch.Revision, error) {
 			return nil, 0, ErrHistoryGone
 		},
 	}}
@@ -248,7 +250,7 @@
 			}
 			pagesAfter = append(pagesAfter, after)
 			n := len(pagesAfter)
-			return Page{Objects: []Object{object(fmt.Sprint("o", n), int64(n))}, Revision: int64(10 * n), More: n < 5}, nil
+			return Page{Objects: []Object{object(fmt.Sprint("o", n), epoch.Revision(n))}, Revision: epoch.Revision(10 * n), More: n < 5}, nil
 		},
 	}}
 	steps := 0
@@ -293,3 +295,148 @@
 	m.Apply("k", nil, 1, t0.Add(3*time.Second))
 	<-ended
 }
+
+// A list of a later epoch replaces the copy although its number is lower. Objects that the list lacks lapse later, and the changes say that the store came
+// back.
+//
+// Guards against states of two histories that are ordered by the store's counter alone.
+func TestLaterEpochReplacesTheCopy(t *testing.T) {
+	m := New("k")
+	var got []Change
+	m.Replace("k", []Object{object("a", epoch.At(1, 30)), object("b", epoch.At(1, 36))}, epoch.At(1, 36), t0, time.Time{})
+	m.Apply("k", []Change{{Object: Object{Name: "c", Revision: epoch.At(1, 40)}, Removed: true}}, epoch.At(1, 40), t0)
+	m.OnChange = func(_ string, c Change) { got = append(got, c) }
+	if !m.Replace("k", []Object{object("a", epoch.At(2, 20)), object("c", epoch.At(2, 25))}, epoch.At(2, 34), t0.Add(time.Second), time.Time{}) {
+		t.Error("list of the later epoch: got it dropped")
+	}
+	if want := epoch.At(2, 34); m.Revision("k") != want || m.Epoch() != 2 {
+		t.Errorf("revision: got %v in epoch %d, want %v", m.Revision("k"), m.Epoch(), want)
+	}
+	lapse := lapseGrace.After(t0.Add(time.Second))
+	for _, c := range got {
+		if !c.Restored || c.Removed && !c.LapsesAt.Equal(lapse) {
+			t.Errorf("%s: got restored %v, lapse at %v; want restored, lapse at %v", c.Name, c.Restored, c.LapsesAt, lapse)
+		}
+	}
+	if len(got) != 3 {
+		t.Errorf("changes: got %v, want those of a, b and c", got)
+	}
+}
+
+// Nothing of an earlier epoch is applied, whatever its number, and no changes of a later one without the list before
+// them. Neither confirms the copy.
+//
+// Guards against a router that was cut off or frozen and tells what the store has lost.
+func TestOtherEpochsAreIgnored(t *testing.T) {
+	m := New("k")
+	m.Replace("k", []Object{object("a", epoch.At(2, 20))}, epoch.At(2, 34), t0, time.Time{})
+	var got []Change
+	m.OnChange = func(_ string, c Change) { got = append(got, c) }
+	if m.Replace("k", []Object{object("b", epoch.At(1, 90))}, epoch.At(1, 99), t0.Add(time.Hour), time.Time{}) {
+		t.Error("list of the earlier epoch with a higher number: got it applied")
+	}
+	m.Apply("k", []Change{{Object: object("d", epoch.At(1, 95))}}, epoch.At(1, 99), t0.Add(time.Hour))
+	m.Apply("k", []Change{{Object: object("d", epoch.At(3, 1))}}, epoch.At(3, 1), t0.Add(time.Hour))
+	if len(got) != 0 {
+		t.Errorf("changes of other epochs: got %v, want none", got)
+	}
+	if at := m.ConfirmedAt("k"); !at.Equal(t0) {
+		t.Errorf("confirmed at: got %v, want %v", at, t0)
+	}
+	if m.IsCurrent() {
+		t.Error("a copy of epoch 2 counts as current after epoch 3 was observed")
+	}
+}
+
+// A copy of an earlier epoch gets the whole list from one of a later epoch, also if its number is higher, and
+// nothing is taken from it.
+//
+// Guards against a router that was cut off or frozen while the store came back.
+func TestCopyOfAnEarlierEpochGetsAll(t *testing.T) {
+	newer, older := New("k"), New("k")
+	newer.Replace("k", []Object{object("a", epoch.At(2, 30))}, epoch.At(2, 34), t0, time.Time{})
+	older.Replace("k", []Object{object("a", epoch.At(1, 36)), object("b", epoch.At(1, 37))}, epoch.At(1, 40), t0, time.Time{})
+	if d, _ := older.Since("k", newer.Revision("k")); d.Full || len(d.Changes) != 0 {
+		t.Errorf("from the older copy: got %+v, want nothing", d)
+	}
+	d, _ := newer.Since("k", older.Revision("k"))
+	if !d.Full {
+		t.Errorf("from the newer copy: got %+v, want all", d)
+	}
+	s := observe(t, older)
+	applyDelta(older, d)
+	if s["a"] != epoch.At(2, 30) || s["b"] != -epoch.At(2, 34) {
+		t.Errorf("state: got %v, want a of the later epoch and b removed", s)
+	}
+}
+
+// A watch from a revision that a store of a later epoch knows too is not taken for a continuation, and a list
+// whose pages are of two epochs is read anew.
+//
+// Guards against a store that has passed the old revision by the time it is asked, and so answers no 410.
+func TestFollowerListsAgainInALaterEpoch(t *testing.T) {
+	var storeEpoch int64 = 1
+	var pages []string
+	m := New("k")
+	f := &Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", WatchTimeout: config.Span(time.Second), Source: Source{
+		Page: func(_ context.Context, _, after string) (Page, error) {
+			pages = append(pages, after)
+			if after != "" && len(pages) == 2 {
+				storeEpoch = 2
+			}
+			name := "a"
+			if after != "" {
+				name = "b"
+			}
+			return Page{Objects: []Object{object(name, epoch.At(storeEpoch, 50))}, Revision: epoch.At(storeEpoch, 60), More: after == ""}, nil
+		},
+		Watch: func(_ context.Context, _ string, since epoch.Revision, _ time.Time) ([]Change, epoch.Revision, error) {
+			storeEpoch++
+			return []Change{{Object: object("c", epoch.At(storeEpoch, since.Number()+1))}}, epoch.At(storeEpoch, since.Number()+1), nil
+		},
+	}}
+	ctx := context.Background()
+	if err := f.step(ctx, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"", "a", "", "a"}; !slices.Equal(pages, want) || m.Revision("k") != epoch.At(2, 60) {
+		t.Errorf("pages: got %q and revision %v, want %q and %v", pages, m.Revision("k"), want, epoch.At(2, 60))
+	}
+	s := observe(t, m)
+	if err := f.step(ctx, time.Now()); !errors.Is(err, ErrHistoryGone) || len(s) != 0 {
+		t.Errorf("watch answered in a later epoch: got %v and changes %v, want %v and none", err, s, ErrHistoryGone)
+	}
+}
+
+// A waiting watch ends when another answer names a later epoch, and the copy is listed again at once.
+//
+// Guards against changes that are heard of seconds late, as the store no longer knows of a watch that waits on an
+// open connection.
+func TestWatchEndsWhenALaterEpochIsObserved(t *testing.T) {
+	m := New("k")
+	watching, listed := make(chan struct{}, 1), make(chan struct{}, 8)
+	f := &Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", WatchTimeout: config.Span(time.Hour), Source: Source{
+		Page: func(context.Context, string, string) (Page, error) {
+			listed <- struct{}{}
+			return Page{Revision: epoch.At(m.Epoch(), 5)}, nil
+		},
+		Watch: func(ctx context.Context, _ string, _ epoch.Revision, _ time.Time) ([]Change, epoch.Revision, error) {
+			watching <- struct{}{}
+			<-ctx.Done()
+			return nil, epoch.None, errUnavailable
+		},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	<-listed
+	<-watching
+	m.ObserveEpoch(2)
+	<-listed
+	<-watching
+	if got, want := m.Revision("k"), epoch.At(2, 5); got != want {
+		t.Errorf("revision: got %v, want %v", got, want)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/peers/compress.go
+++ b/internal/peers/compress.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/traildrift/traildrift/internal/mirror"
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 const (
@@ -37,7 +38,7 @@
 
 // cacheEntry holds the compressed data of an object or list as of a revision.
 type cacheEntry struct {
-	revision int64
+	revision epoch.Revision
 	bytes    []byte
 }
 
@@ -78,7 +79,7 @@
 	}
 	objects := make([]mirror.Object, 0, len(d.Changes))
 	for _, c := range d.Changes {
-		objects = append(objects, c.Object)
+		objects = append(objects, numbered(c.Object))
 	}
 	// Sorting places similar objects next to each other, which improves the compression.
 	slices.SortFunc(objects, func(a, b mirror.Object) int { return cmp.Compare(a.Name, b.Name) })
@@ -96,7 +97,8 @@
 	return text
 }
 
-// decompressList returns the changes of a whole list that compressionCache.list compressed.
+// decompressList returns the changes of a whole list that compressionCache.list compressed. Their revisions
+// are numbers alone.
 func decompressList(b []byte) ([]mirror.Change, error) {
 	text, err := decompress(b)
 	if err != nil {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/traildrift/traildrift/internal/mirror"
 	"github.com/traildrift/traildrift/internal/tasks"
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 // waitTimeout is the maximum time for which a test waits for one event.
@@ -62,7 +63,7 @@
 
 // putRevision stores one object in each kind, as of a revision that was proven to be the newest at
 // the time at.
-func putRevision(m *mirror.Mirror, revision int64, at time.Time) {
+func putRevision(m *mirror.Mirror, revision epoch.Revision, at time.Time) {
 	for _, kind := range []string{"config", "k"} {
 		m.Replace(kind, []mirror.Object{{Name: "a", Revision: revision, Spec: json.RawMessage(`{}`)}}, revision, at, time.Time{})
 	}
@@ -559,7 +560,7 @@
 	var objects []mirror.Object
 	for i := range 3000 {
 		spec := fmt.Sprintf(`{"service":"s","address":"10.6.64.%d:8580","zone":"zone-a","version":"v1","capacity":24,"state":"ready","sequence":%d}`, i%250, i)
-		objects = append(objects, mirror.Object{Name: fmt.Sprintf("i-%010x", 7919*i), Revision: int64(i + 1), Spec: json.RawMessage(spec)})
+		objects = append(objects, mirror.Object{Name: fmt.Sprintf("i-%010x", 7919*i), Revision: epoch.Revision(i + 1), Spec: json.RawMessage(spec)})
 	}
 	p.mirror.Replace("k", objects, 3000, time.Now(), time.Time{})
 	p.mirror.Replace("config", nil, 1, time.Now(), time.Time{})
@@ -725,3 +726,61 @@
 	t.Fatal("the backlog did not fill up with 8 connections")
 	return netip.AddrPort{}
 }
+
+// A peer whose copy is of an earlier epoch of the store counts as stale however late it was proven, and nothing is
+// taken from it, although its numbers are higher. A peer of an earlier release, whose responses name no epoch, is
+// such a peer.
+//
+// Guards against changes that are taken back by a router that was cut off or frozen while the store came back, and
+// against routers that call themselves fresh by its word.
+func TestPeerInAnEarlierEpochIsStale(t *testing.T) {
+	for _, peerEpoch := range []int64{0, 1} {
+		p := startPeer(t, "peer")
+		putRevision(p.mirror, epoch.At(peerEpoch, 90), time.Now())
+		pl := newTestPuller(p)
+		putRevision(pl.Mirror, epoch.At(2, 34), time.Now().Add(-time.Minute))
+		if pl.pull(context.Background(), p.Peer, false) {
+			t.Errorf("epoch %d: the peer counts as fresh", peerEpoch)
+		}
+		if got, want := pl.Mirror.Revision("k"), epoch.At(2, 34); got != want {
+			t.Errorf("epoch %d: got revision %v, want %v", peerEpoch, got, want)
+		}
+	}
+}
+
+// A router with a copy of an earlier epoch gets all from a peer in a later one at once, although its own number is
+// higher.
+//
+// Guards against a router that waits for a number that the store has gone back behind.
+func TestPullFromALaterEpoch(t *testing.T) {
+	p := startPeer(t, "peer")
+	putRevision(p.mirror, epoch.At(2, 34), time.Now())
+	pl := newTestPuller(p)
+	putRevision(pl.Mirror, epoch.At(1, 90), time.Now())
+	began := time.Now()
+	if !pl.pull(context.Background(), p.Peer, true) || time.Since(began) > time.Duration(longPollWait) {
+		t.Errorf("got a stale peer or a response after %v, want a fresh one that answers at once", time.Since(began))
+	}
+	if got, want := pl.Mirror.Revision("k"), epoch.At(2, 34); got != want {
+		t.Errorf("revision: got %v, want %v", got, want)
+	}
+}
+
+// A request of an earlier release names no epochs and is answered as before, by changes since its number; it gets
+// the numbers that it knows.
+//
+// Guards against a fleet that is being updated in which each pull of an earlier release gets whole lists at once.
+func TestPullOfAnEarlierRelease(t *testing.T) {
+	p := startPeer(t, "peer")
+	putRevision(p.mirror, epoch.At(2, 34), time.Now())
+	have := (&pullRequest{Have: map[string]int64{"k": 34}}).revisions(p.mirror)
+	if d, _ := p.mirror.Since("k", have["k"]); d.Full || len(d.Changes) != 0 {
+		t.Errorf("changes since the newest number: got %+v, want none", d)
+	}
+	have = (&pullRequest{Have: map[string]int64{"k": -1}}).revisions(p.mirror)
+	d, _ := p.mirror.Since("k", have["k"])
+	k := encodeDelta("k", d, 0, time.Now(), &compressionCache{}, false)
+	if !d.Full || k.Number != 34 || len(k.Changes) != 1 || k.Changes[0].Revision != 34 {
+		t.Errorf("first pull: got %+v, want the whole list as of number 34", k)
+	}
+}
--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -309,10 +309,10 @@
 		// The peer answered no earlier than HeldMs after the request was sent.
 		at := sent.Add(time.Duration(got.HeldMs-k.AgeMs) * time.Millisecond)
 		if k.Whole {
-			pl.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Int64("revision", k.Revision), zap.Int("objects", len(changes)))
-			pl.Mirror.Replace(kind, objects(changes), k.Revision, at, time.Time{})
+			pl.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Stringer("revision", k.revision()), zap.Int("objects", len(changes)))
+			pl.Mirror.Replace(kind, objects(changes), k.revision(), at, time.Time{})
 		} else {
-			pl.Mirror.Apply(kind, changes, k.Revision, at)
+			pl.Mirror.Apply(kind, changes, k.revision(), at)
 		}
 	}
 	pl.Fleet.RecordAnswer(p.Name)
@@ -322,7 +322,9 @@
 		pl.Fleet.BackOff(p.Name, startPollInterval.After(now))
 		return false
 	}
-	if !ok || time.Duration(w.AgeMs)*time.Millisecond > time.Duration(pl.staleAge(now)) {
+	// A copy of an earlier epoch is not the newest, however late it was proven: that was of a history that
+	// the store has lost since.
+	if !ok || w.Epoch < pl.Mirror.Epoch() || time.Duration(w.AgeMs)*time.Millisecond > time.Duration(pl.staleAge(now)) {
 		pl.Fleet.RecordStale(p.Name, now)
 		return false
 	}
@@ -357,9 +359,10 @@
 // post sends a request to one peer and returns the response. It sets the fields Have and
 // AcceptsCompressed of q.
 func (pl *Puller) post(ctx context.Context, p Peer, q *pullRequest, sent time.Time) (*pullResponse, error) {
-	q.Have, q.AcceptsCompressed = make(map[string]int64), true
+	q.Have, q.Epochs, q.AcceptsCompressed = make(map[string]int64), make(map[string]int64), true
 	for _, k := range pl.Kinds {
-		q.Have[k] = pl.Mirror.Revision(k)
+		revision := pl.Mirror.Revision(k)
+		q.Have[k], q.Epochs[k] = revision.Number(), revision.Epoch()
 	}
 	text, err := json.Marshal(q)
 	if err != nil {
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/mirror"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/poison"
 )
 
@@ -80,11 +81,11 @@
 	if req.hasNothing() {
 		s.OnStartingPeer()
 	}
-	receivedAt := time.Now()
-	s.hold(r.Context(), &req, receivedAt)
+	receivedAt, have := time.Now(), req.revisions(s.Mirror)
+	s.hold(r.Context(), &req, have, receivedAt)
 	now := time.Now()
 	resp := pullResponse{Kinds: make(map[string]kindChanges), HeldMs: now.Sub(receivedAt).Milliseconds()}
-	for kind, revision := range req.Have {
+	for kind, revision := range have {
 		if d, ok := s.Mirror.Since(kind, revision); ok {
 			resp.Kinds[kind] = encodeDelta(kind, d, s.Age(d.ConfirmedAt, now), now, &s.cache, req.AcceptsCompressed)
 		}
@@ -112,7 +113,7 @@
 // peer allows, and maxHold. It returns at once when the copy becomes stale, so that the peer tries
 // another one. If the peer waits for a fresh copy, hold returns when this one is; if the peer is a
 // relay, also when the copy was proven anew.
-func (s *Server) hold(ctx context.Context, req *pullRequest, receivedAt time.Time) {
+func (s *Server) hold(ctx context.Context, req *pullRequest, have map[string]epoch.Revision, receivedAt time.Time) {
 	until := receivedAt.Add(min(time.Duration(req.WaitMs)*time.Millisecond, maxHold))
 	if req.AwaitFresh {
 		s.Mirror.AwaitConfirmation(ctx, s.FreshnessKind, receivedAt.Add(-time.Duration(staleAfter)), until)
@@ -126,8 +127,8 @@
 		until = aged
 	}
 	if req.FromRelay {
-		s.Mirror.AwaitChangeOrConfirmation(ctx, req.Have, s.FreshnessKind, proven, until)
+		s.Mirror.AwaitChangeOrConfirmation(ctx, have, s.FreshnessKind, proven, until)
 		return
 	}
-	s.Mirror.AwaitChange(ctx, req.Have, until)
+	s.Mirror.AwaitChange(ctx, have, until)
 }
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -14,6 +14,7 @@
 
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/pkg/duty"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/usage"
 )
 
@@ -81,7 +82,8 @@
 	Flags       uint8
 }
 
-// gossipHead is the fixed part of an encoded duty.Gossip. The name of the holder follows.
+// gossipHead is the fixed part of an encoded duty.Gossip. The name of the holder follows. Revision includes
+// the epoch.
 type gossipHead struct {
 	Incarnation uint64
 	Revision    int64
@@ -98,7 +100,7 @@
 
 // appendGossip appends the encoding of g.
 func appendGossip(b []byte, g duty.Gossip) ([]byte, error) {
-	h := gossipHead{Incarnation: g.Incarnation, Revision: g.Revision, Settled: int64(g.Settled)}
+	h := gossipHead{Incarnation: g.Incarnation, Revision: int64(g.Revision), Settled: int64(g.Settled)}
 	if g.Resigned {
 		h.Flags = flagResigned
 	}
@@ -133,7 +135,7 @@
 	if err != nil {
 		return g, nil, err
 	}
-	g = duty.Gossip{Incarnation: h.Incarnation, Revision: h.Revision, Settled: usage.Window(h.Settled), Resigned: h.Flags&flagResigned != 0}
+	g = duty.Gossip{Incarnation: h.Incarnation, Revision: epoch.Revision(h.Revision), Settled: usage.Window(h.Settled), Resigned: h.Flags&flagResigned != 0}
 	g.Holder, rest, err = readName(b)
 	return g, rest, err
 }
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/traildrift/traildrift/internal/mirror"
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 // Peer is the stored registration of a router, which writes it itself.
@@ -33,7 +34,7 @@
 	// the registered one.
 	Token string `json:"token"`
 	// Revision is the store's revision of the registration.
-	Revision int64 `json:"-"`
+	Revision epoch.Revision `json:"-"`
 }
 
 // MatchesRegistration reports whether p may continue with the registration old of an earlier
@@ -48,9 +49,11 @@
 
 // pullRequest is the body of a pull request.
 type pullRequest struct {
-	// Have holds the kinds to pull, and the revision up to which the sender has the changes of
-	// each; -1 for none.
-	Have map[string]int64 `json:"have"`
+	// Have holds the kinds to pull, and the number of the revision up to which the sender has the
+	// changes of each; -1 for none. Epochs holds the epochs of these revisions; nil in requests of
+	// earlier releases, which know no epochs.
+	Have   map[string]int64 `json:"have"`
+	Epochs map[string]int64 `json:"epochs"`
 	// WaitMs is how long the recipient may hold the request while it has no changes, in
 	// milliseconds.
 	WaitMs int64 `json:"waitMs"`
@@ -63,10 +66,24 @@
 	AcceptsCompressed bool `json:"packs,omitempty"`
 }
 
+// revisions returns the revisions up to which the sender has the changes of each kind. A sender that knows no
+// epochs is taken to be in the epoch that m has, as it can't be told that the store came back.
+func (q *pullRequest) revisions(m *mirror.Mirror) map[string]epoch.Revision {
+	have := make(map[string]epoch.Revision, len(q.Have))
+	for kind, number := range q.Have {
+		e := q.Epochs[kind]
+		if q.Epochs == nil && m.Has(kind) {
+			e = m.Revision(kind).Epoch()
+		}
+		have[kind] = epoch.At(min(max(e, 0), epoch.MaxEpoch), number)
+	}
+	return have
+}
+
 // hasNothing reports whether the sender has no objects of any kind.
 func (q *pullRequest) hasNothing() bool {
-	for _, revision := range q.Have {
-		if revision >= 0 {
+	for _, number := range q.Have {
+		if number >= 0 {
 			return false
 		}
 	}
@@ -87,7 +104,10 @@
 
 // kindChanges holds the changes of one kind up to a revision.
 type kindChanges struct {
-	Revision int64 `json:"revision"`
+	// Number is the number of the revision, and Epoch its epoch; 0 in responses of earlier releases.
+	// The revisions of the changes are sent as numbers in the same epoch.
+	Number int64 `json:"revision"`
+	Epoch  int64 `json:"epoch,omitempty"`
 	// AgeMs is the time from the moment at which the copy was proven to be the newest to the
 	// response, in milliseconds, rounded up.
 	AgeMs int64 `json:"ageMs"`
@@ -153,7 +173,7 @@
 // encodeDelta encodes a delta of a kind to be sent at now. age is the age of its proof; compress
 // lets a whole list of at least minCompressedList objects be compressed.
 func encodeDelta(kind string, d mirror.Delta, age time.Duration, now time.Time, p *compressionCache, compress bool) kindChanges {
-	a := kindChanges{Revision: d.Revision, AgeMs: ceilMs(age), Whole: d.Full}
+	a := kindChanges{Number: d.Revision.Number(), Epoch: d.Revision.Epoch(), AgeMs: ceilMs(age), Whole: d.Full}
 	if compress && d.Full && len(d.Changes) >= minCompressedList {
 		if a.compressed = p.list(kind, d); a.compressed != nil {
 			a.Bytes = len(a.compressed)
@@ -161,7 +181,7 @@
 		}
 	}
 	for _, c := range d.Changes {
-		w := wireChange{Object: c.Object, Gone: c.Removed, LapseMs: max(c.LapsesAt.Sub(now).Milliseconds(), 0)}
+		w := wireChange{Object: numbered(c.Object), Gone: c.Removed, LapseMs: max(c.LapsesAt.Sub(now).Milliseconds(), 0)}
 		if w.Compressed = p.spec(kind, &c.Object); w.Compressed != nil {
 			w.Spec = nil
 		}
@@ -170,11 +190,33 @@
 	return a
 }
 
+// numbered returns an object with the number of its revision alone.
+func numbered(o mirror.Object) mirror.Object {
+	o.Revision = epoch.At(0, o.Revision.Number())
+	return o
+}
+
+// revision returns the revision up to which the changes are complete.
+func (a *kindChanges) revision() epoch.Revision { return epoch.At(a.Epoch, a.Number) }
+
 // decode returns the changes, which were received at now.
-func (a *kindChanges) decode(now time.Time) ([]mirror.Change, error) {
+func (a *kindChanges) decode(now time.Time) (list []mirror.Change, err error) {
+	if a.Epoch < 0 || a.Epoch > epoch.MaxEpoch {
+		return nil, errors.Newf("peers: pull response names the invalid epoch %d", a.Epoch)
+	}
 	if a.Bytes > 0 {
-		return decompressList(a.compressed)
+		list, err = decompressList(a.compressed)
+	} else {
+		list, err = a.decodeChanges(now)
+	}
+	for i := range list {
+		list[i].Revision = epoch.At(a.Epoch, list[i].Revision.Number())
 	}
+	return list, err
+}
+
+// decodeChanges returns the changes that are not compressed as a list.
+func (a *kindChanges) decodeChanges(now time.Time) ([]mirror.Change, error) {
 	list := make([]mirror.Change, 0, len(a.Changes))
 	for _, c := range a.Changes {
 		ch := mirror.Change{Object: c.Object, Removed: c.Gone}
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -240,7 +240,7 @@
 		{"leaving", func(e *Engine) {
 			e.PutEndpoint(pool.Entry{ID: "e", Service: "s", Slots: 4, Leaving: true, Revision: 2})
 		}},
-		{"zone closed", func(e *Engine) { e.CloseZone("", 1) }},
+		{"zone closed", func(e *Engine) { e.CloseZone("", 1, false) }},
 		{"ejected", func(e *Engine) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -17,6 +17,7 @@
 	"github.com/traildrift/traildrift/internal/clock"
 	"github.com/traildrift/traildrift/pkg/budget"
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/poison"
 	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/roll"
@@ -55,8 +56,9 @@
 	// ConfirmedAt returns the latest time at which the table in force was confirmed to be the
 	// newest; zero if it never was.
 	ConfirmedAt func() time.Time
-	// EndpointsListed reports whether the list of endpoints has been received.
-	EndpointsListed func() bool
+	// EndpointsListed reports whether the list of endpoints has been received. CopiesCurrent reports whether
+	// no copy of stored objects is from before the store came back from an older copy.
+	EndpointsListed, CopiesCurrent func() bool
 	// RouterCount returns how many routers share the operator's limits: those that may send,
 	// including routers that left the list a short time ago.
 	RouterCount func() int
@@ -149,6 +151,10 @@
 	rooms map[string]*serviceRoom
 	// rollouts holds the trials, by service.
 	rollouts map[string]*rollout
+	// olderTable is the configuration that the store came back with while a newer one is in force; nil
+	// for none. It is in force from olderTableAt on.
+	olderTable   *Table
+	olderTableAt time.Time
 }
 
 // New returns an engine without a configuration.
@@ -162,6 +168,7 @@
 		incarnation:        rand.Uint64(),
 		ConfirmedAt:        func() time.Time { return time.Time{} },
 		EndpointsListed:    func() bool { return false },
+		CopiesCurrent:      func() bool { return true },
 		RouterCount:        func() int { return 1 },
 		Senders:            func(uint64) (pool.Senders, uint64, bool) { return pool.Senders{}, 0, false },
 		failureReports:     rate.NewLimiter(failureReportsPerSecond, failureReportsPerSecond),
@@ -203,13 +210,56 @@
 	return e
 }
 
+// RestoreGrace is how long the state that a store has lost when it came back from an older copy stays in force
+// unless its writer writes it again.
+const RestoreGrace = config.Span(5 * time.Second)
+
 // SetTable puts a configuration in force unless it is not newer than the present one.
-func (e *Engine) SetTable(t *Table) {
+func (e *Engine) SetTable(t *Table) { e.setTable(t, false) }
+
+// SetRestoredTable is SetTable for a configuration that the store came back with from an older copy. An older
+// one than the present is in force after RestoreGrace, unless the operator writes the present one or a newer one
+// again: the store has lost the present one.
+func (e *Engine) SetRestoredTable(t *Table) { e.setTable(t, true) }
+
+func (e *Engine) setTable(t *Table, restored bool) {
+	e.mu.Lock()
 	old := e.table.Load()
-	if old != nil && t.Version <= old.Version {
+	switch {
+	case old == nil || t.Version > old.Version:
+		e.olderTable = nil
+		e.table.Store(t)
+		e.mu.Unlock()
+		e.recordTable(t)
+		return
+	case t.Version == old.Version:
+		e.olderTable = nil
+	case e.olderTable != nil:
+		e.olderTable = t
+	case restored:
+		e.olderTable, e.olderTableAt = t, RestoreGrace.After(e.Now())
+		e.Log.Warn("relay: The store has lost the configuration in force.", zap.Int64("version", old.Version), zap.Int64("stored", t.Version))
+	}
+	e.mu.Unlock()
+}
+
+// expireLostTable puts the stored configuration in force if the store has lost the one in force and nobody has
+// written it again.
+func (e *Engine) expireLostTable() {
+	e.mu.Lock()
+	t := e.olderTable
+	if t == nil || e.Now().Before(e.olderTableAt) {
+		e.mu.Unlock()
 		return
 	}
+	e.olderTable = nil
 	e.table.Store(t)
+	e.mu.Unlock()
+	e.recordTable(t)
+}
+
+// recordTable applies what depends on the table in force, which was replaced by t.
+func (e *Engine) recordTable(t *Table) {
 	e.setWarmups()
 	e.Log.Info("relay: A configuration is in force.", zap.Int64("version", t.Version), zap.Int("workspaces", len(t.Workspaces)))
 }
@@ -227,18 +277,18 @@
 	// The first list is logged as a whole.
 	if e.book.Put(p) && e.initialized.Load() {
 		e.Log.Info("relay: An endpoint has changed.", zap.String("endpoint", p.ID), zap.String("service", p.Service),
-			zap.String("version", p.Version), zap.Bool("leaving", p.Leaving), zap.Int64("revision", p.Revision))
+			zap.String("version", p.Version), zap.Bool("leaving", p.Leaving), zap.Stringer("revision", p.Revision))
 	}
 	e.wakeWaiting(&p)
 }
 
 // RemoveEndpoint removes an endpoint. It counts as gone from lapsesAt on.
-func (e *Engine) RemoveEndpoint(id string, revision int64, lapsesAt time.Time) {
+func (e *Engine) RemoveEndpoint(id string, revision epoch.Revision, lapsesAt time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.book.Remove(id, revision, e.Now(), lapsesAt)
 	e.wakeAllWaiting()
-	e.Log.Info("relay: An endpoint was removed.", zap.String("endpoint", id), zap.Int64("revision", revision), zap.Time("lapsesAt", lapsesAt))
+	e.Log.Info("relay: An endpoint was removed.", zap.String("endpoint", id), zap.Stringer("revision", revision), zap.Time("lapsesAt", lapsesAt))
 }
 
 // Ready reports whether the router should get new connections, and if not, why.
@@ -250,6 +300,8 @@
 		return false, "no configuration yet"
 	case !e.EndpointsListed():
 		return false, "no endpoints yet"
+	case !e.CopiesCurrent():
+		return false, "the store has come back, and not all was read from it yet"
 	}
 	if maxAge := e.maxConfirmAge(); maxAge > 0 && e.age(e.Now()) > maxAge-readyMargin {
 		return false, "the configuration is not proven to be the newest"
@@ -304,6 +356,7 @@
 		select {
 		case <-t.C:
 			e.expire()
+			e.expireLostTable()
 			e.updateSenders()
 			e.writeDueSteps(ctx)
 			for _, r := range e.dueReports(e.Now()) {
@@ -359,9 +412,14 @@
 func (e *Engine) expire() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, id := range e.book.Expire(e.Now()) {
+	now := e.Now()
+	for _, id := range e.book.Expire(now) {
 		e.Log.Info("relay: An endpoint was not listed again within its grace period.", zap.String("endpoint", id))
 	}
+	for _, name := range e.book.ExpireZones(now) {
+		e.logZone(name, "the stored order was not written again")
+	}
+	e.expireLostTrials(now)
 }
 
 // budget returns the retry budget of a service. The caller must hold mu.
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -73,7 +73,7 @@
 		e.Log.Info("relay: An endpoint's limit has changed.", zap.String("endpoint", p.ID), zap.Bool("named", named), zap.Float64("perSecond", perSecond), from)
 	}
 	if c.Leaving {
-		e.Log.Info("relay: An endpoint says that it leaves.", zap.String("endpoint", p.ID), zap.Int64("revision", p.Revision), from)
+		e.Log.Info("relay: An endpoint says that it leaves.", zap.String("endpoint", p.ID), zap.Stringer("revision", p.Revision), from)
 	}
 	if c.Rest {
 		e.Log.Info("relay: An endpoint asks for rest.", zap.String("endpoint", p.ID), zap.Time("until", p.RestUntil()), from)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -246,6 +246,17 @@
 	}
 }
 
+// MergeRestoredVerdict merges a verdict that the store holds after it came back from an older copy. A verdict of
+// round 0 says that it holds none: that lifts no quarantine, as the store may have lost it.
+func (e *Engine) MergeRestoredVerdict(v poison.Verdict) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if v.Round > 0 {
+		e.mergeVerdict(&v, "the store holds it")
+	}
+	e.crashes.RecordRestored(e.Now(), v.Fingerprint, v.Round)
+}
+
 // RecordVerdictRemoval records that the store holds no verdict on a request any more. An operator lifts a
 // quarantine by removing its verdict from the store.
 func (e *Engine) RecordVerdictRemoval(p poison.Fingerprint) {
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/roll"
 )
@@ -36,6 +37,14 @@
 	// notBefore is when this router writes the next step if no other one does before; it is random,
 	// so that routers do not all write at once. It is zero if no step is due.
 	notBefore time.Time
+	// lost says that the store came back from an older copy and lacks the state of the trial, which is to
+	// be stored again.
+	lost bool
+	// replacement is the trial that the store came back with, of another version; nil if it has none.
+	// It replaces this one at replacedAt unless this one is ordered again; replacedAt is zero if the
+	// store holds this trial.
+	replacement *roll.Trial
+	replacedAt  time.Time
 }
 
 // PutTrial applies a stored trial, unless its revision is not newer than the known one. A trial that is
@@ -43,19 +52,62 @@
 func (e *Engine) PutTrial(t roll.Trial) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.putTrial(t)
+}
+
+// PutRestoredTrial is PutTrial for a trial that the store came back with from an older copy. A trial of
+// another version than the known one replaces it after RestoreGrace, unless the operator orders the known one
+// again.
+func (e *Engine) PutRestoredTrial(t roll.Trial) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r, ok := e.rollouts[t.Service]; ok && r.trial.Version != t.Version && t.Revision > r.trial.Revision {
+		r.replacement, r.replacedAt = &t, RestoreGrace.After(e.Now())
+		e.logLostTrial(r, t.Revision)
+		return
+	}
+	e.putTrial(t)
+}
+
+// logLostTrial logs that the store came back without the state of a trial; mu is held.
+func (e *Engine) logLostTrial(r *rollout, revision epoch.Revision) {
+	e.Log.Warn("relay: The store has lost the state of a roll-out.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
+		zap.String("state", string(r.trial.State)), zap.Int("step", r.trial.Step), zap.Stringer("revision", revision))
+}
+
+// hasLost reports whether the store came back from an older copy, and t, which it holds now, is an earlier state
+// of the trial than the known one.
+func (r *rollout) hasLost(t *roll.Trial) bool {
+	return r.trial.Version == t.Version && (r.lost || t.Revision.Epoch() > r.trial.Revision.Epoch()) && r.trial.IsAfter(t)
+}
+
+// isSucceededBy reports whether t is not a later state of the trial but another one.
+func (r *rollout) isSucceededBy(t *roll.Trial) bool {
+	return r.trial.Version != t.Version || t.State == roll.Ordered && r.trial.State != roll.Ordered
+}
+
+// putTrial is PutTrial; mu is held.
+func (e *Engine) putTrial(t roll.Trial) {
 	r, ok := e.rollouts[t.Service]
 	if ok && t.Revision <= r.trial.Revision {
 		return
 	}
-	if !ok || r.trial.Version != t.Version || t.State == roll.Ordered && r.trial.State != roll.Ordered {
+	if ok && r.hasLost(&t) {
+		// The status is written again on the revision that the store has now.
+		e.logLostTrial(r, t.Revision)
+		r.trial.Revision, r.lost, r.replacement, r.replacedAt = t.Revision, true, nil, time.Time{}
+		return
+	}
+	if !ok || r.isSucceededBy(&t) {
 		r = &rollout{stepAt: e.Now(), fromStart: t.Step == 0, judge: roll.Judge{PeakAspect: aspectID(answersInPeak)}}
 		e.rollouts[t.Service] = r
 	} else {
 		t.Begun, t.Ends = r.trial.Begun, r.trial.Ends
+		r.lost, r.replacement, r.replacedAt = false, nil, time.Time{}
 	}
 	if r.trial.State != t.State || r.trial.Step != t.Step {
 		e.Log.Info("relay: A roll-out has moved.", zap.String("service", t.Service), zap.String("version", t.Version),
-			zap.String("state", string(t.State)), zap.Int("step", t.Step), zap.Float64("share", t.Share()), zap.Int64("revision", t.Revision))
+			zap.String("state", string(t.State)), zap.Int("step", t.Step), zap.Float64("share", t.Share()), zap.Stringer("revision", t.Revision))
 	}
 	if t.Step != r.trial.Step || t.State != r.trial.State {
 		r.notBefore, r.stepAt = time.Time{}, e.Now()
@@ -64,14 +116,41 @@
 	r.trial = t
 }
 
-// RemoveTrial removes the trial of a service, unless a newer revision is known.
-func (e *Engine) RemoveTrial(service string, revision int64) {
+// RemoveTrial removes the trial of a service, unless a newer revision is known. If the store came back without it
+// from an older copy, as restored says, the trial is removed after RestoreGrace unless it is ordered again.
+func (e *Engine) RemoveTrial(service string, revision epoch.Revision, restored bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r, ok := e.rollouts[service]; ok && r.trial.Revision <= revision {
-		delete(e.rollouts, service)
-		e.Log.Warn("relay: A roll-out was removed.", zap.String("service", service), zap.String("version", r.trial.Version),
-			zap.String("state", string(r.trial.State)), zap.Int("step", r.trial.Step), zap.Int64("revision", revision))
+	r, ok := e.rollouts[service]
+	switch {
+	case !ok || r.trial.Revision > revision:
+	case restored:
+		r.replacement, r.replacedAt = nil, RestoreGrace.After(e.Now())
+		e.logLostTrial(r, revision)
+	default:
+		e.removeTrial(r, revision)
+	}
+}
+
+// removeTrial removes a trial; mu is held.
+func (e *Engine) removeTrial(r *rollout, revision epoch.Revision) {
+	delete(e.rollouts, r.trial.Service)
+	e.Log.Warn("relay: A roll-out was removed.", zap.String("service", r.trial.Service), zap.String("version", r.trial.Version),
+		zap.String("state", string(r.trial.State)), zap.Int("step", r.trial.Step), zap.Stringer("revision", revision))
+}
+
+// expireLostTrials removes or replaces the trials that the store has lost and that were not ordered again; mu is
+// held.
+func (e *Engine) expireLostTrials(now time.Time) {
+	for _, r := range e.rollouts {
+		if r.replacedAt.IsZero() || now.Before(r.replacedAt) {
+			continue
+		}
+		next := r.replacement
+		e.removeTrial(r, r.trial.Revision)
+		if next != nil {
+			e.putTrial(*next)
+		}
 	}
 }
 
@@ -107,7 +186,10 @@
 	defer e.mu.Unlock()
 	for _, r := range e.rollouts {
 		next, changed := r.trial.Next(now, e.findings(r))
-		if !changed {
+		if r.lost {
+			next, changed = r.trial, true
+		}
+		if !changed || !r.replacedAt.IsZero() {
 			// A step must be due at each check until it is written, so that no single check triggers it.
 			r.notBefore = time.Time{}
 			continue
@@ -161,7 +243,7 @@
 	e.Log.Info("relay: A step of a roll-out was written.", zap.String("service", next.Service), zap.String("version", next.Version),
 		zap.String("state", string(next.State)), zap.Int("step", next.Step), zap.Stringer("verdict", r.judge.Verdict()),
 		zap.Float64("evidence", r.judge.MaxSum()), r.evidenceField(), zap.Int("exposed", n), zap.Int("requests", total),
-		zap.Float64("requestsPerSecond", round(r.requestRate.perSecond)), zap.Int64("onRevision", next.Revision), logs.Err(err))
+		zap.Float64("requestsPerSecond", round(r.requestRate.perSecond)), zap.Stringer("onRevision", next.Revision), logs.Err(err))
 }
 
 // findings returns what this router knows of a trial, and logs a change of its verdict; mu is held.
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -48,7 +48,7 @@
 		l := *e.limits.Load()
 		l.ExposeShare, l.ExposeSlack = 0.15, 30
 		e.SetLimits(l)
-		e.RemoveTrial("s", 99)
+		e.RemoveTrial("s", 99, false)
 		e.PutTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Trying, Begun: begun, Ends: begun.Add(24 * time.Second), Revision: 100})
 		r := e.rollouts["s"]
 		answers := func(p pool.Entry, n int) {
--- a/internal/relay/zones.go
+++ b/internal/relay/zones.go
@@ -9,30 +9,56 @@
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/pool"
 )
 
 // CloseZone stops sending requests to the endpoints of an availability zone until OpenZone is called.
-// Requests that run there are not ended. It ignores old revisions.
-func (e *Engine) CloseZone(name string, revision int64) {
+// Requests that run there are not ended. It ignores old revisions. If the store came back with the order from an
+// older copy, as restored says, a zone that was reopened since is closed after restoredCloseDelay.
+func (e *Engine) CloseZone(name string, revision epoch.Revision, restored bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.book.CloseZone(name, revision) {
-		e.Log.Info("relay: An availability zone was closed.", zap.String("availabilityZone", name), zap.Int64("revision", revision),
-			zap.Int("endpoints", e.book.InZone(name)), zap.Int("zonesClosed", e.book.ClosedZones()))
+	now := e.Now()
+	if e.book.CloseZoneAt(name, revision, now, delayIf(restored, now, restoredCloseDelay)) {
+		e.logZone(name, "the operator closed it")
 	}
 }
 
-// OpenZone reopens an availability zone. It ignores old revisions.
-func (e *Engine) OpenZone(name string, revision int64) {
+// OpenZone reopens an availability zone. It ignores old revisions. If the store came back without the order that
+// closed it, as restored says, the zone is reopened after RestoreGrace.
+func (e *Engine) OpenZone(name string, revision epoch.Revision, restored bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.book.OpenZone(name, revision, e.Now()) {
+	now := e.Now()
+	if e.book.OpenZoneAt(name, revision, now, delayIf(restored, now, RestoreGrace)) {
+		e.logZone(name, "the operator opened it")
+	}
+}
+
+// restoredCloseDelay is how long the operator has to remove an order again that closed a zone. It is shorter
+// than RestoreGrace, as an order that was just given must take effect within 5 s.
+const restoredCloseDelay = config.Span(2 * time.Second)
+
+// delayIf returns the time d after now if cond holds, else the zero time.
+func delayIf(cond bool, now time.Time, d config.Span) time.Time {
+	if !cond {
+		return time.Time{}
+	}
+	return d.After(now)
+}
+
+// logZone logs that an availability zone was closed or opened, and lets requests that wait for an endpoint look
+// again; mu is held.
+func (e *Engine) logZone(name, why string) {
+	text := "relay: An availability zone was opened."
+	if e.book.IsClosed(name) {
+		text = "relay: An availability zone was closed."
+	} else {
 		e.wakeAllWaiting()
-		e.Log.Info("relay: An availability zone was opened.", zap.String("availabilityZone", name), zap.Int64("revision", revision),
-			zap.Int("endpoints", e.book.InZone(name)), zap.Int("zonesClosed", e.book.ClosedZones()))
 	}
+	e.Log.Info(text, zap.String("availabilityZone", name), zap.String("why", why), zap.Int("endpoints", e.book.InZone(name)), zap.Int("zonesClosed", e.book.ClosedZones()))
 }
 
 const (
@@ -48,12 +74,12 @@
 
 // setWarmups sets in the book how the endpoints of the table's services warm up.
 func (e *Engine) setWarmups() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	t, l := e.table.Load(), e.limits.Load()
 	if t == nil {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	for _, s := range t.Services {
 		w := pool.Warmup{Duration: time.Duration(s.WarmupDuration)}
 		if s.WarmupRate > 0 {
--- a/internal/router/duties.go
+++ b/internal/router/duties.go
@@ -69,6 +69,8 @@
 	clock *clock.MedianClock
 	// storeReachable reports whether the store has answered this router or a peer lately.
 	storeReachable func() bool
+	// epoch returns the newest known epoch of the store.
+	epoch func() int64
 	// mu guards the fields below.
 	mu      sync.Mutex
 	counter *usage.Counter
@@ -100,6 +102,7 @@
 		log: r.Log, scope: r.admin.Scope.SubScope("duties"), wire: r.wire.Duties, fleet: r.fleet, transport: r.transport,
 		windows: usage.Clock{Length: s.UsageWindow}, dueAfter: s.UsageLate, self: usage.Reporter{Router: s.VM, Incarnation: incarnation}, clock: trueClock,
 		storeReachable: func() bool { return time.Since(r.mirror.ConfirmedAt(r.wire.ConfigKind)) <= storeReachableWindow },
+		epoch:          r.mirror.Epoch,
 		counter:        usage.NewCounter(), machine: duty.New(s.VM, incarnation, s.DutyLease, trueClock.Local()), finalReports: make(map[finalReportKey]*finalReportState),
 	}
 	r.Engine.OnRequestStarted = d.countRequest
@@ -145,7 +148,7 @@
 // view returns the state that the machine depends on. The caller holds mu.
 func (d *duties) view(now time.Time) duty.View {
 	rec, _ := d.machine.Record()
-	v := duty.View{Rank: d.fleet.RankExcept(time.Now(), rec.Holder), Peers: d.fleet.Len() - 1, StoreReachable: d.storeReachable(), Window: d.windows.At(d.clock.Now())}
+	v := duty.View{Rank: d.fleet.RankExcept(time.Now(), rec.Holder), Peers: d.fleet.Len() - 1, StoreReachable: d.storeReachable(), Window: d.windows.At(d.clock.Now()), Epoch: d.epoch()}
 	if d.machine.Holds(now) {
 		v.Ready = d.ready(v.Window)
 	}
@@ -204,7 +207,7 @@
 		// The next router in rank would otherwise regard the holder as absent.
 		d.lastSentAt = time.Time{}
 	}
-	d.log.Info("router: The duties of one VM have a holder.", zap.String("holder", rec.Holder), zap.Int64("revision", rec.Revision),
+	d.log.Info("router: The duties of one VM have a holder.", zap.String("holder", rec.Holder), zap.Stringer("revision", rec.Revision),
 		zap.Bool("self", d.machine.Holds(now)), zap.Strings("past", rec.PastHolders), zap.Int64("settled", int64(rec.Settled)), zap.Int("unsent", len(rec.Unsent)))
 }
 
@@ -217,6 +220,6 @@
 			zap.Uint64("requests", a.Report.Counts.Sum()), zap.Int("workspaces", len(a.Report.Counts)))...)
 		return
 	}
-	d.log.Info("router: The record of the duties was asked for.", append(fields, zap.String("action", string(a.Kind)), zap.Int64("onRevision", a.Record.Revision),
+	d.log.Info("router: The record of the duties was asked for.", append(fields, zap.String("action", string(a.Kind)), zap.Stringer("onRevision", a.Record.Revision),
 		zap.Int64("settled", int64(a.Record.Settled)), zap.Int("unsent", len(a.Record.Unsent)))...)
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -14,6 +14,7 @@
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/mirror"
 	"github.com/traildrift/traildrift/internal/peers"
+	"github.com/traildrift/traildrift/internal/relay"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
@@ -96,7 +97,7 @@
 	if err != nil {
 		// The previous state of the object stays in force.
 		r.Log.Error("router: A stored object could not be decoded.", zap.String("kind", kind), zap.String("name", c.Name),
-			zap.Int64("revision", c.Revision), logs.Err(err))
+			zap.Stringer("revision", c.Revision), logs.Err(err))
 	}
 }
 
@@ -109,7 +110,11 @@
 	if err != nil || t == nil {
 		return err
 	}
-	r.Engine.SetTable(t)
+	if c.Restored {
+		r.Engine.SetRestoredTable(t)
+	} else {
+		r.Engine.SetTable(t)
+	}
 	r.configOnce.Do(func() { close(r.configured) })
 	return nil
 }
@@ -117,11 +122,15 @@
 // applyTrial passes a roll-out to the engine.
 func (r *Router) applyTrial(c mirror.Change) error {
 	if c.Removed {
-		r.Engine.RemoveTrial(c.Name, c.Revision)
+		r.Engine.RemoveTrial(c.Name, c.Revision, c.Restored)
 		return nil
 	}
 	t, err := r.wire.Trial(c.Object, time.Now())
-	if err == nil {
+	switch {
+	case err != nil:
+	case c.Restored:
+		r.Engine.PutRestoredTrial(t)
+	default:
 		r.Engine.PutTrial(t)
 	}
 	return err
@@ -130,9 +139,9 @@
 // applyClosing closes or reopens the availability zone that the object is named after.
 func (r *Router) applyClosing(c mirror.Change) {
 	if c.Removed {
-		r.Engine.OpenZone(c.Name, c.Revision)
+		r.Engine.OpenZone(c.Name, c.Revision, c.Restored)
 	} else {
-		r.Engine.CloseZone(c.Name, c.Revision)
+		r.Engine.CloseZone(c.Name, c.Revision, c.Restored)
 	}
 }
 
@@ -144,17 +153,25 @@
 	}
 	p, err := r.wire.Endpoint(c.Object, time.Now())
 	if err == nil {
+		p.Restored = c.Restored
 		r.Engine.PutEndpoint(p)
 	}
 	return err
 }
 
-// applyRouter passes the registration of a router to the fleet.
+// applyRouter passes the registration of a router to the fleet. A router whose registration the store has lost
+// remains in the fleet for relay.RestoreGrace, as it registers again; but this router registers at once.
 func (r *Router) applyRouter(c mirror.Change) error {
 	if c.Removed {
+		if c.Restored && c.Name != r.settings.VM {
+			r.setLost(c.Name, relay.RestoreGrace.After(time.Now()))
+			return nil
+		}
+		r.setLost(c.Name, time.Time{})
 		r.fleet.Remove(c.Name)
 		return nil
 	}
+	r.setLost(c.Name, time.Time{})
 	p, err := r.wire.Peer(c.Object)
 	if err != nil {
 		return err
@@ -187,6 +204,7 @@
 	for ctx.Err() == nil {
 		if r.stopping.Load() || r.fleet.Registered() {
 			pause = minRegisterBackoff
+			r.removeLostPeers(time.Now())
 			r.removeSilentPeers(ctx)
 			tasks.Pause(ctx, registrationCheckInterval.After(time.Now()))
 			continue
@@ -245,6 +263,31 @@
 // isOwnRegistration reports whether a registration of this VM is that of this process.
 func (r *Router) isOwnRegistration(p peers.Peer) bool { return p.Token == r.registration().Token }
 
+// setLost records until when a router whose registration the store has lost remains in the fleet; the zero time
+// for one whose registration is known.
+func (r *Router) setLost(name string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until.IsZero() {
+		delete(r.lostPeers, name)
+	} else {
+		r.lostPeers[name] = until
+	}
+}
+
+// removeLostPeers removes from the fleet the routers whose registration the store has lost and that have not
+// registered again.
+func (r *Router) removeLostPeers(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, at := range r.lostPeers {
+		if now.After(at) {
+			r.fleet.Remove(name)
+			delete(r.lostPeers, name)
+		}
+	}
+}
+
 // removeSilentPeers removes the registrations of peers that have been silent for long. Only the routers
 // that call the store for the fleet do so.
 func (r *Router) removeSilentPeers(ctx context.Context) {
@@ -253,7 +296,7 @@
 	}
 	for _, p := range r.fleet.Unresponsive(time.Now()) {
 		err := r.wire.Unregister(ctx, p)
-		r.Log.Info("router: A silent peer's registration was removed.", zap.String("peer", p.Name), zap.Int64("revision", p.Revision), logs.Err(err))
+		r.Log.Info("router: A silent peer's registration was removed.", zap.String("peer", p.Name), zap.Stringer("revision", p.Revision), logs.Err(err))
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			// A router that is cut off from all others receives nothing from them. It must keep them
 			// in its list, or it would use their shares of the bounds as its own.
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -36,13 +36,21 @@
 func (r *Router) applyVerdict(c mirror.Change) error {
 	if c.Removed {
 		p, err := poison.ParseFingerprint(c.Name)
-		if err == nil {
+		switch {
+		case err != nil:
+		case c.Restored:
+			r.Engine.MergeRestoredVerdict(poison.Verdict{Fingerprint: p})
+		default:
 			r.Engine.RecordVerdictRemoval(p)
 		}
 		return err
 	}
 	v, err := r.wire.Verdict(c.Object, time.Now())
-	if err == nil {
+	switch {
+	case err != nil:
+	case c.Restored:
+		r.Engine.MergeRestoredVerdict(v)
+	default:
 		r.Engine.MergeStoredVerdict(v)
 	}
 	return err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,9 +52,11 @@
 	duties *duties
 	// secret is the token of this router, which is part of its registration and authenticates peers.
 	secret peers.Secret
-	// mu guards self, the registration of this router.
-	mu   sync.Mutex
-	self peers.Peer
+	// mu guards self, the registration of this router, and lostPeers, the times at which the routers whose
+	// registration the store has lost leave the fleet, by name.
+	mu        sync.Mutex
+	self      peers.Peer
+	lostPeers map[string]time.Time
 	// stopping is set when a planned stop begins, and never reset.
 	stopping atomic.Bool
 	// lastReady is the result of the last readiness check by the balancer.
@@ -73,7 +75,7 @@
 	s.setDefaults()
 	log, lines := logs.NewAsync(os.Stdout, s.LogLevel)
 	assert.SetLogger(log)
-	r := &Router{Log: log, file: file, settings: s, wire: w, lines: lines, configured: make(chan struct{})}
+	r := &Router{Log: log, file: file, settings: s, wire: w, lines: lines, configured: make(chan struct{}), lostPeers: make(map[string]time.Time)}
 	r.admin = admin.NewMetrics()
 	r.Engine = relay.New(log, r.admin.Scope, s.limits(w.ContentionRule))
 	r.Engine.Send, r.Engine.WriteTrial, r.Engine.CheckEnded = w.Send, w.WriteTrial, w.Gone
@@ -90,6 +92,7 @@
 	w.OnStoreCall(r.recordStoreCall)
 	r.Engine.ConfirmedAt = func() time.Time { return r.mirror.ConfirmedAt(w.ConfigKind) }
 	r.Engine.EndpointsListed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
+	r.Engine.CopiesCurrent = r.mirror.IsCurrent
 	r.Engine.RouterCount = r.fleet.SenderCount
 	r.Engine.Senders = r.senders
 	if err := r.listen(); err != nil {
@@ -153,8 +156,10 @@
 	return s, generation, true
 }
 
-// recordStoreCall logs and counts a call to the store, as each call costs money.
+// recordStoreCall logs and counts a call to the store, as each call costs money. Whatever the call was for, its
+// response tells the epoch that the store is in.
 func (r *Router) recordStoreCall(c StoreCall) {
+	r.mirror.ObserveEpoch(c.Epoch)
 	r.Log.Info("store: A call has ended.", zap.String("verb", string(c.Verb)), zap.String("kind", c.Kind), zap.Int("status", c.Status), zap.Int64("epoch", c.Epoch),
 		zap.Int64("tookMs", c.Ended.Sub(c.Sent).Milliseconds()))
 	r.admin.Scope.Tagged(map[string]string{"verb": string(c.Verb), "kind": c.Kind, "status": strconv.Itoa(c.Status)}).Counter("store_calls").Inc(1)
--- a/pkg/duty/doc.go
+++ b/pkg/duty/doc.go
@@ -9,9 +9,13 @@
 // of the lease. Another router takes the duties over once it has not heard from the holder for
 // the lease, or soon after the holder has resigned. Routers gossip what they know of the holder.
 //
-// The revision of the write that began a holder's tenure is its fencing token: no two writes have
-// the same revision, and each has a higher one than those before, also after the object was
-// removed from the store.
+// The revision of the write that began a holder's tenure, with its epoch, is its fencing token: no two
+// writes have the same revision, and each has a higher one than those before, also after the object
+// was removed from the store, and after the store came back from an older copy.
+//
+// A record names the epoch in which it was written. One that is stored in a later epoch was brought
+// back by the store: a later holder may have been lost with its records. It names no holder, and the
+// duties are taken over from it as after a record that was removed.
 //
 // A Machine is the state machine of one router. It reads no clock and does no I/O: the router
 // calls Next, performs the Action, and passes the Outcome to Done.
--- a/pkg/duty/machine.go
+++ b/pkg/duty/machine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/usage"
 )
 
@@ -74,6 +75,8 @@
 	Ready []Report
 	// Window is the current window.
 	Window usage.Window
+	// Epoch is the newest known epoch of the store.
+	Epoch int64
 }
 
 const (
@@ -135,7 +138,7 @@
 	accepted map[usage.Window]bool
 	// removedRevision is the newest revision that the store was found not to hold any more. Gossip
 	// of other routers may still carry it.
-	removedRevision int64
+	removedRevision epoch.Revision
 	// settled is the newest window that the store or gossip reported as settled. It never decreases.
 	settled usage.Window
 	// resignedUntil is the time until which this router neither holds nor takes over the duties.
@@ -154,9 +157,13 @@
 // isHolder reports whether this incarnation of the router is the holder, according to the newest
 // known record.
 func (m *Machine) isHolder() bool {
-	return m.known && m.rec.Holder == m.self && m.rec.Incarnation == m.incarnation
+	return m.known && !m.isRestored() && m.rec.Holder == m.self && m.rec.Incarnation == m.incarnation
 }
 
+// isRestored reports whether the newest known record was brought back by the store, so that it names no
+// holder. Gossip does not tell.
+func (m *Machine) isRestored() bool { return m.complete && m.rec.restored() }
+
 // resigned reports whether this router has resigned or stopped.
 func (m *Machine) resigned(now time.Time) bool { return m.stopped || now.Before(m.resignedUntil) }
 
@@ -174,7 +181,7 @@
 // Gossip returns the message to send to other routers.
 func (m *Machine) Gossip(now time.Time) Gossip {
 	g := Gossip{Settled: m.settled}
-	if m.known {
+	if m.known && !m.isRestored() {
 		g.Holder, g.Incarnation, g.Revision = m.rec.Holder, m.rec.Incarnation, m.rec.Revision
 		g.Resigned = m.holderResigned
 		if m.isHolder() {
@@ -229,6 +236,7 @@
 	if a.Kind == Write || a.Kind == Create {
 		m.writeSeq++
 		m.writeIssuedAt, a.Record.WriteSeq = now, m.writeSeq
+		a.Record.Epoch = max(v.Epoch, a.Record.Revision.Epoch())
 	}
 	return a
 }
@@ -285,7 +293,12 @@
 	if !m.complete {
 		return Action{Kind: Read}
 	}
-	return Action{Kind: Write, Record: m.rec.takeover(m.self, m.incarnation, v.Window)}
+	next := m.rec.takeover(m.self, m.incarnation, v.Window)
+	if m.isRestored() {
+		// A later holder may have settled the same windows with other counts.
+		next.Fresh, next.Unsent = true, nil
+	}
+	return Action{Kind: Write, Record: next}
 }
 
 // takeoverAt returns when this router, of the given rank, may take the duties over. The holder's
@@ -294,6 +307,9 @@
 // for the lease in any case, so that two VMs do not alternate within it.
 func (m *Machine) takeoverAt(rank time.Duration) time.Time {
 	switch {
+	case m.isRestored():
+		// The last holder may be any router, and its authority lasts until half a lease after the return.
+		return m.lease.After(m.knownAt).Add(rank * time.Duration(takeoverRankDelay))
 	case m.rec.Holder == m.self:
 		// The holder is an earlier incarnation of this router, or this one before it resigned.
 		return m.knownAt
--- a/pkg/duty/machine_test.go
+++ b/pkg/duty/machine_test.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/usage"
 )
 
@@ -27,11 +29,30 @@
 	tick         = 50 * time.Millisecond
 )
 
-// fakeStore is a store with one object.
+// fakeStore is a store with one object. It may come back from an older copy of itself.
 type fakeStore struct {
 	rec      Record
 	exists   bool
 	revision int64
+	epoch    int64
+	// saved is the copy from which restore brings the store back.
+	saved *fakeStore
+}
+
+// restore brings the store back from the saved copy, in a new epoch. What was written since is lost, and its
+// revisions are given out again.
+func (s *fakeStore) restore() {
+	if s.saved != nil {
+		s.rec, s.exists, s.revision = s.saved.rec, s.saved.exists, s.saved.revision
+	}
+	s.epoch++
+	s.rec.Revision = epoch.At(s.epoch, s.rec.Revision.Number())
+}
+
+// save makes a copy for restore.
+func (s *fakeStore) save() {
+	saved := *s
+	s.saved = &saved
 }
 
 // put performs a Create or Write if its condition holds.
@@ -41,12 +62,12 @@
 		return Conflict, s.rec
 	case a.Kind == Write && !s.exists:
 		return Missing, Record{}
-	case a.Kind == Write && a.Record.Revision != s.rec.Revision:
+	case a.Kind == Write && a.Record.Revision.Number() != s.rec.Revision.Number():
 		return Conflict, s.rec
 	}
 	s.revision++
 	s.rec, s.exists = a.Record, true
-	s.rec.Revision = s.revision
+	s.rec.Revision = epoch.At(s.epoch, s.revision)
 	if a.Kind == Create {
 		return Done, Record{}
 	}
@@ -84,6 +105,8 @@
 	// the store again, and downUntil when it runs again.
 	isolatedUntil, storeLostUntil time.Time
 	downUntil                     time.Time
+	// epoch is the epoch of the store that the last response named.
+	epoch int64
 }
 
 // event is a function to be called at a time.
@@ -101,6 +124,8 @@
 	events    []event
 	calls     []platformCall
 	faultFree bool
+	// restores is set if the store may come back from an older copy.
+	restores bool
 	// storeDownUntil is the time until which the store does not answer.
 	storeDownUntil time.Time
 }
@@ -136,7 +161,7 @@
 	if s.now.Before(a.frozenUntil) || s.now.Before(a.downUntil) {
 		return
 	}
-	action := a.m.Next(s.now, View{Rank: a.rank, Peers: len(s.routers) - 1, StoreReachable: !s.now.Before(s.storeDownUntil), Ready: s.ready(a), Window: s.window()})
+	action := a.m.Next(s.now, View{Rank: a.rank, Peers: len(s.routers) - 1, StoreReachable: !s.now.Before(s.storeDownUntil), Ready: s.ready(a), Window: s.window(), Epoch: a.epoch})
 	if action.Kind == Nothing {
 		return
 	}
@@ -148,7 +173,13 @@
 	}
 	lost := s.now.Before(a.storeLostUntil) || s.now.Before(s.storeDownUntil)
 	if !lost && !s.chance(0.05) {
-		s.after(out, func(time.Time) { s.after(back, end(s.callStore(action))) })
+		s.after(out, func(time.Time) {
+			o, r := s.callStore(action, a.epoch)
+			if o != Unknown {
+				a.epoch = s.store.epoch
+			}
+			s.after(back, end(o, r))
+		})
 		return
 	}
 	s.after(time.Second, end(Unknown, Record{}))
@@ -157,10 +188,16 @@
 	}
 }
 
-// callStore performs a call to the store. The response may be lost.
-func (s *simulation) callStore(action Action) (Outcome, Record) {
+// callStore performs a call to the store of a router that knows an epoch. The response may be lost. A write under
+// the condition of a revision of an earlier epoch reads instead, and is reported as a conflict.
+func (s *simulation) callStore(action Action, known int64) (Outcome, Record) {
 	o, r := s.store.read()
-	if action.Kind != Read {
+	switch {
+	case action.Kind == Write && action.Record.Revision.Epoch() < known:
+		if o == Done {
+			o = Conflict
+		}
+	case action.Kind != Read:
 		o, r = s.store.put(action)
 	}
 	if s.chance(0.1) {
@@ -245,6 +282,19 @@
 	if s.chance(0.001) {
 		s.store.exists = false
 	}
+	if s.restores {
+		s.injectRestores()
+	}
+}
+
+// injectRestores makes copies of the store and brings it back from them.
+func (s *simulation) injectRestores() {
+	if s.chance(0.01) {
+		s.store.save()
+	}
+	if s.chance(0.003) {
+		s.store.restore()
+	}
 }
 
 // restart kills a router and starts it again within 2 s.
@@ -338,35 +388,64 @@
 // the revision, and a VM that held the duties before takes them back at once from one that has
 // resigned.
 func TestOneHolderAtATime(t *testing.T) {
-	for i := range uint64(300 + len(regressionSeeds)) {
-		seed := i
-		if i >= 300 {
-			seed = regressionSeeds[i-300]
-		}
+	for _, seed := range append(testSeeds(t), regressionSeeds...) {
+		newSimulation(seed, 2+int(seed%5)).runAndCheck(t, seed)
+	}
+}
+
+// The same holds where the store comes back from older copies of itself, with earlier records and revisions that
+// are given out again, also while writes are under way.
+//
+// Guards against a fencing token that goes back with the store's revision, and against a holder of an earlier
+// record that acts beside the one whose record was lost.
+func TestOneHolderWhenTheStoreGoesBack(t *testing.T) {
+	for _, seed := range testSeeds(t) {
 		s := newSimulation(seed, 2+int(seed%5))
-		s.run(60 * time.Second)
-		s.faultFree = true
-		s.storeDownUntil = time.Time{}
-		s.run(20 * time.Second)
-		from := s.window()
-		s.run(3*windowLength + reportDue)
-		s.check(t)
-		got := make(map[usage.Window]time.Time)
-		for _, a := range s.calls {
-			if _, ok := got[a.report.Window]; !ok {
-				got[a.report.Window] = a.at
-			}
+		s.restores = true
+		s.runAndCheck(t, seed)
+	}
+}
+
+// runAndCheck runs the simulation with faults and then without, and checks all calls, and that each window
+// without faults is reported in time.
+func (s *simulation) runAndCheck(t *testing.T, seed uint64) {
+	t.Helper()
+	s.run(60 * time.Second)
+	s.faultFree = true
+	s.storeDownUntil = time.Time{}
+	s.run(20 * time.Second)
+	from := s.window()
+	s.run(3*windowLength + reportDue)
+	s.check(t)
+	got := make(map[usage.Window]time.Time)
+	for _, a := range s.calls {
+		if _, ok := got[a.report.Window]; !ok {
+			got[a.report.Window] = a.at
 		}
-		for k := from; k < from+3; k++ {
-			end := usage.Clock{Length: config.Span(windowLength)}.End(k)
-			if at, ok := got[k]; !ok || at.After(end.Add(reportDue)) {
-				t.Errorf("seed %d: window %d: got its report at %v, want one by %v", seed, k, at, end.Add(reportDue))
-			}
+	}
+	for k := from; k < from+3; k++ {
+		end := usage.Clock{Length: config.Span(windowLength)}.End(k)
+		if at, ok := got[k]; !ok || at.After(end.Add(reportDue)) {
+			t.Errorf("seed %d: window %d: got its report at %v, want one by %v", seed, k, at, end.Add(reportDue))
 		}
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
+	}
+	if t.Failed() {
+		t.Fatalf("seed %d", seed)
+	}
+}
+
+// testSeeds returns the seeds 0 to 299, or those of DUTY_SEEDS, which has the form first-last.
+func testSeeds(t *testing.T) (seeds []uint64) {
+	first, last := uint64(0), uint64(299)
+	if text := os.Getenv("DUTY_SEEDS"); text != "" {
+		if _, err := fmt.Sscanf(text, "%d-%d", &first, &last); err != nil {
+			t.Fatal(err)
 		}
 	}
+	for seed := first; seed <= last; seed++ {
+		seeds = append(seeds, seed)
+	}
+	return seeds
 }
 
 // A VM that held the duties before waits for the lease before it takes them back, even from a
--- a/pkg/duty/record.go
+++ b/pkg/duty/record.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/usage"
 )
 
@@ -34,14 +35,17 @@
 	PastHolders []string `json:"past,omitempty"`
 	// Settled is the newest window whose counts are settled, that is, final. It never decreases.
 	Settled usage.Window `json:"settled"`
-	// Fresh is set if the record was created where there was none and not written since: it is not
-	// known whether there was an earlier record, and what it contained.
+	// Fresh is set if the record was created where there was none, or replaced one that the store had
+	// brought back, and was not written since: it is not known whether there was an earlier record,
+	// and what it contained.
 	Fresh bool `json:"fresh,omitempty"`
 	// Unsent are the settled reports that the platform may not have accepted yet, in the order of
 	// windows, at most maxUnsent.
 	Unsent []Report `json:"unsent,omitempty"`
+	// Epoch is the epoch of the store in which the record was written; 0 in records of earlier releases.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Revision is the revision of the stored object, assigned by the store.
-	Revision int64 `json:"-"`
+	Revision epoch.Revision `json:"-"`
 }
 
 const (
@@ -58,9 +62,12 @@
 	if r.Fence != 0 {
 		return r.Fence
 	}
-	return r.Revision
+	return int64(r.Revision)
 }
 
+// restored reports whether a stored record was written in an earlier epoch than the one that the store is in.
+func (r *Record) restored() bool { return r.Epoch < r.Revision.Epoch() }
+
 // successor returns the base of the record that replaces r in the window now. If r is fresh, there
 // may have been an earlier record, whose holder settled the windows before now.
 func (r *Record) successor(now usage.Window) Record {
@@ -109,7 +116,7 @@
 	Incarnation uint64
 	// Revision is the revision of the record that names the holder. Settled is the newest window
 	// that the sender knows to be settled.
-	Revision int64
+	Revision epoch.Revision
 	Settled  usage.Window
 	// Resigned is set if the holder has resigned: it makes no call until it has taken the duties
 	// over again.
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -321,6 +321,19 @@
 	}
 }
 
+// RecordRestored records the round of the verdict on a request that a store holds which came back from an older
+// copy; 0 if it holds none. A later round that the store has lost is due to be stored again.
+func (d *Detector) RecordRestored(now time.Time, p Fingerprint, round int) {
+	r := d.records[p]
+	if r == nil {
+		return
+	}
+	if round < r.storedRound {
+		r.changedAt = now
+	}
+	r.storedRound = round
+}
+
 // RecordRemoval records that the store holds no verdict on a request any more, as an operator or
 // another process has removed it. It returns the verdict if this lifts a quarantine, else nil. A
 // verdict that was never stored, or was renewed since it was stored, stays.
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/mixer"
 	"github.com/traildrift/traildrift/pkg/room"
 )
@@ -34,8 +36,10 @@
 	// a start ends, as the entry reports it; WarmReported is false if the entry reports none.
 	ReceivedAt, WarmAt time.Time
 	WarmReported       bool
-	// Revision is the revision of the listed entry; it only grows.
-	Revision int64
+	// Revision is the revision of the listed entry; it only grows. Restored is set if the entry was read
+	// after the store came back from an older copy, and may be older than the last one before.
+	Revision epoch.Revision
+	Restored bool
 }
 
 // Endpoint is the state of one endpoint.
@@ -61,6 +65,11 @@
 	// graceUntil is when an endpoint that was removed during an outage of the list is dropped; zero
 	// for a listed one.
 	graceUntil time.Time
+	// removedAt is the revision of the removal because of which graceUntil is set.
+	removedAt epoch.Revision
+	// unconfirmedUntil is when an endpoint that had been removed, and is listed again by a store that came
+	// back from an older copy, gets work again unless it has written a later entry; zero for others.
+	unconfirmedUntil time.Time
 }
 
 // Book is the table of the endpoints of all services. Use NewBook.
@@ -78,7 +87,7 @@
 	senders *senders
 	// removed maps removed endpoints to the revision of their removal, so that an older entry that
 	// arrives late does not list them again.
-	removed map[string]int64
+	removed map[string]epoch.Revision
 	// unlisted holds what endpoints that are no longer listed announced. The list may lag by any time
 	// and list them again in their state from before the announcement.
 	unlisted map[string]pastAnnounced
@@ -90,7 +99,7 @@
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
-		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), removed: make(map[string]int64), unlisted: make(map[string]pastAnnounced), pendingNotices: make(map[uint64]Notice),
+		byID: make(map[string]*Endpoint), byHash: make(map[uint64]*Endpoint), byService: make(map[string][]*Endpoint), removed: make(map[string]epoch.Revision), unlisted: make(map[string]pastAnnounced), pendingNotices: make(map[uint64]Notice),
 		zones: make(map[string]*zone), warmups: make(map[string]*Warmup), senders: new(senders),
 	}
 }
@@ -112,6 +121,9 @@
 	if e.Revision < p.Revision {
 		return false
 	}
+	if !e.Restored {
+		p.unconfirmedUntil = time.Time{}
+	}
 	changed := !p.graceUntil.IsZero() || e.Leaving && !p.leaving
 	if e.StartedAt.IsZero() {
 		// Processes of an earlier release send entries without a start time.
@@ -135,6 +147,9 @@
 		p.announced = s.announced
 	}
 	p.leaving = e.Leaving || p.announced.leaving
+	if _, wasRemoved := b.removed[e.ID]; wasRemoved && e.Restored {
+		p.unconfirmedUntil = restoredGrace.After(e.ReceivedAt)
+	}
 	b.byID[e.ID] = p
 	b.insert(p)
 	if n, ok := b.pendingNotices[p.Incarnation()]; ok {
@@ -151,24 +166,28 @@
 	b.byService[p.Service] = slices.Insert(list, i, p)
 }
 
+// restoredGrace is how long an endpoint that had been removed gets no work when a store that came back from
+// an older copy lists it again. The store drops entries whose endpoints are silent within this time.
+const restoredGrace = config.Span(5 * time.Second)
+
 // Remove removes an endpoint, unless the book has a newer revision of it. If graceUntil is later than
 // now, as after an outage of the list, an endpoint that is not leaving is kept until then, as it may be
 // listed again.
-func (b *Book) Remove(id string, revision int64, now, graceUntil time.Time) {
+func (b *Book) Remove(id string, revision epoch.Revision, now, graceUntil time.Time) {
 	p, ok := b.byID[id]
 	if !ok || revision < p.Revision {
 		return
 	}
 	if !p.leaving && now.Before(graceUntil) {
 		if p.graceUntil.IsZero() {
-			p.graceUntil = graceUntil
+			p.graceUntil, p.removedAt = graceUntil, revision
 		}
 		return
 	}
 	b.drop(p, revision)
 }
 
-func (b *Book) drop(p *Endpoint, revision int64) {
+func (b *Book) drop(p *Endpoint, revision epoch.Revision) {
 	putBounded(b.removed, p.ID, revision)
 	if p.announced.isSet() {
 		putBounded(b.unlisted, p.ID, pastAnnounced{p.StartedAt, p.announced})
@@ -193,7 +212,7 @@
 	for id, p := range b.byID {
 		if !p.graceUntil.IsZero() && !now.Before(p.graceUntil) {
 			ids = append(ids, id)
-			b.drop(p, p.Revision+1)
+			b.drop(p, max(p.Revision+1, p.removedAt))
 		}
 	}
 	return ids
@@ -262,7 +281,8 @@
 // usable reports whether the endpoint may get new work: its zone is open, and it is listed.
 func (p *Endpoint) usable(now time.Time) bool { return !p.zoneState.closed && p.listed(now) }
 
-// listed reports whether the endpoint is listed or within its grace period, and not leaving.
+// listed reports whether the endpoint is listed or within its grace period, and neither leaving nor
+// unconfirmed.
 func (p *Endpoint) listed(now time.Time) bool {
-	return !p.leaving && (p.graceUntil.IsZero() || now.Before(p.graceUntil))
+	return !p.leaving && (p.graceUntil.IsZero() || now.Before(p.graceUntil)) && !now.Before(p.unconfirmedUntil)
 }
--- a/pkg/pool/book_test.go
+++ b/pkg/pool/book_test.go
@@ -7,11 +7,13 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 var t0 = time.Unix(1_000_000, 0)
 
-func entry(id string, revision int64) Entry {
+func entry(id string, revision epoch.Revision) Entry {
 	return Entry{ID: id, Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "a", Version: "v1", Slots: 4, Revision: revision}
 }
 
@@ -104,3 +106,46 @@
 		t.Errorf("endpoints that get work after a success: got %d, want e10, e11 and e21", got)
 	}
 }
+
+// An endpoint that was removed gets no work when a store that came back from an older copy lists it again, until it
+// has written a later entry or the grace period is over. One that the copy lacks is kept for its grace period, and
+// gets work at once when it is listed again.
+//
+// Guards against requests to an endpoint that has left, and against endpoints that are lost for longer than the
+// store needs to list them again.
+func TestRestoredEntryOfARemovedEndpoint(t *testing.T) {
+	restored := func(e Entry) Entry { e.Restored, e.ReceivedAt = true, t0; return e }
+	usable := func(b *Book, at time.Time) bool { p := b.Get("a"); return p != nil && p.usable(at) }
+	t.Run("removed", func(t *testing.T) {
+		b := NewBook()
+		b.Put(entry("a", epoch.At(1, 5)))
+		b.Remove("a", epoch.At(1, 9), t0, time.Time{})
+		b.Put(restored(entry("a", epoch.At(2, 5))))
+		end := restoredGrace.After(t0)
+		if usable(b, end.Add(-time.Millisecond)) || !usable(b, end) {
+			t.Error("restored entry: want it unused up to the end of the grace period, and used from then on")
+		}
+		b.Put(entry("a", epoch.At(2, 8)))
+		if !usable(b, t0) {
+			t.Error("entry that the endpoint wrote after the return: want it used at once")
+		}
+	})
+	t.Run("lost", func(t *testing.T) {
+		b := NewBook()
+		b.Put(entry("a", epoch.At(1, 50)))
+		grace := t0.Add(2 * time.Second)
+		b.Remove("a", epoch.At(2, 34), t0, grace)
+		if !usable(b, grace.Add(-time.Millisecond)) {
+			t.Error("endpoint that the copy lacks: want it used during its grace period")
+		}
+		b.Expire(grace)
+		b.Put(restored(entry("a", epoch.At(1, 50))))
+		if b.Get("a") != nil {
+			t.Error("entry of the earlier epoch, late: want it ignored")
+		}
+		b.Put(entry("a", epoch.At(2, 36)))
+		if !usable(b, grace) {
+			t.Error("endpoint that wrote its entry again: want it used at once")
+		}
+	})
+}
--- a/pkg/pool/warm.go
+++ b/pkg/pool/warm.go
@@ -53,8 +53,8 @@
 	if !p.WarmReported {
 		until = p.firstSeenAt.Add(p.warmup.Duration)
 	}
-	if !p.zoneState.openedAt.IsZero() && p.Revision < p.zoneState.revision {
-		// The entry is from before its zone was reopened.
+	if !p.zoneState.openedAt.IsZero() && (p.Revision < p.zoneState.revision || p.Restored) {
+		// The entry is from before its zone was reopened, or may be.
 		until = later(until, p.zoneState.openedAt.Add(p.warmup.Duration))
 	}
 	return now.Before(until)
--- a/pkg/pool/zone_test.go
+++ b/pkg/pool/zone_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 // inZones returns a book with two endpoints in each of some availability zones.
@@ -90,7 +92,7 @@
 	b := inZones("a")
 	for _, c := range []struct {
 		do     string
-		at     int64
+		at     epoch.Revision
 		closed bool
 	}{{"close", 5, true}, {"open", 4, true}, {"close", 5, true}, {"open", 7, false}, {"close", 6, false}, {"open", 7, false}, {"close", 9, true}} {
 		if c.do == "close" {
--- a/pkg/roll/trial.go
+++ b/pkg/roll/trial.go
@@ -3,7 +3,12 @@
 
 package roll
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/traildrift/traildrift/pkg/epoch"
+)
 
 // TrialState is the state of a trial.
 type TrialState string
@@ -39,13 +44,23 @@
 	// before the last step are proportional to it, but never above their defaults.
 	MaxExposure float64
 	// Revision is that of the stored object from which the trial was read.
-	Revision int64
+	Revision epoch.Revision
 }
 
 // IsOld reports whether a version serves the sessions that the new version does not: any
 // version that is neither the new one nor retired.
 func (t *Trial) IsOld(version string) bool { return version != t.Version && !t.Retired.Has(version) }
 
+// IsAfter reports whether t is a later state than o of the same trial.
+func (t *Trial) IsAfter(o *Trial) bool {
+	rank := func(t *Trial) int { return slices.Index([]TrialState{Ordered, Trying, Proven, Rejected}, t.State) }
+	final := func(t *Trial) bool { return t.State == Proven || t.State == Rejected }
+	if final(o) {
+		return false
+	}
+	return rank(t) > rank(o) || rank(t) == rank(o) && t.Step > o.Step
+}
+
 // Successor returns the trial of version when it is ordered after t, which may have ended
 // or not: only a proven version serves on, any other is retired.
 func (t *Trial) Successor(version string) Trial {
