Notice lost registrations and quarantines that no copy had

A registration or a quarantine that a router wrote just before the store came back from an older copy may never have reached the router's own copy, so that the first list of the new epoch brings no removal of it: the router did not write it again. Both are now looked for once in each epoch; router.TestUnseenRegistrationIsMissed.

Also: a router counts as ready while a kind has never been listed, as before; a pull may take longer while copies are of an earlier epoch, as it gets whole lists; the emulator can bring its list of endpoints back from an older copy (emul.TestRestoredListChangesNoPlacement).

--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -45,6 +46,25 @@
 	}
 }
 
+// A store that comes back from an older copy of the list of endpoints changes nothing about where prompts are placed and
+// when they are answered: what routers know of endpoints stays, also of those that the copy lacks.
+//
+// Guards against endpoints that are dropped, or whose load and cached prompts are forgotten, while their entries are
+// written again.
+func TestRestoredListChangesNoPlacement(t *testing.T) {
+	var x Experiment
+	if err := proc.Load("../../examples/experiments/cascade.yaml", &x); err != nil {
+		t.Fatal(err)
+	}
+	x.Duration = config.Span(6 * time.Second)
+	policy := &Policy{Placement: Prefix, Straight: 40, Step: 60}
+	want := Simulate(&x, policy, 1)
+	x.StoreRestoredAt = config.Span(3 * time.Second)
+	if got := Simulate(&x, policy, 1); !reflect.DeepEqual(got, want) {
+		t.Errorf("with a restored list: got another result than without, %+v and %+v", got, want)
+	}
+}
+
 func TestWrongExperiment(t *testing.T) {
 	x := Experiment{Models: []Model{{}}, Classes: []Class{{}}, Policies: []Policy{{Placement: "nearest", FirstModel: 1}}}
 	var got []string
--- a/internal/emul/experiment.go
+++ b/internal/emul/experiment.go
@@ -23,6 +23,9 @@
 	Routers int `yaml:"routers"`
 	// Endpoints is the number of endpoints.
 	Endpoints int `yaml:"endpoints"`
+	// StoreRestoredAt is when the store of the endpoint list comes back from an older copy, which lacks
+	// every third endpoint until they register again; 0 for never.
+	StoreRestoredAt config.Span `yaml:"storeRestoredAt"`
 	// Engine holds the parameters that all endpoints share.
 	Engine Engine `yaml:"engine"`
 	// Models lists the models of the cascade, smallest first.
--- a/internal/emul/simulate.go
+++ b/internal/emul/simulate.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/sizes"
 )
@@ -109,12 +110,15 @@
 		b := pool.NewBook()
 		view := make([]*pool.Endpoint, x.Endpoints)
 		for i := range x.Endpoints {
-			b.Put(pool.Entry{ID: endpointID(i), Service: service, Addr: netip.AddrPort{}, Zone: service, Version: service, Slots: x.Engine.Slots, Revision: 1})
+			b.Put(p.entry(i, epoch.At(0, 1)))
 			view[i] = b.Get(endpointID(i))
 		}
 		p.books, p.views = append(p.books, b), append(p.views, view)
 	}
 	p.scheduleArrival()
+	if x.StoreRestoredAt > 0 {
+		p.schedule(time.Duration(x.StoreRestoredAt), p.restoreList)
+	}
 	for len(p.queue) > 0 {
 		e := heap.Pop(&p.queue).(event)
 		p.now = e.at
@@ -123,6 +127,34 @@
 	return p.result
 }
 
+// entry returns the listed entry of an endpoint.
+func (p *simulation) entry(i int, revision epoch.Revision) pool.Entry {
+	return pool.Entry{ID: endpointID(i), Service: service, Addr: netip.AddrPort{}, Zone: service, Version: service, Slots: p.x.Engine.Slots, Revision: revision, ReceivedAt: p.now}
+}
+
+const (
+	// registerDelay is the time after which the endpoints that a restored list lacks register again, and
+	// lapseGrace the time for which routers keep them.
+	registerDelay = time.Second
+	lapseGrace    = 2 * time.Second
+)
+
+// restoreList replaces each router's list of endpoints by that of a store which came back from an older copy.
+func (p *simulation) restoreList() {
+	for _, b := range p.books {
+		for i := range p.endpoints {
+			if i%3 == 0 {
+				b.Remove(endpointID(i), epoch.At(1, 1), p.now, p.now.Add(lapseGrace))
+				p.schedule(registerDelay, func() { b.Put(p.entry(i, epoch.At(1, 2))) })
+				continue
+			}
+			e := p.entry(i, epoch.At(1, 1))
+			e.Restored = true
+			b.Put(e)
+		}
+	}
+}
+
 // service is the service, zone and version of all endpoints.
 const service = "s"
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -103,6 +103,14 @@
 	return m.kinds[kind] != nil
 }
 
+// Holds reports whether the copy of a kind has an object.
+func (m *Mirror) Holds(kind, name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.kinds[kind].objects[name]
+	return ok
+}
+
 // Epoch returns the newest epoch of the store that was observed.
 func (m *Mirror) Epoch() int64 {
 	m.mu.Lock()
@@ -126,12 +134,12 @@
 	}
 }
 
-// IsCurrent reports whether the copies of all kinds are of the newest epoch that was observed.
+// IsCurrent reports whether all copies that have been listed are of the newest epoch that was observed.
 func (m *Mirror) IsCurrent() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range m.kinds {
-		if c.revision < 0 || c.revision.Epoch() < m.epoch {
+		if c.revision >= 0 && c.revision.Epoch() < m.epoch {
 			return false
 		}
 	}
--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -340,9 +340,9 @@
 }
 
 // timeout returns the time for a response beyond the time for which the request is held. It is
-// longer for a whole list.
+// longer for a whole list, which a router gets that starts or has copies of an earlier epoch.
 func (pl *Puller) timeout() time.Duration {
-	if pl.hasAllKinds() {
+	if pl.hasAllKinds() && pl.Mirror.IsCurrent() {
 		return responseTimeout
 	}
 	return listResponseTimeout
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -257,6 +257,13 @@
 	e.crashes.RecordRestored(e.Now(), v.Fingerprint, v.Round)
 }
 
+// StoredVerdicts returns the requests whose verdicts the store holds, as far as is known here.
+func (e *Engine) StoredVerdicts() []poison.Fingerprint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes.Stored()
+}
+
 // RecordVerdictRemoval records that the store holds no verdict on a request any more. An operator lifts a
 // quarantine by removing its verdict from the store.
 func (e *Engine) RecordVerdictRemoval(p poison.Fingerprint) {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -204,6 +204,7 @@
 	for ctx.Err() == nil {
 		if r.stopping.Load() || r.fleet.Registered() {
 			pause = minRegisterBackoff
+			r.checkRegistration()
 			r.removeLostPeers(time.Now())
 			r.removeSilentPeers(ctx)
 			tasks.Pause(ctx, registrationCheckInterval.After(time.Now()))
@@ -223,6 +224,17 @@
 // later.
 const firstStartDelay = config.Span(500 * time.Millisecond)
 
+// checkRegistration removes this router from the fleet, so that it registers again, if the store has come back from
+// an older copy without its registration. The copy of the registrations may not have had it before, so that no
+// change tells.
+func (r *Router) checkRegistration() {
+	e := r.mirror.Revision(r.wire.RouterKind).Epoch()
+	if e > r.registeredIn && !r.mirror.Holds(r.wire.RouterKind, r.settings.VM) {
+		r.fleet.Remove(r.settings.VM)
+	}
+	r.registeredIn = max(r.registeredIn, e)
+}
+
 // joinFleet registers this router, adds its neighbours to the fleet, records for the puller that
 // peers are known, and queries peers for the verdicts and notices that a starting router needs.
 func (r *Router) joinFleet(ctx context.Context) error {
@@ -233,6 +245,7 @@
 	r.mu.Lock()
 	r.self = p
 	r.mu.Unlock()
+	r.registeredIn = r.mirror.Epoch()
 	r.secret.Set(p.Token)
 	if r.settings.FirstStart {
 		tasks.Pause(ctx, firstStartDelay.After(time.Now()))
--- a/internal/router/follow_test.go
+++ b/internal/router/follow_test.go
@@ -11,8 +11,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/traildrift/traildrift/internal/mirror"
 	"github.com/traildrift/traildrift/internal/peers"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/pkg/epoch"
 )
 
 // TestRegisterPausesAnew registers a router that fails some times, is then registered, and loses its
@@ -23,7 +25,7 @@
 		const failures = 6
 		f := peers.NewFleet("vm")
 		var calls []time.Time
-		r := &Router{Log: zap.NewNop(), fleet: f, wire: &Wire{Register: func(context.Context, peers.Peer) (peers.Peer, error) {
+		r := &Router{Log: zap.NewNop(), fleet: f, mirror: mirror.New("routers"), wire: &Wire{RouterKind: "routers", Register: func(context.Context, peers.Peer) (peers.Peer, error) {
 			calls = append(calls, time.Now())
 			if len(calls) == failures {
 				f.Put(peers.Peer{Name: "vm"})
@@ -49,3 +51,23 @@
 		}
 	})
 }
+
+// A router registers again after the store came back without its registration, also if its copy of the registrations
+// never had it. Guards against a router that waits for a removal that no change tells.
+func TestUnseenRegistrationIsMissed(t *testing.T) {
+	f := peers.NewFleet("vm")
+	f.Put(peers.Peer{Name: "vm"})
+	m := mirror.New("routers")
+	r := &Router{Log: zap.NewNop(), fleet: f, mirror: m, wire: &Wire{RouterKind: "routers"}, settings: Settings{VM: "vm"}}
+	m.Replace("routers", nil, epoch.At(1, 5), time.Now(), time.Time{})
+	r.registeredIn = 1
+	r.checkRegistration()
+	if !f.Registered() {
+		t.Error("in the epoch of the registration: got it removed")
+	}
+	m.Replace("routers", nil, epoch.At(2, 3), time.Now(), time.Time{})
+	r.checkRegistration()
+	if f.Registered() {
+		t.Error("in a later epoch without the registration: got it kept")
+	}
+}
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -64,6 +64,7 @@
 	var failedAt time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
+		r.checkVerdicts()
 		storeAnswered := r.mirror.ConfirmedAt(r.wire.ConfigKind).After(failedAt)
 		if storeAnswered || now.After(verdictRetryDelay.After(failedAt)) {
 			failedAt = r.storeNext(ctx)
@@ -73,6 +74,21 @@
 	return nil
 }
 
+// checkVerdicts has verdicts stored again that the store lacks since it came back from an older copy. The copy of the
+// verdicts may not have had those that this router wrote last, so that no change tells.
+func (r *Router) checkVerdicts() {
+	e := r.mirror.Revision(r.wire.VerdictKind).Epoch()
+	if e <= r.verdictsIn {
+		return
+	}
+	r.verdictsIn = e
+	for _, p := range r.Engine.StoredVerdicts() {
+		if !r.mirror.Holds(r.wire.VerdictKind, p.String()) {
+			r.Engine.MergeRestoredVerdict(poison.Verdict{Fingerprint: p})
+		}
+	}
+}
+
 // storeNext stores one quarantine, if one is due. It returns the time of a failure; the zero time if
 // there was none.
 func (r *Router) storeNext(ctx context.Context) (failedAt time.Time) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,6 +57,12 @@
 	mu        sync.Mutex
 	self      peers.Peer
 	lostPeers map[string]time.Time
+	// registeredIn is the epoch of the store in which the registration was last written or seen; only the task
+	// that registers uses it.
+	registeredIn int64
+	// verdictsIn is the epoch of the store for which checkVerdicts was last done; only the task that stores
+	// verdicts uses it.
+	verdictsIn int64
 	// stopping is set when a planned stop begins, and never reset.
 	stopping atomic.Bool
 	// lastReady is the result of the last readiness check by the balancer.
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -321,6 +321,16 @@
 	}
 }
 
+// Stored returns the requests whose verdicts the store holds, as far as is known here.
+func (d *Detector) Stored() (list []Fingerprint) {
+	for p, r := range d.records {
+		if r.storedRound > 0 {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // RecordRestored records the round of the verdict on a request that a store holds which came back from an older
 // copy; 0 if it holds none. A later round that the store has lost is due to be stored again.
 func (d *Detector) RecordRestored(now time.Time, p Fingerprint, round int) {
