Tests of roll-outs and zones when the store goes back

relay.TestTrialIsKeptWhenTheStoreGoesBack and pool.TestRestoredZoneOrdersWait: an order or a state that the store has lost stays until it is written again or its grace period is over, and a new order takes effect at once.

--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/traildrift/traildrift/pkg/epoch"
 	"github.com/traildrift/traildrift/pkg/pool"
 	"github.com/traildrift/traildrift/pkg/roll"
 )
@@ -94,3 +95,49 @@
 		t.Error("proven version gets no requests")
 	}
 }
+
+// What a router knows of a roll-out stays after the store came back from an older copy, until it is ordered again or the
+// grace period is over, and its state is then written again.
+//
+// Guards against a roll-out that begins anew, so that sessions go back to the old version, and against one that no order
+// stands for any more.
+func TestTrialIsKeptWhenTheStoreGoesBack(t *testing.T) {
+	known := roll.Trial{Service: "s", Version: "v3", State: roll.Trying, Step: 2, Revision: epoch.At(1, 40)}
+	older := roll.Trial{Service: "s", Version: "v2", State: roll.Proven, Revision: epoch.At(2, 20)}
+	again := roll.Trial{Service: "s", Version: "v3", State: roll.Ordered, Revision: epoch.At(2, 30)}
+	next := roll.Trial{Service: "s", Version: "v4", State: roll.Ordered, Revision: epoch.At(2, 31)}
+	for _, c := range []struct {
+		name string
+		// restore applies what the store came back with, and then what was written since.
+		restore func(e *Engine)
+		after   time.Duration
+		// version and step are those in force, and lost says that they are to be written again.
+		version string
+		step    int
+		lost    bool
+	}{
+		{"status lost", func(e *Engine) { e.PutRestoredTrial(again) }, 0, "v3", 2, true},
+		{"order lost", func(e *Engine) { e.RemoveTrial("s", epoch.At(2, 20), true) }, time.Second, "v3", 2, false},
+		{"order lost and given again", func(e *Engine) { e.RemoveTrial("s", epoch.At(2, 20), true); e.PutTrial(again) }, time.Hour, "v3", 2, true},
+		{"order lost for good", func(e *Engine) { e.RemoveTrial("s", epoch.At(2, 20), true) }, time.Hour, "", 0, false},
+		{"earlier order", func(e *Engine) { e.PutRestoredTrial(older) }, time.Second, "v3", 2, false},
+		{"earlier order, then the known one again", func(e *Engine) { e.PutRestoredTrial(older); e.PutTrial(again) }, time.Hour, "v3", 2, true},
+		{"earlier order for good", func(e *Engine) { e.PutRestoredTrial(older) }, time.Hour, "v2", 0, false},
+		{"new order", func(e *Engine) { e.PutRestoredTrial(older); e.PutTrial(next) }, time.Second, "v4", 0, false},
+	} {
+		e := engine(Route{Kind: Safe}, nil)
+		now := time.Unix(1_000_000, 0)
+		e.Now = func() time.Time { return now }
+		e.PutTrial(known)
+		c.restore(e)
+		now = now.Add(c.after)
+		e.expire()
+		got := rollout{}
+		if r := e.rollouts["s"]; r != nil {
+			got = *r
+		}
+		if got.trial.Version != c.version || got.trial.Step != c.step || got.lost != c.lost {
+			t.Errorf("%s: got version %q, step %d, lost %v; want %q, %d, %v", c.name, got.trial.Version, got.trial.Step, got.lost, c.version, c.step, c.lost)
+		}
+	}
+}
--- a/pkg/pool/zone_test.go
+++ b/pkg/pool/zone_test.go
@@ -132,3 +132,39 @@
 		t.Error("entry from after the zone was reopened that reports warm: got warming up, want warm")
 	}
 }
+
+// A zone that was reopened is not closed at once by the order that a store came back with, and a closed one is not opened
+// at once where the store came back without its order. The next order decides, or else the stored state, later.
+//
+// Guards against requests that move between zones and back while the operator's orders are written again.
+func TestRestoredZoneOrdersWait(t *testing.T) {
+	later := t0.Add(time.Second)
+	reopened := func() *Book {
+		b := NewBook()
+		b.CloseZone("a", epoch.At(1, 5))
+		b.OpenZone("a", epoch.At(1, 9), t0)
+		return b
+	}
+	b := reopened()
+	if b.CloseZoneAt("a", epoch.At(2, 5), t0, later); b.IsClosed("a") {
+		t.Error("restored closing of a reopened zone: got it closed at once")
+	}
+	b.OpenZone("a", epoch.At(2, 8), t0)
+	if b.ExpireZones(later); b.IsClosed("a") {
+		t.Error("order removed again: got the zone closed")
+	}
+	b = reopened()
+	b.CloseZoneAt("a", epoch.At(2, 5), t0, later)
+	if b.ExpireZones(later); !b.IsClosed("a") {
+		t.Error("order not removed again: want the zone closed")
+	}
+	b = NewBook()
+	b.CloseZone("a", epoch.At(1, 50))
+	if b.OpenZoneAt("a", epoch.At(2, 34), t0, later); !b.IsClosed("a") {
+		t.Error("order lost: got the zone open at once")
+	}
+	b.CloseZone("a", epoch.At(2, 36))
+	if b.ExpireZones(later); !b.IsClosed("a") {
+		t.Error("order given again: got the zone open")
+	}
+}
