Epochs told by other routers, and peers that list anew

- A later epoch that another router told is known to the client of the store too: a write under the condition of an earlier one was sent until this router's own next call.
- A peer whose configuration is of an earlier epoch is backed off from for 0.1 s, not for 1 s: a peer that answers while it lists its kinds anew was left alone for half of the bound on a configuration.
- Readiness waits for the copies by which requests are routed, not for registrations and quarantines.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -42,8 +42,10 @@
 	// applied. The mirror is locked meanwhile: the function must be short and must not call the
 	// mirror. It must be set before the first change.
 	OnChange func(kind string, c Change)
-	mu       sync.Mutex
-	kinds    map[string]*kindCopy
+	// OnEpoch is called when a later epoch of the store is observed, under the same conditions.
+	OnEpoch func(e int64)
+	mu      sync.Mutex
+	kinds   map[string]*kindCopy
 	// changed is closed and replaced whenever a revision increases, or a copy is confirmed again
 	// after minConfirmationGap.
 	changed chan struct{}
@@ -73,7 +75,7 @@
 
 // New returns a mirror with empty copies of the named kinds.
 func New(kinds ...string) *Mirror {
-	m := &Mirror{OnChange: func(string, Change) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{})}
+	m := &Mirror{OnChange: func(string, Change) {}, OnEpoch: func(int64) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{})}
 	for _, k := range kinds {
 		m.kinds[k] = &kindCopy{revision: epoch.None, objects: make(map[string]Object), tombstones: make(map[string]Change)}
 	}
@@ -131,15 +133,17 @@
 		m.epoch = e
 		close(m.epochBegun)
 		m.epochBegun = make(chan struct{})
+		m.OnEpoch(e)
 	}
 }
 
-// IsCurrent reports whether all copies that have been listed are of the newest epoch that was observed.
-func (m *Mirror) IsCurrent() bool {
+// IsCurrent reports whether those copies of some kinds that have been listed are of the newest epoch that was
+// observed.
+func (m *Mirror) IsCurrent(kinds ...string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, c := range m.kinds {
-		if c.revision >= 0 && c.revision.Epoch() < m.epoch {
+	for _, kind := range kinds {
+		if c := m.kinds[kind]; c.revision >= 0 && c.revision.Epoch() < m.epoch {
 			return false
 		}
 	}
@@ -274,7 +278,8 @@
 }
 
 // Since returns the difference between a copy of a kind at a revision and the copy of this mirror. It
-// holds all objects if that copy is of an earlier epoch, and none if it is of a later one. ok is false if the mirror has not listed the kind yet.
+// holds all objects if that copy is of an earlier epoch, and none if it is of a later one. ok is false if
+// the mirror has not listed the kind yet.
 func (m *Mirror) Since(kind string, revision epoch.Revision) (d Delta, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -322,9 +322,13 @@
 		pl.Fleet.BackOff(p.Name, startPollInterval.After(now))
 		return false
 	}
-	// A copy of an earlier epoch is not the newest, however late it was proven: that was of a history that
-	// the store has lost since.
-	if !ok || w.Epoch < pl.Mirror.Epoch() || time.Duration(w.AgeMs)*time.Millisecond > time.Duration(pl.staleAge(now)) {
+	if ok && w.Epoch < pl.Mirror.Epoch() {
+		// However late this copy was proven to be the newest, the store has lost that history since. The peer
+		// may be listing the kinds anew.
+		pl.Fleet.BackOff(p.Name, readerPollInterval.After(now))
+		return false
+	}
+	if !ok || time.Duration(w.AgeMs)*time.Millisecond > time.Duration(pl.staleAge(now)) {
 		pl.Fleet.RecordStale(p.Name, now)
 		return false
 	}
@@ -342,7 +346,7 @@
 // timeout returns the time for a response beyond the time for which the request is held. It is
 // longer for a whole list, which a router gets that starts or has copies of an earlier epoch.
 func (pl *Puller) timeout() time.Duration {
-	if pl.hasAllKinds() && pl.Mirror.IsCurrent() {
+	if pl.hasAllKinds() && pl.Mirror.IsCurrent(pl.Kinds...) {
 		return responseTimeout
 	}
 	return listResponseTimeout
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -57,7 +57,7 @@
 	// newest; zero if it never was.
 	ConfirmedAt func() time.Time
 	// EndpointsListed reports whether the list of endpoints has been received. CopiesCurrent reports whether
-	// no copy of stored objects is from before the store came back from an older copy.
+	// no copy of what requests are routed by is from before the store came back from an older copy.
 	EndpointsListed, CopiesCurrent func() bool
 	// RouterCount returns how many routers share the operator's limits: those that may send,
 	// including routers that left the list a short time ago.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,7 +90,7 @@
 	}
 	r.bodies = newBodyBudget(s.MemoryMB)
 	r.mirror = mirror.New(w.ConfigKind, w.ClosingKind, w.VerdictKind, w.TrialKind, w.EndpointKind, w.RouterKind)
-	r.mirror.OnChange = r.applyChange
+	r.mirror.OnChange, r.mirror.OnEpoch = r.applyChange, w.ObserveEpoch
 	r.fleet = peers.NewFleet(s.VM)
 	r.self = peers.Peer{Name: s.VM, Addr: s.Peers, Zone: s.AvailabilityZone, Millicores: int(s.CPUShare * millicoresPerCore), Token: proc.NewID() + proc.NewID()}
 	r.secret.Set(r.self.Token)
@@ -98,7 +98,7 @@
 	w.OnStoreCall(r.recordStoreCall)
 	r.Engine.ConfirmedAt = func() time.Time { return r.mirror.ConfirmedAt(w.ConfigKind) }
 	r.Engine.EndpointsListed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
-	r.Engine.CopiesCurrent = r.mirror.IsCurrent
+	r.Engine.CopiesCurrent = func() bool { return r.mirror.IsCurrent(w.ConfigKind, w.ClosingKind, w.TrialKind, w.EndpointKind) }
 	r.Engine.RouterCount = r.fleet.SenderCount
 	r.Engine.Senders = r.senders
 	if err := r.listen(); err != nil {
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -61,6 +61,9 @@
 	ContentionRule string
 	// ReadyPath is the URL path of the balancer's readiness check.
 	ReadyPath string
+	// ObserveEpoch is called when a later epoch of the store was observed, also by another router: writes under
+	// the condition of a revision of an earlier one are not sent any more. It must be short.
+	ObserveEpoch func(e int64)
 	// OnStoreCall sets the function that is called after each call to the store. It must be called
 	// before the first call to the store.
 	OnStoreCall func(fn func(StoreCall))
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -148,7 +148,7 @@
 	}
 	p.leaving = e.Leaving || p.announced.leaving
 	if _, wasRemoved := b.removed[e.ID]; wasRemoved && e.Restored {
-		p.unconfirmedUntil = restoredGrace.After(e.ReceivedAt)
+		p.unconfirmedUntil = unconfirmedGrace.After(e.ReceivedAt)
 	}
 	b.byID[e.ID] = p
 	b.insert(p)
@@ -166,9 +166,9 @@
 	b.byService[p.Service] = slices.Insert(list, i, p)
 }
 
-// restoredGrace is how long an endpoint that had been removed gets no work when a store that came back from
+// unconfirmedGrace is how long an endpoint that had been removed gets no work when a store that came back from
 // an older copy lists it again. The store drops entries whose endpoints are silent within this time.
-const restoredGrace = config.Span(5 * time.Second)
+const unconfirmedGrace = config.Span(5 * time.Second)
 
 // Remove removes an endpoint, unless the book has a newer revision of it. If graceUntil is later than
 // now, as after an outage of the list, an endpoint that is not leaving is kept until then, as it may be
