--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -98,15 +98,15 @@
 	return m.kinds[kind].confirmedAt
 }
 
-// Has reports whether the mirror has a copy of a kind, which may not have been listed yet.
-func (m *Mirror) Has(kind string) bool {
+// HasKind reports whether the mirror has a copy of a kind, which may not have been listed yet.
+func (m *Mirror) HasKind(kind string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.kinds[kind] != nil
 }
 
-// Holds reports whether the copy of a kind has an object.
-func (m *Mirror) Holds(kind, name string) bool {
+// HasObject reports whether the copy of a kind has an object.
+func (m *Mirror) HasObject(kind, name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	_, ok := m.kinds[kind].objects[name]
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -72,7 +72,7 @@
 	have := make(map[string]epoch.Revision, len(q.Have))
 	for kind, number := range q.Have {
 		e := q.Epochs[kind]
-		if q.Epochs == nil && m.Has(kind) {
+		if q.Epochs == nil && m.HasKind(kind) {
 			e = m.Revision(kind).Epoch()
 		}
 		have[kind] = epoch.At(min(max(e, 0), epoch.MaxEpoch), number)
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -229,7 +229,7 @@
 // change tells.
 func (r *Router) checkRegistration() {
 	e := r.mirror.Revision(r.wire.RouterKind).Epoch()
-	if e > r.registeredIn && !r.mirror.Holds(r.wire.RouterKind, r.settings.VM) {
+	if e > r.registeredIn && !r.mirror.HasObject(r.wire.RouterKind, r.settings.VM) {
 		r.fleet.Remove(r.settings.VM)
 	}
 	r.registeredIn = max(r.registeredIn, e)
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -83,7 +83,7 @@
 	}
 	r.verdictsIn = e
 	for _, p := range r.Engine.StoredVerdicts() {
-		if !r.mirror.Holds(r.wire.VerdictKind, p.String()) {
+		if !r.mirror.HasObject(r.wire.VerdictKind, p.String()) {
 			r.Engine.MergeRestoredVerdict(poison.Verdict{Fingerprint: p})
 		}
 	}
