Tests for three mechanisms that no test held: conditions, stamps, removals

With each taken away in a scratch copy no test failed: that a write under the condition of an earlier epoch is not sent, that objects of a pull get the epoch of their response, and that an endpoint which lapsed after a return is removed as of the later epoch.

--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -305,6 +305,8 @@
 	var got []Change
 	m.Replace("k", []Object{object("a", epoch.At(1, 30)), object("b", epoch.At(1, 36))}, epoch.At(1, 36), t0, time.Time{})
 	m.Apply("k", []Change{{Object: Object{Name: "c", Revision: epoch.At(1, 40)}, Removed: true}}, epoch.At(1, 40), t0)
+	var begun []int64
+	m.OnEpoch = func(e int64) { begun = append(begun, e) }
 	m.OnChange = func(_ string, c Change) { got = append(got, c) }
 	if !m.Replace("k", []Object{object("a", epoch.At(2, 20)), object("c", epoch.At(2, 25))}, epoch.At(2, 34), t0.Add(time.Second), time.Time{}) {
 		t.Error("list of the later epoch: got it dropped")
@@ -318,6 +320,9 @@
 			t.Errorf("%s: got restored %v, lapse at %v; want restored, lapse at %v", c.Name, c.Restored, c.LapsesAt, lapse)
 		}
 	}
+	if !slices.Equal(begun, []int64{2}) {
+		t.Errorf("epochs told: got %v, want 2 once", begun)
+	}
 	if len(got) != 3 {
 		t.Errorf("changes: got %v, want those of a, b and c", got)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -764,6 +764,10 @@
 	if got, want := pl.Mirror.Revision("k"), epoch.At(2, 34); got != want {
 		t.Errorf("revision: got %v, want %v", got, want)
 	}
+	d, _ := pl.Mirror.Since("k", epoch.None)
+	if len(d.Changes) != 1 || d.Changes[0].Revision != epoch.At(2, 34) {
+		t.Errorf("objects: got %+v, want one of the later epoch", d.Changes)
+	}
 }
 
 // A request of an earlier release names no epochs and is answered as before, by changes since its number; it gets
--- a/pkg/pool/book_test.go
+++ b/pkg/pool/book_test.go
@@ -139,7 +139,8 @@
 			t.Error("endpoint that the copy lacks: want it used during its grace period")
 		}
 		b.Expire(grace)
-		b.Put(restored(entry("a", epoch.At(1, 50))))
+		b.Put(entry("a", epoch.At(1, 50)))
+		b.Put(entry("a", epoch.At(1, 60)))
 		if b.Get("a") != nil {
 			t.Error("entry of the earlier epoch, late: want it ignored")
 		}
