relay: Test admission control by a virtual clock

Cause: the test, not the router. Its requests are decided without any wait (each decision is to send, as endpoints have places), but the bound was on the wall clock, which also counts the time for which the machine does not run the process.

The fourteen tests of this file that bound a time, or that wait for half-second events, now run in a synctest bubble, as others in the project do, with all checks as they were. In three of them, which expect an answer at once, the bound is now no time at all, not 100 ms. What the bound no longer catches is the use of processor time, which the tests do not name.

--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -131,61 +132,65 @@
 // Guards against refusals though a place opens soon, and against a request that may run once being sent to
 // a second endpoint: it is offered to the endpoint that rejected it until that accepts.
 func TestFullEndpointGetsFree(t *testing.T) {
-	f := &busyEndpoints{full: map[string]bool{"e": true, "f": true}}
-	e := contendedEngine(onceRoute, f)
-	e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
-	var rejections atomic.Int32
-	f.onReject = func() {
-		if rejections.Add(1) == 3 {
-			f.setFull("e", false)
-			f.setFull("f", false)
+	synctest.Test(t, func(t *testing.T) {
+		f := &busyEndpoints{full: map[string]bool{"e": true, "f": true}}
+		e := contendedEngine(onceRoute, f)
+		e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
+		var rejections atomic.Int32
+		f.onReject = func() {
+			if rejections.Add(1) == 3 {
+				f.setFull("e", false)
+				f.setFull("f", false)
+			}
 		}
-	}
-	w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-	sent, _ := f.attempts()
-	if w.Code != http.StatusOK || len(sent) < 4 || len(sent) > maxTries || took > 600*time.Millisecond {
-		t.Errorf("got status %d after %d attempts and %v, want 200 after 4 and less than 600 ms", w.Code, len(sent), took)
-	}
-	for _, id := range sent {
-		if id != sent[0] {
-			t.Errorf("attempts: got %v, want one endpoint", sent)
-			break
+		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+		sent, _ := f.attempts()
+		if w.Code != http.StatusOK || len(sent) < 4 || len(sent) > maxTries || took > 600*time.Millisecond {
+			t.Errorf("got status %d after %d attempts and %v, want 200 after 4 and less than 600 ms", w.Code, len(sent), took)
 		}
-	}
-	if n := waitingCount(e); n != 0 {
-		t.Errorf("waiting at the end: got %d, want 0", n)
-	}
+		for _, id := range sent {
+			if id != sent[0] {
+				t.Errorf("attempts: got %v, want one endpoint", sent)
+				break
+			}
+		}
+		if n := waitingCount(e); n != 0 {
+			t.Errorf("waiting at the end: got %d, want 0", n)
+		}
+	})
 }
 
 // Guards against requests that are held to their deadline, offered again and again, refused without a time
 // to return or with one that callers ignore, or reported to have run.
 func TestEndpointStaysFull(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		route    Route
-		deadline time.Duration
-	}{
-		{"once", onceRoute, 2500 * time.Millisecond},
-		{"no deadline", Route{Kind: Unsafe, MaxAttempts: 1, Aim: onceRoute.Aim}, 0},
-		{"no aim", Route{Kind: Unsafe, MaxAttempts: 1}, 2500 * time.Millisecond},
-		{"neither", Route{Kind: Safe, MaxAttempts: 2}, 0},
-		{"little time left", onceRoute, 60 * time.Millisecond},
-	} {
-		f := &busyEndpoints{full: map[string]bool{"e": true}}
-		e := contendedEngine(c.route, f)
-		w, took := call(t.Context(), e, "x", c.deadline)
-		sent, _ := f.attempts()
-		if w.Code != http.StatusServiceUnavailable || len(sent) == 0 || len(sent) > maxTries || took > 1100*time.Millisecond || !strings.Contains(w.Body.String(), `"run":"notRun"`) {
-			t.Errorf("%s: got status %d, %s after %d attempts and %v, want 503, not run, after %d and 1.1 s at most", c.name, w.Code, w.Body, len(sent), took, maxTries)
-		}
-		after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
-		if left := (c.deadline - took).Seconds(); err != nil || c.deadline > 0 && after > max(left/3, 0.011) {
-			t.Errorf("%s: got Retry-After %q, want at most a third of %.3f s", c.name, w.Header().Get("Retry-After"), left)
-		}
-		if n := waitingCount(e); n != 0 {
-			t.Errorf("%s: waiting at the end: got %d, want 0", c.name, n)
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name     string
+			route    Route
+			deadline time.Duration
+		}{
+			{"once", onceRoute, 2500 * time.Millisecond},
+			{"no deadline", Route{Kind: Unsafe, MaxAttempts: 1, Aim: onceRoute.Aim}, 0},
+			{"no aim", Route{Kind: Unsafe, MaxAttempts: 1}, 2500 * time.Millisecond},
+			{"neither", Route{Kind: Safe, MaxAttempts: 2}, 0},
+			{"little time left", onceRoute, 60 * time.Millisecond},
+		} {
+			f := &busyEndpoints{full: map[string]bool{"e": true}}
+			e := contendedEngine(c.route, f)
+			w, took := call(t.Context(), e, "x", c.deadline)
+			sent, _ := f.attempts()
+			if w.Code != http.StatusServiceUnavailable || len(sent) == 0 || len(sent) > maxTries || took > 1100*time.Millisecond || !strings.Contains(w.Body.String(), `"run":"notRun"`) {
+				t.Errorf("%s: got status %d, %s after %d attempts and %v, want 503, not run, after %d and 1.1 s at most", c.name, w.Code, w.Body, len(sent), took, maxTries)
+			}
+			after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			if left := (c.deadline - took).Seconds(); err != nil || c.deadline > 0 && after > max(left/3, 0.011) {
+				t.Errorf("%s: got Retry-After %q, want at most a third of %.3f s", c.name, w.Header().Get("Retry-After"), left)
+			}
+			if n := waitingCount(e); n != 0 {
+				t.Errorf("%s: waiting at the end: got %d, want 0", c.name, n)
+			}
 		}
-	}
+	})
 }
 
 // Guards against offers that use up the retry budget of the service, also where many requests wait.
@@ -232,124 +237,134 @@
 // Guards against requests that wait for places of an endpoint that has none any more: one that is gone, that
 // leaves or that is ejected.
 func TestEndpointIsLostWhileRequestsWait(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		lose func(e *Engine)
-	}{
-		{"gone", func(e *Engine) { e.RemoveEndpoint("e", 9, time.Now()) }},
-		{"leaving", func(e *Engine) {
-			e.PutEndpoint(pool.Entry{ID: "e", Service: "s", Slots: 4, Leaving: true, Revision: 2})
-		}},
-		{"zone closed", func(e *Engine) { e.CloseZone("", 1, false) }},
-		{"ejected", func(e *Engine) {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.book.Get("e").Trust.RecordFailure(time.Now(), true)
-		}},
-	} {
-		f := &busyEndpoints{full: map[string]bool{"e": true}}
-		e := contendedEngine(onceRoute, f)
-		var once sync.Once
-		f.onReject = func() { once.Do(func() { c.lose(e) }) }
-		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-		sent, _ := f.attempts()
-		if w.Code != http.StatusServiceUnavailable || took > 200*time.Millisecond || len(sent) > 3 || w.Header().Get("Retry-After") == "" {
-			t.Errorf("%s: got status %d after %v and %d attempts, want 503 within 200 ms", c.name, w.Code, took, len(sent))
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name string
+			lose func(e *Engine)
+		}{
+			{"gone", func(e *Engine) { e.RemoveEndpoint("e", 9, time.Now()) }},
+			{"leaving", func(e *Engine) {
+				e.PutEndpoint(pool.Entry{ID: "e", Service: "s", Slots: 4, Leaving: true, Revision: 2})
+			}},
+			{"zone closed", func(e *Engine) { e.CloseZone("", 1, false) }},
+			{"ejected", func(e *Engine) {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				e.book.Get("e").Trust.RecordFailure(time.Now(), true)
+			}},
+		} {
+			f := &busyEndpoints{full: map[string]bool{"e": true}}
+			e := contendedEngine(onceRoute, f)
+			var once sync.Once
+			f.onReject = func() { once.Do(func() { c.lose(e) }) }
+			w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+			sent, _ := f.attempts()
+			if w.Code != http.StatusServiceUnavailable || took > 200*time.Millisecond || len(sent) > 3 || w.Header().Get("Retry-After") == "" {
+				t.Errorf("%s: got status %d after %v and %d attempts, want 503 within 200 ms", c.name, w.Code, took, len(sent))
+			}
 		}
-	}
+	})
 }
 
 // Guards against endpoints that are found again, or new, but serve none of those that wait.
 func TestNewEndpointServesWaiting(t *testing.T) {
-	f := &busyEndpoints{full: map[string]bool{"e": true}}
-	route := onceRoute
-	route.MaxAttempts = 2
-	e := contendedEngine(route, f)
-	var once sync.Once
-	f.onReject = func() {
-		once.Do(func() { e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1}) })
-	}
-	w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-	if w.Code != http.StatusOK || took > 200*time.Millisecond {
-		t.Errorf("got status %d after %v, want 200 within 200 ms", w.Code, took)
-	}
-}
-
-// Guards against a router that stops with requests in its queue: those that get a place in time are served,
-// others are refused in time to be repeated elsewhere.
-func TestStopWhileRequestsWait(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		left   time.Duration
-		free   bool
-		status int
-	}{
-		{"place in time", time.Second, true, 200},
-		{"no place", 20 * time.Millisecond, false, 503},
-	} {
+	synctest.Test(t, func(t *testing.T) {
 		f := &busyEndpoints{full: map[string]bool{"e": true}}
-		e := contendedEngine(onceRoute, f)
+		route := onceRoute
+		route.MaxAttempts = 2
+		e := contendedEngine(route, f)
 		var once sync.Once
 		f.onReject = func() {
-			once.Do(func() {
-				e.Stop(time.Now().Add(c.left))
-				f.setFull("e", !c.free)
-			})
+			once.Do(func() { e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1}) })
 		}
 		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-		if w.Code != c.status || !c.free && took > 150*time.Millisecond {
-			t.Errorf("%s: got status %d after %v, want %d", c.name, w.Code, took, c.status)
+		if w.Code != http.StatusOK || took > 200*time.Millisecond {
+			t.Errorf("got status %d after %v, want 200 within 200 ms", w.Code, took)
 		}
-		if w.Header().Get("Connection") != "close" {
-			t.Errorf("%s: the caller is not asked to connect elsewhere", c.name)
+	})
+}
+
+// Guards against a router that stops with requests in its queue: those that get a place in time are served,
+// others are refused in time to be repeated elsewhere.
+func TestStopWhileRequestsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			left   time.Duration
+			free   bool
+			status int
+		}{
+			{"place in time", time.Second, true, 200},
+			{"no place", 20 * time.Millisecond, false, 503},
+		} {
+			f := &busyEndpoints{full: map[string]bool{"e": true}}
+			e := contendedEngine(onceRoute, f)
+			var once sync.Once
+			f.onReject = func() {
+				once.Do(func() {
+					e.Stop(time.Now().Add(c.left))
+					f.setFull("e", !c.free)
+				})
+			}
+			w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+			if w.Code != c.status || !c.free && took > 150*time.Millisecond {
+				t.Errorf("%s: got status %d after %v, want %d", c.name, w.Code, took, c.status)
+			}
+			if w.Header().Get("Connection") != "close" {
+				t.Errorf("%s: the caller is not asked to connect elsewhere", c.name)
+			}
 		}
-	}
+	})
 }
 
 // Guards against refusals and waits by reports that are missing, absurd or about another reason than a lack
 // of places: such rejections are treated as without admission control.
 func TestRejectionWithoutUsableLoad(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		report func(r *Reply)
-	}{
-		{"missing", func(r *Reply) { r.LoadReported = false }},
-		{"absurd", func(r *Reply) { r.Running, r.Waiting = math.MaxInt, math.MaxInt }},
-		{"negative", func(r *Reply) { r.Running = -3 }},
-		{"idle", func(r *Reply) { r.Running, r.Waiting = 0, 0 }},
-	} {
-		f := &busyEndpoints{full: map[string]bool{"e": true}, report: c.report}
-		route := onceRoute
-		route.MaxAttempts = 2
-		e := contendedEngine(route, f)
-		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-		sent, _ := f.attempts()
-		if w.Code != http.StatusServiceUnavailable || len(sent) != 2 || took > 100*time.Millisecond {
-			t.Errorf("%s: got status %d after %d attempts and %v, want 503 after 2, at once", c.name, w.Code, len(sent), took)
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			report func(r *Reply)
+		}{
+			{"missing", func(r *Reply) { r.LoadReported = false }},
+			{"absurd", func(r *Reply) { r.Running, r.Waiting = math.MaxInt, math.MaxInt }},
+			{"negative", func(r *Reply) { r.Running = -3 }},
+			{"idle", func(r *Reply) { r.Running, r.Waiting = 0, 0 }},
+		} {
+			f := &busyEndpoints{full: map[string]bool{"e": true}, report: c.report}
+			route := onceRoute
+			route.MaxAttempts = 2
+			e := contendedEngine(route, f)
+			w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+			sent, _ := f.attempts()
+			if w.Code != http.StatusServiceUnavailable || len(sent) != 2 || took > 0 {
+				t.Errorf("%s: got status %d after %d attempts and %v, want 503 after 2, at once", c.name, w.Code, len(sent), took)
+			}
 		}
-	}
+	})
 }
 
 // Guards against two routers with unlike estimates of one endpoint that keep each other's requests out: that
 // which believes it free is rejected, waits and gets a place, as does the other.
 func TestTwoRoutersAtOneEndpoint(t *testing.T) {
-	f := &busyEndpoints{full: map[string]bool{"e": true}}
-	a, b := contendedEngine(onceRoute, f), contendedEngine(onceRoute, f)
-	for _, e := range []*Engine{a, b} {
-		e.RouterCount = func() int { return 2 }
-	}
-	setFullFor(a, 30*time.Millisecond)
-	var wg sync.WaitGroup
-	for i, e := range []*Engine{a, b} {
-		wg.Go(func() {
-			if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 500*time.Millisecond {
-				t.Errorf("router %d: got status %d after %v, want 200 within 500 ms", i, w.Code, took)
-			}
-		})
-	}
-	time.Sleep(40 * time.Millisecond)
-	f.setFull("e", false)
-	wg.Wait()
+	synctest.Test(t, func(t *testing.T) {
+		f := &busyEndpoints{full: map[string]bool{"e": true}}
+		a, b := contendedEngine(onceRoute, f), contendedEngine(onceRoute, f)
+		for _, e := range []*Engine{a, b} {
+			e.RouterCount = func() int { return 2 }
+		}
+		setFullFor(a, 30*time.Millisecond)
+		var wg sync.WaitGroup
+		for i, e := range []*Engine{a, b} {
+			wg.Go(func() {
+				if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 500*time.Millisecond {
+					t.Errorf("router %d: got status %d after %v, want 200 within 500 ms", i, w.Code, took)
+				}
+			})
+		}
+		time.Sleep(40 * time.Millisecond)
+		f.setFull("e", false)
+		wg.Wait()
+	})
 }
 
 // Guards against new arrivals that pass those that wait, and against waiting requests served out of order: the
@@ -377,64 +392,68 @@
 // Guards against prompts that are sent though even the least wait is beyond their deadline, and against
 // refusals by estimates that no report supports.
 func TestPromptThatCannotBeServedInTime(t *testing.T) {
-	for _, c := range []struct {
-		name           string
-		reported       bool
-		backlog        time.Duration
-		deadline       time.Duration
-		status, atMost int
-	}{
-		{"in time", true, 100 * time.Millisecond, 2 * time.Second, 200, 1},
-		{"too late", true, 4 * time.Second, 2 * time.Second, 503, 0},
-		{"no reports", false, 4 * time.Second, 2 * time.Second, 200, 1},
-	} {
-		f := &busyEndpoints{full: map[string]bool{}}
-		e := contendedEngine(Route{Kind: Safe, MaxAttempts: 2, Affinity: true, Aim: config.Span(time.Second)}, f)
-		e.mu.Lock()
-		p := e.book.Get("e")
-		p.Load.AddPrompt(time.Now(), c.backlog)
-		if c.reported {
-			p.Load.RecordReport(time.Now(), 1, 0)
-		}
-		e.mu.Unlock()
-		w, took := call(t.Context(), e, "x", c.deadline)
-		sent, _ := f.attempts()
-		if w.Code != c.status || len(sent) > c.atMost || took > 200*time.Millisecond {
-			t.Errorf("%s: got status %d after %d attempts and %v, want %d after %d", c.name, w.Code, len(sent), took, c.status, c.atMost)
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name           string
+			reported       bool
+			backlog        time.Duration
+			deadline       time.Duration
+			status, atMost int
+		}{
+			{"in time", true, 100 * time.Millisecond, 2 * time.Second, 200, 1},
+			{"too late", true, 4 * time.Second, 2 * time.Second, 503, 0},
+			{"no reports", false, 4 * time.Second, 2 * time.Second, 200, 1},
+		} {
+			f := &busyEndpoints{full: map[string]bool{}}
+			e := contendedEngine(Route{Kind: Safe, MaxAttempts: 2, Affinity: true, Aim: config.Span(time.Second)}, f)
+			e.mu.Lock()
+			p := e.book.Get("e")
+			p.Load.AddPrompt(time.Now(), c.backlog)
+			if c.reported {
+				p.Load.RecordReport(time.Now(), 1, 0)
+			}
+			e.mu.Unlock()
+			w, took := call(t.Context(), e, "x", c.deadline)
+			sent, _ := f.attempts()
+			if w.Code != c.status || len(sent) > c.atMost || took > 200*time.Millisecond {
+				t.Errorf("%s: got status %d after %d attempts and %v, want %d after %d", c.name, w.Code, len(sent), took, c.status, c.atMost)
+			}
 		}
-	}
+	})
 }
 
 // Guards against any change where the mechanism is not in use: the same answers, attempts and times to
 // return, and no state.
 func TestWithoutAdmission(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		limits func(l *Limits)
-	}{
-		{"no contention", func(*Limits) {}},
-		{"switched off", func(l *Limits) { l.Contention, l.Mechanisms.Without = true, []Mechanism{Admission} }},
-	} {
-		for _, maxAttempts := range []int{1, 2, 3} {
-			f := &busyEndpoints{full: map[string]bool{"e": true, "f": true}}
-			route := onceRoute
-			route.MaxAttempts = maxAttempts
-			e := engine(route, f.send)
-			e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
-			l := *e.limits.Load()
-			c.limits(&l)
-			e.SetLimits(l)
-			w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-			sent, _ := f.attempts()
-			after, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
-			if w.Code != http.StatusServiceUnavailable || len(sent) != maxAttempts || took > 100*time.Millisecond || after < 0.14 || after > 0.15 {
-				t.Errorf("%s, %d attempts: got status %d, %d attempts in %v, Retry-After %v, want 503, %d at once, 0.150", c.name, maxAttempts, w.Code, len(sent), took, after, maxAttempts)
-			}
-			if p := e.book.Get("e"); len(e.rooms) != 0 || p.Place != (room.Place{}) {
-				t.Errorf("%s: got state of admission control, want none", c.name)
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			limits func(l *Limits)
+		}{
+			{"no contention", func(*Limits) {}},
+			{"switched off", func(l *Limits) { l.Contention, l.Mechanisms.Without = true, []Mechanism{Admission} }},
+		} {
+			for _, maxAttempts := range []int{1, 2, 3} {
+				f := &busyEndpoints{full: map[string]bool{"e": true, "f": true}}
+				route := onceRoute
+				route.MaxAttempts = maxAttempts
+				e := engine(route, f.send)
+				e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
+				l := *e.limits.Load()
+				c.limits(&l)
+				e.SetLimits(l)
+				w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+				sent, _ := f.attempts()
+				after, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+				if w.Code != http.StatusServiceUnavailable || len(sent) != maxAttempts || took > 0 || after < 0.14 || after > 0.15 {
+					t.Errorf("%s, %d attempts: got status %d, %d attempts in %v, Retry-After %v, want 503, %d at once, 0.150", c.name, maxAttempts, w.Code, len(sent), took, after, maxAttempts)
+				}
+				if p := e.book.Get("e"); len(e.rooms) != 0 || p.Place != (room.Place{}) {
+					t.Errorf("%s: got state of admission control, want none", c.name)
+				}
 			}
 		}
-	}
+	})
 }
 
 // slottedEndpoint is a fake of an endpoint with 4 slots, a queue of 8 and 5 ms of work.
@@ -479,132 +498,142 @@
 // the queue, and against a retry budget that is exceeded, while two routers send twice the capacity of an
 // endpoint.
 func TestPeakAtTwoRouters(t *testing.T) {
-	p := &slottedEndpoint{slots: make(chan struct{}, 4)}
-	var engines [2]*Engine
-	for i := range engines {
-		engines[i] = contendedEngine(onceRoute, &busyEndpoints{})
-		engines[i].Send, engines[i].RouterCount = p.send, func() int { return 2 }
-	}
-	var served, refused atomic.Int32
-	var wg sync.WaitGroup
-	const requests = 600
-	for i := range requests {
-		wg.Go(func() {
-			id := fmt.Sprint(i)
-			w, took := call(t.Context(), engines[i%2], id, 2500*time.Millisecond)
-			if p.checkAnswer(t, id, w, took) {
-				served.Add(1)
-			} else {
-				refused.Add(1)
+	synctest.Test(t, func(t *testing.T) {
+		p := &slottedEndpoint{slots: make(chan struct{}, 4)}
+		var engines [2]*Engine
+		for i := range engines {
+			engines[i] = contendedEngine(onceRoute, &busyEndpoints{})
+			engines[i].Send, engines[i].RouterCount = p.send, func() int { return 2 }
+		}
+		var served, refused atomic.Int32
+		var wg sync.WaitGroup
+		const requests = 600
+		for i := range requests {
+			wg.Go(func() {
+				id := fmt.Sprint(i)
+				w, took := call(t.Context(), engines[i%2], id, 2500*time.Millisecond)
+				if p.checkAnswer(t, id, w, took) {
+					served.Add(1)
+				} else {
+					refused.Add(1)
+				}
+			})
+			time.Sleep(600 * time.Microsecond)
+		}
+		wg.Wait()
+		for i, e := range engines {
+			if n := waitingCount(e); n != 0 {
+				t.Errorf("router %d: %d wait at the end, want 0", i, n)
 			}
-		})
-		time.Sleep(600 * time.Microsecond)
-	}
-	wg.Wait()
-	for i, e := range engines {
-		if n := waitingCount(e); n != 0 {
-			t.Errorf("router %d: %d wait at the end, want 0", i, n)
 		}
-	}
-	p.ranTwice.Range(func(id, _ any) bool { t.Errorf("request %v ran twice", id); return true })
-	t.Logf("served %d, refused %d, rejected attempts %d", served.Load(), refused.Load(), p.rejections.Load())
-	if served.Load() < requests/4 || p.rejections.Load() > requests {
-		t.Errorf("got %d served and %d attempts rejected, want %d at least and %d at most", served.Load(), p.rejections.Load(), requests/4, requests)
-	}
+		p.ranTwice.Range(func(id, _ any) bool { t.Errorf("request %v ran twice", id); return true })
+		t.Logf("served %d, refused %d, rejected attempts %d", served.Load(), refused.Load(), p.rejections.Load())
+		if served.Load() < requests/4 || p.rejections.Load() > requests {
+			t.Errorf("got %d served and %d attempts rejected, want %d at least and %d at most", served.Load(), p.rejections.Load(), requests/4, requests)
+		}
+	})
 }
 
 // Guards against waits and refusals in services with more endpoints than are considered for one request, where
 // only a few others have places.
 func TestManyFullEndpoints(t *testing.T) {
-	f := &busyEndpoints{full: map[string]bool{}}
-	e := contendedEngine(onceRoute, f)
-	e.mu.Lock()
-	now := time.Now()
-	for i := range 1000 {
-		id := fmt.Sprint("e", i)
-		e.book.Put(pool.Entry{ID: id, Service: "s", Slots: 4, Revision: 1})
-		if i > 2 {
-			e.book.Get(id).Place.Reject(now.Add(100*time.Millisecond), time.Second, 1, 0)
+	synctest.Test(t, func(t *testing.T) {
+		f := &busyEndpoints{full: map[string]bool{}}
+		e := contendedEngine(onceRoute, f)
+		e.mu.Lock()
+		now := time.Now()
+		for i := range 1000 {
+			id := fmt.Sprint("e", i)
+			e.book.Put(pool.Entry{ID: id, Service: "s", Slots: 4, Revision: 1})
+			if i > 2 {
+				e.book.Get(id).Place.Reject(now.Add(100*time.Millisecond), time.Second, 1, 0)
+			}
 		}
-	}
-	e.mu.Unlock()
-	for i := range 50 {
-		if w, took := call(t.Context(), e, fmt.Sprint(i), 2500*time.Millisecond); w.Code != http.StatusOK || took > 100*time.Millisecond {
-			t.Fatalf("got status %d after %v: %s", w.Code, took, w.Body)
+		e.mu.Unlock()
+		for i := range 50 {
+			if w, took := call(t.Context(), e, fmt.Sprint(i), 2500*time.Millisecond); w.Code != http.StatusOK || took > 0 {
+				t.Fatalf("got status %d after %v: %s, want 200 without a wait", w.Code, took, w.Body)
+			}
 		}
-	}
+	})
 }
 
 // Guards against a wait for the estimated time though an answer shows that a place is free.
 func TestAnswerOpensEndpoint(t *testing.T) {
-	answered := make(chan struct{})
-	e := contendedEngine(onceRoute, &busyEndpoints{})
-	e.Send = func(_ context.Context, a *Attempt) (*Reply, error) {
-		if a.Request.ID == "earlier" {
-			<-answered
-		}
-		return answer(4, 3), nil
-	}
-	var wg sync.WaitGroup
-	wg.Go(func() { call(t.Context(), e, "earlier", 2500*time.Millisecond) })
-	for range 1000 {
-		if e.ActiveRequests() > 0 {
-			break
+	synctest.Test(t, func(t *testing.T) {
+		answered := make(chan struct{})
+		e := contendedEngine(onceRoute, &busyEndpoints{})
+		e.Send = func(_ context.Context, a *Attempt) (*Reply, error) {
+			if a.Request.ID == "earlier" {
+				<-answered
+			}
+			return answer(4, 3), nil
 		}
-		time.Sleep(time.Millisecond)
-	}
-	time.Sleep(10 * time.Millisecond)
-	e.mu.Lock()
-	e.book.Get("e").Place.Reject(time.Now().Add(120*time.Millisecond), time.Second, 1, 0)
-	e.mu.Unlock()
-	wg.Go(func() {
-		if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 120*time.Millisecond {
-			t.Errorf("got status %d after %v, want 200 within 120 ms", w.Code, took)
+		var wg sync.WaitGroup
+		wg.Go(func() { call(t.Context(), e, "earlier", 2500*time.Millisecond) })
+		for range 1000 {
+			if e.ActiveRequests() > 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
 		}
+		time.Sleep(10 * time.Millisecond)
+		e.mu.Lock()
+		e.book.Get("e").Place.Reject(time.Now().Add(120*time.Millisecond), time.Second, 1, 0)
+		e.mu.Unlock()
+		wg.Go(func() {
+			if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took > 120*time.Millisecond {
+				t.Errorf("got status %d after %v, want 200 within 120 ms", w.Code, took)
+			}
+		})
+		awaitWaiting(t, e, 1)
+		close(answered)
+		wg.Wait()
 	})
-	awaitWaiting(t, e, 1)
-	close(answered)
-	wg.Wait()
 }
 
 // Guards against a request that may have run and is given up after the time for which others are held: its caller
 // can't return for free.
 func TestHoldAfterAttemptThatMayHaveRun(t *testing.T) {
-	f := &busyEndpoints{full: map[string]bool{"e": false}}
-	e := contendedEngine(Route{Kind: Safe, MaxAttempts: 3, Aim: onceRoute.Aim, Timeout: config.Span(400 * time.Millisecond)}, f)
-	first := true
-	e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
-		if first {
-			first = false
-			e.mu.Lock()
-			e.book.Get("e").Place.Reject(time.Now().Add(70*time.Millisecond), time.Second, 1, 0)
-			e.mu.Unlock()
-			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+	synctest.Test(t, func(t *testing.T) {
+		f := &busyEndpoints{full: map[string]bool{"e": false}}
+		e := contendedEngine(Route{Kind: Safe, MaxAttempts: 3, Aim: onceRoute.Aim, Timeout: config.Span(400 * time.Millisecond)}, f)
+		first := true
+		e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+			if first {
+				first = false
+				e.mu.Lock()
+				e.book.Get("e").Place.Reject(time.Now().Add(70*time.Millisecond), time.Second, 1, 0)
+				e.mu.Unlock()
+				return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+			}
+			return f.send(ctx, a)
 		}
-		return f.send(ctx, a)
-	}
-	// Full for 120 ms, while requests that have not run are held for 80 ms.
-	if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took < 80*time.Millisecond {
-		t.Errorf("got status %d after %v, want 200 after 80 ms or more", w.Code, took)
-	}
+		// Full for 120 ms, while requests that have not run are held for 80 ms.
+		if w, took := call(t.Context(), e, "x", 2500*time.Millisecond); w.Code != http.StatusOK || took < 80*time.Millisecond {
+			t.Errorf("got status %d after %v, want 200 after 80 ms or more", w.Code, took)
+		}
+	})
 }
 
 // Guards against a request that may have run and is then refused as if it had not.
 func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
-	f := &busyEndpoints{full: map[string]bool{"e": true}}
-	first := true
-	e := contendedEngine(Route{Kind: Safe, MaxAttempts: 3, Aim: onceRoute.Aim, Timeout: config.Span(400 * time.Millisecond)}, f)
-	e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
-		if first {
-			first = false
-			return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
-		}
-		return f.send(ctx, a)
-	}
-	w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
-	if w.Code == http.StatusServiceUnavailable || w.Code < 500 || took > 450*time.Millisecond {
-		t.Errorf("got status %d after %v, want 502 or 504", w.Code, took)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := &busyEndpoints{full: map[string]bool{"e": true}}
+		first := true
+		e := contendedEngine(Route{Kind: Safe, MaxAttempts: 3, Aim: onceRoute.Aim, Timeout: config.Span(400 * time.Millisecond)}, f)
+		e.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+			if first {
+				first = false
+				return nil, fault.New(fault.EndpointLost, fault.MayHaveRun, "lost")
+			}
+			return f.send(ctx, a)
+		}
+		w, took := call(t.Context(), e, "x", 2500*time.Millisecond)
+		if w.Code == http.StatusServiceUnavailable || w.Code < 500 || took > 450*time.Millisecond {
+			t.Errorf("got status %d after %v, want 502 or 504", w.Code, took)
+		}
+	})
 }
 
 // Guards against end lines from which the cause of a refusal or the time of a wait cannot be told, and against
