duty: Wait for the calls of an own process that was killed

What the platform saw: a usage report with a fencing token, then one with a lower token.

Cause: a router that was killed and started again took its duties back as soon as it had read the record (Machine.takeoverAt), under a new token, while a report of the killed process was still under way. Other VMs wait for a lease, so that all calls of the last holder have ended; the holder's own VM did not wait at all.

Change: it waits until half a lease after it learned of the record, by when the calls of its earlier process have ended.

The row vm-b of TestNoAlternationWithinTheLease named the fault as expected: the router of an earlier process of vm-b took over at once by word that vm-b had resigned, which a router never gets of its own VM. The row now wants exactly half a lease.

--- a/pkg/duty/machine.go
+++ b/pkg/duty/machine.go
@@ -304,15 +304,17 @@
 // takeoverAt returns when this router, of the given rank, may take the duties over. The holder's
 // calls end half a lease after the write that gave rec its revision, so that none of them arrives
 // after the lease; a holder that has resigned makes none. A VM that held the duties before waits
-// for the lease in any case, so that two VMs do not alternate within it.
+// for the lease in any case, so that two VMs do not alternate within it. After an earlier process of
+// its own, a router waits only until the calls of that process have ended.
 func (m *Machine) takeoverAt(rank time.Duration) time.Time {
 	switch {
 	case m.isRestored():
 		// The last holder may be any router, and its authority lasts until half a lease after the return.
 		return m.lease.After(m.knownAt).Add(rank * time.Duration(takeoverRankDelay))
-	case m.rec.Holder == m.self:
-		// The holder is an earlier incarnation of this router, or this one before it resigned.
+	case m.isHolder():
 		return m.knownAt
+	case m.rec.Holder == m.self:
+		return m.authorityFrom(m.knownAt)
 	case m.holderResigned && !slices.Contains(m.rec.PastHolders, m.self):
 		return m.knownAt.Add(rank * time.Duration(resignedRankDelay))
 	default:
--- a/pkg/duty/machine_test.go
+++ b/pkg/duty/machine_test.go
@@ -376,8 +376,9 @@
 }
 
 // regressionSeeds exposed faults before: a record that was removed while its holder still had
-// authority (697), and mutants of the machine.
-var regressionSeeds = []uint64{399, 599, 697}
+// authority (697), a report of a killed process that arrived after one of the next process (2971), and mutants of
+// the machine.
+var regressionSeeds = []uint64{399, 599, 697, 2971}
 
 // Under any faults of routers and store, one VM acts under each fence, fences never decrease, no
 // two holders alternate within the lease, and a window is reported with one set of counts. Once
@@ -448,8 +449,30 @@
 	return seeds
 }
 
+// Guards against a report of a killed process that reaches the platform after one of its successor on the same VM,
+// which has a higher fencing token.
+func TestRestartedHolderWaitsForCallsUnderWay(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	m := New("vm-a", 1, config.Span(testLease), start)
+	m.adopt(start, Record{Holder: "vm-a", Incarnation: 2, Revision: 7})
+	if got, want := firstWrite(m, start), start.Add(testLease/2); !got.Equal(want) {
+		t.Errorf("took the duties at %v, want %v", got, want)
+	}
+}
+
+// firstWrite returns when a machine first writes to the store within two leases; zero if it does not.
+func firstWrite(m *Machine, start time.Time) time.Time {
+	for now := start; now.Before(start.Add(2 * testLease)); now = now.Add(tick) {
+		if a := m.Next(now, View{Peers: 2, StoreReachable: true}); a.Kind == Write {
+			return now
+		}
+	}
+	return time.Time{}
+}
+
 // A VM that held the duties before waits for the lease before it takes them back, even from a
-// holder that has resigned. A VM that did not hold them takes them over at once.
+// holder that has resigned. A VM that did not hold them takes them over at once, but from its own
+// earlier process only after half the lease, as nobody tells whether that process has resigned.
 func TestNoAlternationWithinTheLease(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	for _, c := range []struct {
@@ -459,18 +482,12 @@
 	}{
 		{"vm-a", []string{"vm-a"}, start.Add(testLease)},
 		{"vm-c", []string{"vm-a"}, start},
-		{"vm-b", nil, start},
+		{"vm-b", nil, start.Add(testLease / 2)},
 	} {
 		m := New(c.vm, 1, config.Span(testLease), start)
 		m.adopt(start, Record{Holder: "vm-b", Incarnation: 2, PastHolders: c.past, Revision: 7})
 		m.ReceiveGossip(start, "vm-b", Gossip{Holder: "vm-b", Incarnation: 2, Revision: 7, Resigned: true})
-		var got time.Time
-		for now := start; got.IsZero() && now.Before(start.Add(2*testLease)); now = now.Add(tick) {
-			if a := m.Next(now, View{Peers: 2, StoreReachable: true}); a.Kind == Write {
-				got = now
-			}
-		}
-		if !got.Equal(c.want) {
+		if got := firstWrite(m, start); !got.Equal(c.want) {
 			t.Errorf("%s: took the duties at %v, want %v", c.vm, got, c.want)
 		}
 	}
