router: Test that epochs told by other routers reach the store client

No test held the line of New that hands epochs from the mirror to the client of the store, without which a router that has not called the store since its return could still send a write under an earlier epoch's condition. TestStoreClientLearnsEpochsOfOtherRouters fails without it.

--- a/internal/router/follow_test.go
+++ b/internal/router/follow_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,3 +73,23 @@
 		t.Error("in a later epoch without the registration: got it kept")
 	}
 }
+
+// An epoch that another router told reaches the client of the store.
+//
+// Guards against a write under a condition of an earlier epoch by a router that has not called the store since the
+// store came back.
+func TestStoreClientLearnsEpochsOfOtherRouters(t *testing.T) {
+	var got []int64
+	w := &Wire{
+		ConfigKind: "config", ClosingKind: "closing", VerdictKind: "verdicts", TrialKind: "trials", EndpointKind: "endpoints", RouterKind: "routers",
+		OnStoreCall: func(func(StoreCall)) {}, ObserveEpoch: func(e int64) { got = append(got, e) },
+	}
+	r, err := New("", Settings{VM: "vm", Peers: netip.MustParseAddrPort("127.0.0.1:0")}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.mirror.ObserveEpoch(3)
+	if want := []int64{3}; !slices.Equal(got, want) {
+		t.Errorf("epochs told to the client: got %v, want %v", got, want)
+	}
+}
