relay: Reject for want of evidence only after the time for a proof

What operators saw: a good version was rolled back and had to be ordered again, although one router had evidence enough for it.

Cause: a router whose reports are late finds too little evidence at the end of a trial and rejects it at once, while a router that has enough waits for its turn to write the proof (Engine.nextSteps).

Change: such a rejection waits until the others have had the time over which writes of a step are spread (0.25 to 1 s), and then its own turn. A bad or doubtful version, or one that has got its allowed requests, is rejected at once as before.

TestRejectionWithoutEvidenceWaitsForProof failed before.

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -128,6 +128,22 @@
 	return min(max(time.Duration(e.RouterCount())*stepWriteSpread, minStepWriteWindow), maxStepWriteWindow)
 }
 
+// writeDelay returns how long after a step is due this router writes it, given the state that the trial then has.
+// A version with evidence against it is rejected at once, as is one that has got too many requests. A rejection for
+// want of evidence comes after the other routers' time for a proof: their reports may be late here.
+func (e *Engine) writeDelay(next roll.TrialState, f roll.Findings) time.Duration {
+	window := e.stepWriteWindow()
+	spread := jitter(e.Draw(), window)
+	switch {
+	case next != roll.Rejected:
+		return spread
+	case f.Verdict == roll.Bad || f.Verdict == roll.Doubtful || f.ExposureSpent:
+		return 0
+	default:
+		return window + spread
+	}
+}
+
 // writeDueSteps writes the next step of each trial for which one is due.
 func (e *Engine) writeDueSteps(ctx context.Context) {
 	now := e.Now()
@@ -144,7 +160,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, r := range e.rollouts {
-		next, changed := r.trial.Next(now, e.findings(r))
+		f := e.findings(r)
+		next, changed := r.trial.Next(now, f)
 		if r.lost {
 			next, changed = r.trial, true
 		}
@@ -157,10 +174,7 @@
 			continue
 		}
 		if r.notBefore.IsZero() {
-			r.notBefore = now.Add(jitter(e.Draw(), e.stepWriteWindow()))
-			if next.State == roll.Rejected {
-				r.notBefore = now
-			}
+			r.notBefore = now.Add(e.writeDelay(next.State, f))
 		}
 		if now.Before(r.notBefore) {
 			continue
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -32,6 +32,36 @@
 	}
 }
 
+// Guards against a good version that is rejected by a router without evidence, as reports reach it late, while
+// another router is about to write that the version is proven, and against a bad version that serves on meanwhile.
+func TestRejectionWithoutEvidenceWaitsForProof(t *testing.T) {
+	const window = time.Second // of 25 routers
+	now := time.Now()
+	for _, c := range []struct {
+		name             string
+		fraction         float64
+		failures         int
+		earliest, latest time.Duration
+	}{
+		{"no evidence", 1.2, 0, window, 2 * window},
+		{"bad", 0.7, 100, 0, 0},
+		{"bad at the end", 1.2, 100, 0, 0},
+	} {
+		e := engine(Route{Kind: Safe}, nil)
+		e.RouterCount, e.Now = func() int { return 25 }, func() time.Time { return now }
+		begun := now.Add(-time.Duration(c.fraction * float64(20*time.Second)))
+		e.PutTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Trying, Step: 2, Begun: begun, Ends: begun.Add(20 * time.Second), Revision: 1})
+		r := e.rollouts["s"]
+		for i := range c.failures {
+			r.judge.Add(roll.Answer{Route: 2, New: true, Endpoint: uint32(i % 5), Bad: true})
+		}
+		e.nextSteps(now)
+		if got := r.notBefore.Sub(now); got < c.earliest || got > c.latest {
+			t.Errorf("%s: got the rejection written after %v, want %v to %v", c.name, got, c.earliest, c.latest)
+		}
+	}
+}
+
 // A burst near the end of a trial delays the last step: the version, which may be bad, would get more
 // requests than allowed in the rest of the trial, though the steps are on time. The load is 100 requests
 // a second over 24 s, and 2.5 times as many from 18 s on. The version is bad under a load that it
