relay: Reject a bad version at once also while a step waits

A router that waits for its turn to write a step kept to that time when the version turned out bad meanwhile: up to a second, and up to two since rejections for want of evidence wait. The version gets no more requests from routers that found it bad, but does from others until the rejection is written.

The wait is shortened to a quarter of a second then, which also is the pause after a failed write. TestRejectionDoesNotWaitForAnEarlierStep failed before.

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -173,8 +173,13 @@
 		if r.writing {
 			continue
 		}
-		if r.notBefore.IsZero() {
-			r.notBefore = now.Add(e.writeDelay(next.State, f))
+		delay := e.writeDelay(next.State, f)
+		switch {
+		case r.notBefore.IsZero():
+			r.notBefore = now.Add(delay)
+		case delay == 0:
+			// The verdict has changed while the router waited, or its last write failed.
+			r.notBefore = earliest(r.notBefore, now.Add(minStepWriteWindow))
 		}
 		if now.Before(r.notBefore) {
 			continue
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -62,6 +62,35 @@
 	}
 }
 
+// Guards against a version that turns out bad while a router waits with a step and that is rejected only after
+// that time.
+func TestRejectionDoesNotWaitForAnEarlierStep(t *testing.T) {
+	for _, fraction := range []float64{0.7, 1.2} {
+		now := time.Now()
+		e := engine(Route{Kind: Safe}, nil)
+		e.RouterCount, e.Now = func() int { return 25 }, func() time.Time { return now }
+		e.Draw = func() uint64 { return uint64(900 * time.Millisecond) }
+		begun := now.Add(-time.Duration(fraction * float64(20*time.Second)))
+		e.PutTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Trying, Step: 1, Begun: begun, Ends: begun.Add(20 * time.Second), Revision: 1})
+		r := e.rollouts["s"]
+		e.nextSteps(now)
+		if got := r.notBefore.Sub(now); got < 900*time.Millisecond {
+			t.Fatalf("at %v of the trial: got the step written after %v, want 0.9 s or more", fraction, got)
+		}
+		now = now.Add(100 * time.Millisecond)
+		for i := range 100 {
+			r.judge.Add(roll.Answer{Route: 2, New: true, Endpoint: uint32(i % 5), Bad: true})
+		}
+		for range 3 {
+			e.nextSteps(now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		if due := e.nextSteps(now); len(due) != 1 || due[0].State != roll.Rejected {
+			t.Errorf("at %v of the trial: got %v due 0.3 s after the version was found bad, want its rejection", fraction, due)
+		}
+	}
+}
+
 // A burst near the end of a trial delays the last step: the version, which may be bad, would get more
 // requests than allowed in the rest of the trial, though the steps are on time. The load is 100 requests
 // a second over 24 s, and 2.5 times as many from 18 s on. The version is bad under a load that it
