relay: Write a lost rejection again at once

The wait that rejections for want of evidence got also held for a rejection that the store had lost: it was written again 0.25 to 2 s later than before, and a router that started meanwhile would try the version. A lost rejection is written at once again, as before.

The new row of TestRejectionWithoutEvidenceWaitsForProof failed before (1.6 s).

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -129,15 +129,16 @@
 }
 
 // writeDelay returns how long after a step is due this router writes it, given the state that the trial then has.
-// A version with evidence against it is rejected at once, as is one that has got too many requests. A rejection for
-// want of evidence comes after the other routers' time for a proof: their reports may be late here.
-func (e *Engine) writeDelay(next roll.TrialState, f roll.Findings) time.Duration {
+// A version with evidence against it is rejected at once, as is one that has got too many requests, and one whose
+// rejection the store has lost. A rejection for want of evidence comes after the other routers' time for a proof:
+// their reports may be late here. The caller must hold the engine's mu.
+func (e *Engine) writeDelay(r *rollout, next roll.TrialState, f roll.Findings) time.Duration {
 	window := e.stepWriteWindow()
 	spread := jitter(e.Draw(), window)
 	switch {
 	case next != roll.Rejected:
 		return spread
-	case f.Verdict == roll.Bad || f.Verdict == roll.Doubtful || f.ExposureSpent:
+	case r.lost || f.Verdict == roll.Bad || f.Verdict == roll.Doubtful || f.ExposureSpent:
 		return 0
 	default:
 		return window + spread
@@ -173,7 +174,7 @@
 		if r.writing {
 			continue
 		}
-		delay := e.writeDelay(next.State, f)
+		delay := e.writeDelay(r, next.State, f)
 		switch {
 		case r.notBefore.IsZero():
 			r.notBefore = now.Add(delay)
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -33,7 +33,8 @@
 }
 
 // Guards against a good version that is rejected by a router without evidence, as reports reach it late, while
-// another router is about to write that the version is proven, and against a bad version that serves on meanwhile.
+// another router is about to write that the version is proven, and against a bad version, or one whose rejection the
+// store has lost, that serves on meanwhile.
 func TestRejectionWithoutEvidenceWaitsForProof(t *testing.T) {
 	const window = time.Second // of 25 routers
 	now := time.Now()
@@ -41,17 +42,21 @@
 		name             string
 		fraction         float64
 		failures         int
+		state            roll.TrialState
+		lost             bool
 		earliest, latest time.Duration
 	}{
-		{"no evidence", 1.2, 0, window, 2 * window},
-		{"bad", 0.7, 100, 0, 0},
-		{"bad at the end", 1.2, 100, 0, 0},
+		{"no evidence", 1.2, 0, roll.Trying, false, window, 2 * window},
+		{"bad", 0.7, 100, roll.Trying, false, 0, 0},
+		{"bad at the end", 1.2, 100, roll.Trying, false, 0, 0},
+		{"rejection that the store has lost", 1.2, 0, roll.Rejected, true, 0, 0},
 	} {
 		e := engine(Route{Kind: Safe}, nil)
 		e.RouterCount, e.Now = func() int { return 25 }, func() time.Time { return now }
 		begun := now.Add(-time.Duration(c.fraction * float64(20*time.Second)))
-		e.PutTrial(roll.Trial{Service: "s", Version: "v2", State: roll.Trying, Step: 2, Begun: begun, Ends: begun.Add(20 * time.Second), Revision: 1})
+		e.PutTrial(roll.Trial{Service: "s", Version: "v2", State: c.state, Step: 2, Begun: begun, Ends: begun.Add(20 * time.Second), Revision: 1})
 		r := e.rollouts["s"]
+		r.lost = c.lost
 		for i := range c.failures {
 			r.judge.Add(roll.Answer{Route: 2, New: true, Endpoint: uint32(i % 5), Bad: true})
 		}
