--- a/internal/router/duties.go
+++ b/internal/router/duties.go
@@ -97,7 +97,7 @@
 	if !s.reportsUsage() {
 		return nil
 	}
-	trueClock := clock.NewMedianClock(r.Engine.Boot, time.Now())
+	trueClock := clock.NewMedianClock(r.Engine.Boot, r.wire.WallClock())
 	d := &duties{
 		log: r.Log, scope: r.admin.Scope.SubScope("duties"), wire: r.wire.Duties, fleet: r.fleet, transport: r.transport,
 		windows: usage.Clock{Length: s.UsageWindow}, dueAfter: s.UsageLate, self: usage.Reporter{Router: s.VM, Incarnation: incarnation}, clock: trueClock,
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -50,6 +50,8 @@
 	RemoveVerdict func(ctx context.Context, p poison.Fingerprint) error
 	// Request decodes a caller's request, whose body has been read.
 	Request func(r *http.Request, body []byte, now time.Time) *relay.Request
+	// WallClock returns the time of day, which may be stepped.
+	WallClock func() time.Time
 	// Send makes an attempt at an endpoint.
 	Send relay.Send
 	// Gone reports whether the process of an endpoint has ended.
