clock: Follow the wall clocks when most are set right

Cause: MedianClock took the wall clock once, as the process started, and went on by the boot clock; so did the clocks that routers told each other. A step that was meant to put the clocks right was therefore never followed, not even by a majority.

Change: the estimate is the median of the wall clocks as they are now, of this VM and, by their reports, of the others. A minority that steps still moves nothing, and of two clocks in the middle the one nearer to the steady clock counts, so that one VM of two or two of four move nothing either. Observations of the last 4 s go before older ones, as a router that receives no reports any more would otherwise go by old clocks for 20 s.

Known consequence: while a majority's clocks are wrong, windows go by them, as before for processes that started then.

--- a/internal/clock/median.go
+++ b/internal/clock/median.go
@@ -4,45 +4,51 @@
 package clock
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
-// MedianClock estimates the true time as the median of the clocks of many VMs. It assumes that most
-// of them are right. The wall clock of a single VM may be stepped, also before the process starts.
-// It must be created with NewMedianClock and is safe for concurrent use.
+// MedianClock estimates the true time as the median of the wall clocks of many VMs. It assumes that
+// most of them are right, as the wall clock of a single VM may be stepped at any time. All clocks are
+// read anew, so that the estimate follows when the clocks of most VMs are set right. It must be created
+// with NewMedianClock and is safe for concurrent use.
 type MedianClock struct {
 	// Boot returns the time since a fixed start. It is never stepped and includes suspensions.
 	Boot func() time.Duration
+	// Wall returns the time by the wall clock of this VM.
+	Wall func() time.Time
 	// startWall is the wall clock time at which the MedianClock was created, and startBoot the value of
 	// Boot then.
 	startWall time.Time
 	startBoot time.Duration
 	mu        sync.Mutex
-	// offsets holds the offsets of other clocks from the local one, by name.
-	offsets map[string]offset
+	// walls holds the offsets of the wall clocks of other VMs, and estimates those of the estimates by other
+	// MedianClocks, by name. An estimate is used only where the wall clock of its VM was not observed: two
+	// clocks that went by each other's estimates would both keep an error.
+	walls, estimates map[string]offset
 }
 
-// offset is how far a clock is ahead of the local one. A message that was delayed makes the clock of its
+// offset is how far a clock is ahead of the steady one. A message that was delayed makes the clock of its
 // sender appear late, never early, so that the greatest of some observations is the best one.
 type offset struct {
 	// best is the greatest offset observed in the current period, previous that of the period before.
 	best, previous time.Duration
-	// periodEnd and expiresAt are by the local clock.
-	periodEnd, expiresAt time.Time
+	// periodEnd, freshUntil and expiresAt are by the steady clock.
+	periodEnd, freshUntil, expiresAt time.Time
 }
 
 // ahead returns the greatest offset of both periods.
 func (o offset) ahead() time.Duration { return max(o.best, o.previous) }
 
 // add returns o with a further observation.
-func (o offset) add(ahead time.Duration, local time.Time) offset {
-	if local.After(o.periodEnd) {
-		o.previous, o.best, o.periodEnd = o.best, ahead, local.Add(observationPeriod)
+func (o offset) add(ahead time.Duration, steady time.Time) offset {
+	if steady.After(o.periodEnd) {
+		o.previous, o.best, o.periodEnd = o.best, ahead, steady.Add(observationPeriod)
 	}
 	o.best = max(o.best, ahead)
-	o.expiresAt = local.Add(offsetTTL)
+	o.freshUntil, o.expiresAt = steady.Add(freshTTL), steady.Add(offsetTTL)
 	return o
 }
 
@@ -51,57 +57,82 @@
 	offsetTTL = 20 * time.Second
 	// observationPeriod is the time within which the greatest of several observations of a clock counts;
 	// the period before counts as well. Routers observe each other about once a second, and a busy VM
-	// delays messages for some tenths of a second. It must stay short: a router that restarts with another
-	// wall clock, or whose own estimate was wrong, counts with the old offset until two periods are over.
+	// delays messages for some tenths of a second. It must stay short: a clock that is set back counts with
+	// the old offset until two periods are over.
 	observationPeriod = 2 * time.Second
-	// maxOffsets is the maximum number of other clocks.
+	// freshTTL is how long an observed offset is preferred to older ones. It is longer than the time between
+	// two observations and the delay of the second.
+	freshTTL = 2 * observationPeriod
+	// maxOffsets is the maximum number of other wall clocks, and of other estimates.
 	maxOffsets = 512
 )
 
-// NewMedianClock returns a clock without observations of others. The boot argument sets Boot, and wall
-// is the present time by the wall clock.
-func NewMedianClock(boot func() time.Duration, wall time.Time) *MedianClock {
-	return &MedianClock{Boot: boot, startWall: wall.Round(0), startBoot: boot(), offsets: make(map[string]offset)}
+// NewMedianClock returns a clock without observations of others. The arguments set Boot and Wall.
+func NewMedianClock(boot func() time.Duration, wall func() time.Time) *MedianClock {
+	return &MedianClock{Boot: boot, Wall: wall, startWall: wall().Round(0), startBoot: boot(), walls: make(map[string]offset), estimates: make(map[string]offset)}
 }
 
-// Local returns the time by the local clock alone, without the steps since the MedianClock was created.
-func (c *MedianClock) Local() time.Time { return c.startWall.Add(c.Boot() - c.startBoot) }
+// Steady returns the wall clock time at which the MedianClock was created and the time since by Boot:
+// the time of day without the steps since. It serves for the lengths of times.
+func (c *MedianClock) Steady() time.Time { return c.startWall.Add(c.Boot() - c.startBoot) }
 
-// Observe records that the named clock showed the time at when a message that has just arrived was sent.
-// A further clock is ignored while the maximum number is reached.
-func (c *MedianClock) Observe(name string, at time.Time) {
-	local := c.Local()
+// ObserveWall records that the wall clock of the named VM showed the time at when a message that has
+// just arrived was sent. A further clock is ignored while the maximum number is reached.
+func (c *MedianClock) ObserveWall(name string, at time.Time) { c.observe(c.walls, name, at) }
+
+// ObserveEstimate is as ObserveWall, for an estimate of the true time by the named VM.
+func (c *MedianClock) ObserveEstimate(name string, at time.Time) { c.observe(c.estimates, name, at) }
+
+func (c *MedianClock) observe(offsets map[string]offset, name string, at time.Time) {
+	steady := c.Steady()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o, ok := c.offsets[name]
-	if !ok && len(c.offsets) >= maxOffsets {
+	o, ok := offsets[name]
+	if !ok && len(offsets) >= maxOffsets {
 		return
 	}
-	ahead := at.Sub(local)
-	if !ok || local.After(o.expiresAt) {
-		o = offset{best: ahead, previous: ahead, periodEnd: local.Add(observationPeriod)}
+	ahead := at.Sub(steady)
+	if !ok || steady.After(o.expiresAt) {
+		o = offset{best: ahead, previous: ahead, periodEnd: steady.Add(observationPeriod)}
 	}
-	c.offsets[name] = o.add(ahead, local)
+	offsets[name] = o.add(ahead, steady)
 }
 
-// Now returns the estimate of the true time: the median of the local clock and all observed ones.
-// Where two clocks are in the middle, it is the one that is nearer to the local clock.
+// Now returns the estimate of the true time: the median of the VM's own wall clock and all others that
+// were observed lately or, if none was, within the last 20 seconds. Where two clocks are in the middle, it is
+// the one that is nearer to the steady clock.
 func (c *MedianClock) Now() time.Time {
-	local := c.Local()
+	steady := c.Steady()
+	own := c.Wall().Round(0).Sub(steady)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	offsets := []time.Duration{0}
-	for name, o := range c.offsets {
-		if local.After(o.expiresAt) {
-			delete(c.offsets, name)
-			continue
-		}
-		offsets = append(offsets, o.ahead())
+	expired := func(_ string, o offset) bool { return steady.After(o.expiresAt) }
+	maps.DeleteFunc(c.walls, expired)
+	maps.DeleteFunc(c.estimates, expired)
+	others := c.others(func(o offset) bool { return !steady.After(o.freshUntil) })
+	if len(others) == 0 {
+		others = c.others(func(offset) bool { return true })
 	}
+	offsets := append(others, own)
 	slices.Sort(offsets)
 	median := offsets[len(offsets)/2]
 	if other := offsets[(len(offsets)-1)/2]; other.Abs() < median.Abs() {
 		median = other
 	}
-	return local.Add(median)
+	return steady.Add(median)
+}
+
+// others returns the offsets of other VMs of which use is true, one of each VM; mu is held.
+func (c *MedianClock) others(use func(offset) bool) (offsets []time.Duration) {
+	for _, o := range c.walls {
+		if use(o) {
+			offsets = append(offsets, o.ahead())
+		}
+	}
+	for name, o := range c.estimates {
+		if wall, ok := c.walls[name]; use(o) && (!ok || !use(wall)) {
+			offsets = append(offsets, o.ahead())
+		}
+	}
+	return offsets
 }
--- a/internal/clock/median_test.go
+++ b/internal/clock/median_test.go
@@ -31,9 +31,9 @@
 		{"right beside two stepped of five", 0, []time.Duration{2 * time.Second, 0, 0, 2 * time.Second, 0}, 0},
 	} {
 		var boot time.Duration
-		k := NewMedianClock(func() time.Duration { return boot }, truth.Add(c.local))
+		k := NewMedianClock(func() time.Duration { return boot }, func() time.Time { return truth.Add(boot + c.local) })
 		for i, by := range c.others {
-			k.Observe(fmt.Sprint(i), truth.Add(by))
+			k.ObserveWall(fmt.Sprint(i), truth.Add(by))
 		}
 		boot = time.Second
 		if got := k.Now().Sub(truth.Add(boot)); got != c.want {
@@ -48,15 +48,15 @@
 
 // TestDelayedMessagesDoNotSetTheClockBack observes clocks by messages of which later ones are delayed, as
 // on a busy VM. Guards against requests that are counted in the window before theirs: with a tenth of a
-// second of delay, a window had 42 requests reported and 35 begun. A clock that is really late, as its
-// process was restarted, is followed within two periods.
+// second of delay, a window had 42 requests reported and 35 begun. Clocks that are really late, as they
+// were set back, are followed within two periods.
 func TestDelayedMessagesDoNotSetTheClockBack(t *testing.T) {
 	truth := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	var boot time.Duration
-	k := NewMedianClock(func() time.Duration { return boot }, truth)
+	k := NewMedianClock(func() time.Duration { return boot }, func() time.Time { return truth.Add(boot) })
 	observe := func(behind time.Duration) {
 		for name := range 4 {
-			k.Observe(fmt.Sprint(name), truth.Add(boot-behind))
+			k.ObserveWall(fmt.Sprint(name), truth.Add(boot-behind))
 		}
 	}
 	const prompt, delayed = time.Millisecond, 900 * time.Millisecond
@@ -80,3 +80,77 @@
 		t.Errorf("%v after the clocks were late: got %v ahead, want %v", boot-from, got, -delayed)
 	}
 }
+
+// TestFleetFollowsItsClocks steps the wall clocks of some VMs of a fleet, of which the first three receive
+// reports with the wall clocks of all others and answer with their estimates. Guards against two errors: a
+// clock that is read only as the process starts keeps the error that it had then, after all clocks were set
+// right; and estimates that rest on one another keep it as well. One VM of two or two of four that step
+// change nothing.
+func TestFleetFollowsItsClocks(t *testing.T) {
+	for _, c := range []struct {
+		fleet, stepped int
+		by, want       time.Duration
+	}{
+		{1, 1, 3 * time.Second, 3 * time.Second},
+		{2, 1, 3 * time.Second, 0},
+		{2, 1, -3 * time.Second, 0},
+		{2, 2, 3 * time.Second, 3 * time.Second},
+		{3, 3, 3 * time.Second, 3 * time.Second},
+		{3, 3, -3 * time.Second, -3 * time.Second},
+		{4, 2, 3 * time.Second, 0},
+		{5, 1, 3 * time.Second, 0},
+		{5, 2, -3 * time.Second, 0},
+		{5, 5, 3 * time.Second, 3 * time.Second},
+		{5, 5, -3 * time.Second, -3 * time.Second},
+		{12, 4, 3 * time.Second, 0},
+		{12, 12, -3 * time.Second, -3 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%dOf%dBy%v", c.stepped, c.fleet, c.by), func(t *testing.T) {
+			for i, got := range offsetsAfterStep(c.fleet, c.stepped, c.by) {
+				if (got - c.want).Abs() > 10*time.Millisecond {
+					t.Errorf("clock %d: got %v ahead, want %v", i, got, c.want)
+				}
+			}
+		})
+	}
+}
+
+// offsetsAfterStep returns how far the estimates of a fleet are ahead some time after the wall clocks of the
+// first VMs of the given number were stepped.
+func offsetsAfterStep(fleet, stepped int, by time.Duration) []time.Duration {
+	const receivers, delay, before = 3, time.Millisecond, 5 * time.Second
+	// The reports of the first seconds go to all routers, as their ranks are not known yet.
+	const ranked = 2 * time.Second
+	// A clock that was set back is followed after two periods by the receivers, after four by the others, and a
+	// period ends with the next observation.
+	const after = 4 * (observationPeriod + time.Second)
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var boot time.Duration
+	clocks := make([]*MedianClock, fleet)
+	for i := range clocks {
+		clocks[i] = NewMedianClock(func() time.Duration { return boot }, func() time.Time {
+			if boot >= before && i < stepped {
+				return start.Add(boot + by)
+			}
+			return start.Add(boot)
+		})
+	}
+	report := func(i, j int) {
+		if i != j && (j < receivers || boot < ranked) {
+			clocks[j].ObserveWall(fmt.Sprint(i), clocks[i].Wall().Add(-delay))
+			clocks[i].ObserveEstimate(fmt.Sprint(j), clocks[j].Now().Add(-delay))
+		}
+	}
+	for ; boot < before+after; boot += time.Second {
+		for i := range clocks {
+			for j := range clocks {
+				report(i, j)
+			}
+		}
+	}
+	offsets := make([]time.Duration, fleet)
+	for i, k := range clocks {
+		offsets[i] = k.Now().Sub(start.Add(boot))
+	}
+	return offsets
+}
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -24,10 +24,10 @@
 	// Report holds the counts of the sender. Datagrams limit each count to 2^32-1 and each name to
 	// 255 bytes.
 	usage.Report
-	// Gossip is what the sender knows of the duties. LocalTime is the time by the sender's own
-	// clock, in which no other router has a part.
-	Gossip    duty.Gossip
-	LocalTime time.Time
+	// Gossip is what the sender knows of the duties. WallTime is the time by the wall clock of the
+	// sender's VM.
+	Gossip   duty.Gossip
+	WallTime time.Time
 	// token is the start of the sender's token, for the answer.
 	token []byte
 }
@@ -62,11 +62,11 @@
 	flagResigned = 2
 )
 
-// usageReportHead is the fixed part of an encoded UsageReport. LocalTimeMs is in milliseconds since
+// usageReportHead is the fixed part of an encoded UsageReport. WallTimeMs is in milliseconds since
 // the start of 1970 (UTC). The name of the reporter, the gossip and the counts follow.
 type usageReportHead struct {
 	Token       [tokenBytes]byte
-	LocalTimeMs int64
+	WallTimeMs  int64
 	Incarnation uint64
 	Window      int64
 	Total       uint64
@@ -143,7 +143,7 @@
 // encodeUsageReport returns the datagrams that hold a report, at least one. Each has the head and a
 // part of the counts, of which each is limited to the range of uint32.
 func encodeUsageReport(r *UsageReport) (list [][]byte, err error) {
-	h := usageReportHead{LocalTimeMs: r.LocalTime.UnixMilli(), Incarnation: r.Reporter.Incarnation, Window: int64(r.Window), Total: r.Total}
+	h := usageReportHead{WallTimeMs: r.WallTime.UnixMilli(), Incarnation: r.Reporter.Incarnation, Window: int64(r.Window), Total: r.Total}
 	copy(h.Token[:], r.token)
 	if r.Final {
 		h.Flags = flagFinal
@@ -173,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &UsageReport{LocalTime: time.UnixMilli(h.LocalTimeMs), token: h.Token[:]}
+	r := &UsageReport{WallTime: time.UnixMilli(h.WallTimeMs), token: h.Token[:]}
 	r.Reporter.Incarnation, r.Window, r.Total, r.Final = h.Incarnation, usage.Window(h.Window), h.Total, h.Flags&flagFinal != 0
 	if r.Reporter.Router, b, err = readName(b); err != nil {
 		return nil, err
--- a/internal/peers/usage_test.go
+++ b/internal/peers/usage_test.go
@@ -17,7 +17,7 @@
 
 // usageOf returns a final report with the counts of so many workspaces.
 func usageOf(workspaces int) UsageReport {
-	r := UsageReport{LocalTime: time.UnixMilli(1_800_000_000_123), token: []byte("token-of-a-0123456")[:tokenBytes], Gossip: duty.Gossip{Holder: "vm-b", Incarnation: 1 << 60, Revision: 77, Settled: 41, Resigned: true}}
+	r := UsageReport{WallTime: time.UnixMilli(1_800_000_000_123), token: []byte("token-of-a-0123456")[:tokenBytes], Gossip: duty.Gossip{Holder: "vm-b", Incarnation: 1 << 60, Revision: 77, Settled: 41, Resigned: true}}
 	r.Reporter, r.Window, r.Final, r.Counts = usage.Reporter{Router: "vm-a", Incarnation: 1<<63 + 5}, 42, true, usage.Counts{}
 	for i := range workspaces {
 		r.Counts[fmt.Sprintf("workspace-%03d", i)] = uint64(i + 1)
--- a/internal/router/duties.go
+++ b/internal/router/duties.go
@@ -64,8 +64,8 @@
 	// dueAfter is how long after the end of a window its report is due at the platform.
 	dueAfter config.Span
 	self     usage.Reporter
-	// clock estimates the true time. Its local time is used for the machine, as it advances during
-	// suspensions of the VM.
+	// clock estimates the true time. Its steady time is used for the machine, as it advances during
+	// suspensions of the VM and is never stepped.
 	clock *clock.MedianClock
 	// storeReachable reports whether the store has answered this router or a peer lately.
 	storeReachable func() bool
@@ -86,6 +86,8 @@
 	// loggedSettled is the newest window whose settlement was logged. A window is settled again as
 	// long as the store does not accept the record, but logged once.
 	loggedSettled usage.Window
+	// loggedAhead is how far the estimate of the true time was ahead of the steady time when that was last logged.
+	loggedAhead time.Duration
 	// loggedRecord is the record whose holder was last logged.
 	loggedRecord duty.Record
 }
@@ -97,13 +99,13 @@
 	if !s.reportsUsage() {
 		return nil
 	}
-	trueClock := clock.NewMedianClock(r.Engine.Boot, r.wire.WallClock())
+	trueClock := clock.NewMedianClock(r.Engine.Boot, r.wire.WallClock)
 	d := &duties{
 		log: r.Log, scope: r.admin.Scope.SubScope("duties"), wire: r.wire.Duties, fleet: r.fleet, transport: r.transport,
 		windows: usage.Clock{Length: s.UsageWindow}, dueAfter: s.UsageLate, self: usage.Reporter{Router: s.VM, Incarnation: incarnation}, clock: trueClock,
 		storeReachable: func() bool { return time.Since(r.mirror.ConfirmedAt(r.wire.ConfigKind)) <= storeReachableWindow },
 		epoch:          r.mirror.Epoch,
-		counter:        usage.NewCounter(), machine: duty.New(s.VM, incarnation, s.DutyLease, trueClock.Local()), finalReports: make(map[finalReportKey]*finalReportState),
+		counter:        usage.NewCounter(), machine: duty.New(s.VM, incarnation, s.DutyLease, trueClock.Steady()), finalReports: make(map[finalReportKey]*finalReportState),
 	}
 	r.Engine.OnRequestStarted = d.countRequest
 	r.transport.OnUsageReport, r.transport.OnUsageAck = d.receiveReport, d.receiveAck
@@ -129,7 +131,7 @@
 
 // step performs the next action of the machine, if one is due.
 func (d *duties) step(ctx context.Context) {
-	now := d.clock.Local()
+	now := d.clock.Steady()
 	d.mu.Lock()
 	a := d.machine.Next(now, d.view(now))
 	d.mu.Unlock()
@@ -137,7 +139,7 @@
 		return
 	}
 	o, r, err := d.perform(ctx, a)
-	now = d.clock.Local()
+	now = d.clock.Steady()
 	d.mu.Lock()
 	d.machine.Done(now, a, o, r)
 	d.logHolder(now)
@@ -160,7 +162,7 @@
 func (d *duties) perform(ctx context.Context, a duty.Action) (duty.Outcome, duty.Record, error) {
 	until := dutyCallTimeout.After(time.Now())
 	if a.Kind == duty.Send {
-		until = time.Now().Add(a.Deadline.Sub(d.clock.Local()))
+		until = time.Now().Add(a.Deadline.Sub(d.clock.Steady()))
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -41,6 +41,8 @@
 	// routers whose final reports are missing. lateSettleFraction applies if most of them are missing.
 	settleFraction     = 0.4
 	lateSettleFraction = 0.7
+	// minLoggedStep is the shortest step of the estimate of the true time that is logged.
+	minLoggedStep = 250 * time.Millisecond
 	// maxWindowsBack is the number of past windows that a new holder reports.
 	maxWindowsBack = 16
 )
@@ -53,7 +55,7 @@
 
 // finalReportState is the state of a final report.
 type finalReportState struct {
-	// lastSentAt is when the report was last sent, by the local clock. acknowledged is set once the
+	// lastSentAt is when the report was last sent, by the steady clock. acknowledged is set once the
 	// receiver has acknowledged all counts.
 	lastSentAt   time.Time
 	acknowledged bool
@@ -91,19 +93,20 @@
 		to     peers.Peer
 	}
 	var due []sending
-	now, local := d.clock.Now(), d.clock.Local()
+	now, steady := d.clock.Now(), d.clock.Steady()
 	current := d.windows.At(now)
 	d.counter.Expire(current)
-	d.logHolder(local)
+	d.logHolder(steady)
+	d.logClock(now, steady)
 	targets := d.targets()
-	sendCurrent := !local.Before(d.lastSentAt.Add(d.sendInterval()))
+	sendCurrent := !steady.Before(d.lastSentAt.Add(d.sendInterval()))
 	if sendCurrent {
-		d.lastSentAt = local
+		d.lastSentAt = steady
 	}
 	for w := current; w > current-maxWindowsBack && now.Before(d.dueAfter.After(d.windows.End(w))); w-- {
 		for _, p := range targets {
-			if w < current && d.claimFinalReport(finalReportKey{p.Name, w}, now, local) || w == current && sendCurrent {
-				report := peers.UsageReport{Report: d.counter.Report(d.self, w, w < current || d.stopping), Gossip: d.machine.Gossip(local), LocalTime: local}
+			if w < current && d.claimFinalReport(finalReportKey{p.Name, w}, now, steady) || w == current && sendCurrent {
+				report := peers.UsageReport{Report: d.counter.Report(d.self, w, w < current || d.stopping), Gossip: d.machine.Gossip(steady), WallTime: d.clock.Wall()}
 				due = append(due, sending{report, p})
 			}
 		}
@@ -115,6 +118,17 @@
 	}
 }
 
+// logClock records how far the estimate of the true time is ahead of the VM's wall clock and logs when it was
+// stepped. The caller holds mu.
+func (d *duties) logClock(now, steady time.Time) {
+	wall := d.clock.Wall().Round(0)
+	d.scope.Gauge("clock_ahead_seconds").Update(now.Sub(wall).Seconds())
+	if moved := now.Sub(steady) - d.loggedAhead; moved.Abs() >= minLoggedStep {
+		d.loggedAhead += moved
+		d.log.Info("router: The clock of usage windows was stepped.", zap.Int64("byMs", moved.Milliseconds()), zap.Time("now", now), zap.Time("wall", wall))
+	}
+}
+
 // targets returns the routers that receive usage reports: the holder and the standbys. The caller holds
 // mu.
 func (d *duties) targets() []peers.Peer {
@@ -141,7 +155,7 @@
 
 // claimFinalReport reports whether a final report is to be sent now, and if so records the time as that
 // of its last sending. The caller holds mu.
-func (d *duties) claimFinalReport(k finalReportKey, now, local time.Time) bool {
+func (d *duties) claimFinalReport(k finalReportKey, now, steady time.Time) bool {
 	stagger := time.Duration(pool.HashOf(d.self.Router)%uint64(max(d.fleet.Len(), 1))) * finalizeStagger
 	if now.Before(finalizeDelay.After(d.windows.End(k.window)).Add(stagger)) {
 		return false
@@ -151,10 +165,10 @@
 		t = new(finalReportState)
 		d.finalReports[k] = t
 	}
-	if t.acknowledged || local.Before(resendInterval.After(t.lastSentAt)) {
+	if t.acknowledged || steady.Before(resendInterval.After(t.lastSentAt)) {
 		return false
 	}
-	t.lastSentAt = local
+	t.lastSentAt = steady
 	return true
 }
 
@@ -171,23 +185,23 @@
 // receiveReport merges the usage report of another router and returns its acknowledgement, which is
 // always to be sent (true).
 func (d *duties) receiveReport(r peers.UsageReport) (peers.UsageAck, bool) {
-	d.clock.Observe(r.Reporter.Router, r.LocalTime)
-	now, local := d.clock.Now(), d.clock.Local()
+	d.clock.ObserveWall(r.Reporter.Router, r.WallTime)
+	now, steady := d.clock.Now(), d.clock.Steady()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.counter.Merge(r.Report, d.windows.At(now))
-	d.machine.ReceiveGossip(local, r.Reporter.Router, r.Gossip)
+	d.machine.ReceiveGossip(steady, r.Reporter.Router, r.Gossip)
 	return peers.UsageAck{
-		Router: d.self.Router, Incarnation: r.Reporter.Incarnation, Window: r.Window, Complete: d.counter.Complete(r.Reporter, r.Window), Gossip: d.machine.Gossip(local), TrueTime: now,
+		Router: d.self.Router, Incarnation: r.Reporter.Incarnation, Window: r.Window, Complete: d.counter.Complete(r.Reporter, r.Window), Gossip: d.machine.Gossip(steady), TrueTime: now,
 	}, true
 }
 
 // receiveAck processes the acknowledgement of a usage report by another router.
 func (d *duties) receiveAck(a peers.UsageAck) {
-	d.clock.Observe(a.Router, a.TrueTime)
+	d.clock.ObserveEstimate(a.Router, a.TrueTime)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.machine.ReceiveGossip(d.clock.Local(), a.Router, a.Gossip)
+	d.machine.ReceiveGossip(d.clock.Steady(), a.Router, a.Gossip)
 	if t := d.finalReports[finalReportKey{a.Router, a.Window}]; t != nil && a.Complete && a.Incarnation == d.self.Incarnation {
 		t.acknowledged = true
 	}
