clock: Follow a step of the wall clocks only once it has lasted

Change: a VM's own wall clock counts with a step once the step has lasted for 10 s; steps under 0.25 s, as by drift, count at once. What routers tell each other is that settled clock. Clocks that are set right are followed 10 s later than before this change, jumps that return never.

--- a/internal/clock/median.go
+++ b/internal/clock/median.go
@@ -11,9 +11,9 @@
 )
 
 // MedianClock estimates the true time as the median of the wall clocks of many VMs. It assumes that
-// most of them are right, as the wall clock of a single VM may be stepped at any time. All clocks are
-// read anew, so that the estimate follows when the clocks of most VMs are set right. It must be created
-// with NewMedianClock and is safe for concurrent use.
+// most of them are right, as the wall clock of a single VM may be stepped at any time. Where the clocks of
+// most VMs are set right, the estimate follows; a step that does not last is ignored even if all clocks have
+// it. It must be created with NewMedianClock and is safe for concurrent use.
 type MedianClock struct {
 	// Boot returns the time since a fixed start. It is never stepped and includes suspensions.
 	Boot func() time.Duration
@@ -24,12 +24,35 @@
 	startWall time.Time
 	startBoot time.Duration
 	mu        sync.Mutex
+	// own is the offset of the own wall clock.
+	own wallOffset
 	// walls holds the offsets of the wall clocks of other VMs, and estimates those of the estimates by other
 	// MedianClocks, by name. An estimate is used only where the wall clock of its VM was not observed: two
 	// clocks that went by each other's estimates would both keep an error.
 	walls, estimates map[string]offset
 }
 
+// wallOffset is how far a wall clock is ahead of the steady one.
+type wallOffset struct {
+	// adopted is the offset in use, and stepped a different one that was read last.
+	adopted, stepped time.Duration
+	// adoptAt is when stepped will be in use unless it changes; zero for none.
+	adoptAt time.Time
+}
+
+// read returns the offset in use after the offset ahead was read.
+func (w *wallOffset) read(ahead time.Duration, steady time.Time) time.Duration {
+	switch {
+	case (ahead - w.adopted).Abs() < minStep:
+		w.adopted, w.adoptAt = ahead, time.Time{}
+	case w.adoptAt.IsZero() || (ahead-w.stepped).Abs() >= minStep:
+		w.stepped, w.adoptAt = ahead, steady.Add(stepHold)
+	case !steady.Before(w.adoptAt):
+		w.adopted, w.adoptAt = ahead, time.Time{}
+	}
+	return w.adopted
+}
+
 // offset is how far a clock is ahead of the steady one. A message that was delayed makes the clock of its
 // sender appear late, never early, so that the greatest of some observations is the best one.
 type offset struct {
@@ -63,6 +86,10 @@
 	// freshTTL is how long an observed offset is preferred to older ones. It is longer than the time between
 	// two observations and the delay of the second.
 	freshTTL = 2 * observationPeriod
+	// minStep is the shortest step of a wall clock that is ignored for a while. A step is followed once it has
+	// lasted for stepHold, as clocks may jump by seconds and back again.
+	minStep  = 250 * time.Millisecond
+	stepHold = 10 * time.Second
 	// maxOffsets is the maximum number of other wall clocks, and of other estimates.
 	maxOffsets = 512
 )
@@ -76,7 +103,21 @@
 // the time of day without the steps since. It serves for the lengths of times.
 func (c *MedianClock) Steady() time.Time { return c.startWall.Add(c.Boot() - c.startBoot) }
 
-// ObserveWall records that the wall clock of the named VM showed the time at when a message that has
+// Settled returns the time by the wall clock of this VM without a step that has not lasted for 10 seconds yet.
+// It must be called more often than that.
+func (c *MedianClock) Settled() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	steady := c.Steady()
+	return steady.Add(c.readOwn(steady))
+}
+
+// readOwn returns the offset in use of the own wall clock; mu is held.
+func (c *MedianClock) readOwn(steady time.Time) time.Duration {
+	return c.own.read(c.Wall().Round(0).Sub(steady), steady)
+}
+
+// ObserveWall records that the settled clock of the named VM showed the time at when a message that has
 // just arrived was sent. A further clock is ignored while the maximum number is reached.
 func (c *MedianClock) ObserveWall(name string, at time.Time) { c.observe(c.walls, name, at) }
 
@@ -98,14 +139,13 @@
 	offsets[name] = o.add(ahead, steady)
 }
 
-// Now returns the estimate of the true time: the median of the VM's own wall clock and all others that
+// Now returns the estimate of the true time: the median of the VM's own settled clock and all others that
 // were observed lately or, if none was, within the last 20 seconds. Where two clocks are in the middle, it is
 // the one that is nearer to the steady clock.
 func (c *MedianClock) Now() time.Time {
-	steady := c.Steady()
-	own := c.Wall().Round(0).Sub(steady)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	steady := c.Steady()
 	expired := func(_ string, o offset) bool { return steady.After(o.expiresAt) }
 	maps.DeleteFunc(c.walls, expired)
 	maps.DeleteFunc(c.estimates, expired)
@@ -113,7 +153,7 @@
 	if len(others) == 0 {
 		others = c.others(func(offset) bool { return true })
 	}
-	offsets := append(others, own)
+	offsets := append(others, c.readOwn(steady))
 	slices.Sort(offsets)
 	median := offsets[len(offsets)/2]
 	if other := offsets[(len(offsets)-1)/2]; other.Abs() < median.Abs() {
--- a/internal/clock/median_test.go
+++ b/internal/clock/median_test.go
@@ -82,75 +82,115 @@
 }
 
 // TestFleetFollowsItsClocks steps the wall clocks of some VMs of a fleet, of which the first three receive
-// reports with the wall clocks of all others and answer with their estimates. Guards against two errors: a
+// reports with the wall clocks of all others and answer with their estimates. Guards against three errors: a
 // clock that is read only as the process starts keeps the error that it had then, after all clocks were set
-// right; and estimates that rest on one another keep it as well. One VM of two or two of four that step
-// change nothing.
+// right; estimates that rest on one another keep it as well; and a jump of all clocks that does not last
+// moves requests to other windows. One VM of two or two of four that step change nothing.
 func TestFleetFollowsItsClocks(t *testing.T) {
+	const lasting, short = time.Hour, 6 * time.Second
 	for _, c := range []struct {
 		fleet, stepped int
-		by, want       time.Duration
+		by, lasts      time.Duration
+		want           time.Duration
 	}{
-		{1, 1, 3 * time.Second, 3 * time.Second},
-		{2, 1, 3 * time.Second, 0},
-		{2, 1, -3 * time.Second, 0},
-		{2, 2, 3 * time.Second, 3 * time.Second},
-		{3, 3, 3 * time.Second, 3 * time.Second},
-		{3, 3, -3 * time.Second, -3 * time.Second},
-		{4, 2, 3 * time.Second, 0},
-		{5, 1, 3 * time.Second, 0},
-		{5, 2, -3 * time.Second, 0},
-		{5, 5, 3 * time.Second, 3 * time.Second},
-		{5, 5, -3 * time.Second, -3 * time.Second},
-		{12, 4, 3 * time.Second, 0},
-		{12, 12, -3 * time.Second, -3 * time.Second},
+		{1, 1, 3 * time.Second, lasting, 3 * time.Second},
+		{2, 1, 3 * time.Second, lasting, 0},
+		{2, 1, -3 * time.Second, lasting, 0},
+		{2, 2, 3 * time.Second, lasting, 3 * time.Second},
+		{3, 3, 3 * time.Second, lasting, 3 * time.Second},
+		{3, 3, -3 * time.Second, lasting, -3 * time.Second},
+		{4, 2, 3 * time.Second, lasting, 0},
+		{5, 1, 3 * time.Second, lasting, 0},
+		{5, 2, -3 * time.Second, lasting, 0},
+		{5, 5, 3 * time.Second, lasting, 3 * time.Second},
+		{5, 5, -3 * time.Second, lasting, -3 * time.Second},
+		{12, 4, 3 * time.Second, lasting, 0},
+		{12, 12, -3 * time.Second, lasting, -3 * time.Second},
+		{1, 1, 3 * time.Second, short, 0},
+		{5, 5, 3 * time.Second, short, 0},
+		{5, 5, -3 * time.Second, short, 0},
 	} {
-		t.Run(fmt.Sprintf("%dOf%dBy%v", c.stepped, c.fleet, c.by), func(t *testing.T) {
-			for i, got := range offsetsAfterStep(c.fleet, c.stepped, c.by) {
-				if (got - c.want).Abs() > 10*time.Millisecond {
-					t.Errorf("clock %d: got %v ahead, want %v", i, got, c.want)
-				}
+		t.Run(fmt.Sprintf("%dOf%dBy%vFor%v", c.stepped, c.fleet, c.by, c.lasts), func(t *testing.T) {
+			f := newFleetModel(c.fleet, c.stepped, c.by, c.lasts)
+			f.run(t, stepAt+stepHold-time.Second, 0)
+			// A clock that was set back is followed after two periods by the receivers, after four by the others, and
+			// a period ends with the next observation.
+			for end := f.boot + 4*(observationPeriod+time.Second); f.boot < end; {
+				f.step()
 			}
+			f.run(t, f.boot+5*time.Second, c.want)
 		})
 	}
 }
 
-// offsetsAfterStep returns how far the estimates of a fleet are ahead some time after the wall clocks of the
-// first VMs of the given number were stepped.
-func offsetsAfterStep(fleet, stepped int, by time.Duration) []time.Duration {
-	const receivers, delay, before = 3, time.Millisecond, 5 * time.Second
-	// The reports of the first seconds go to all routers, as their ranks are not known yet.
-	const ranked = 2 * time.Second
-	// A clock that was set back is followed after two periods by the receivers, after four by the others, and a
-	// period ends with the next observation.
-	const after = 4 * (observationPeriod + time.Second)
-	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	var boot time.Duration
-	clocks := make([]*MedianClock, fleet)
-	for i := range clocks {
-		clocks[i] = NewMedianClock(func() time.Duration { return boot }, func() time.Time {
-			if boot >= before && i < stepped {
-				return start.Add(boot + by)
+// TestDriftIsFollowed lets the wall clocks of a fleet gain 5 ms in each second. Guards against a clock that
+// follows only steps.
+func TestDriftIsFollowed(t *testing.T) {
+	f := newFleetModel(5, 0, 0, 0)
+	f.drift = 0.005
+	for f.boot < time.Minute {
+		f.step()
+	}
+	for i, k := range f.clocks {
+		if got, want := k.Now().Sub(f.start.Add(f.boot)), 300*time.Millisecond; (got - want).Abs() > 30*time.Millisecond {
+			t.Errorf("clock %d: got %v ahead, want %v", i, got, want)
+		}
+	}
+}
+
+// stepAt is when the wall clocks of a fleetModel step.
+const stepAt = 5 * time.Second
+
+// fleetModel is the clocks of a fleet, of which the first three receive reports.
+type fleetModel struct {
+	start  time.Time
+	boot   time.Duration
+	clocks []*MedianClock
+	// drift is how much the wall clocks gain in each second, in seconds.
+	drift float64
+}
+
+// newFleetModel returns a fleet of which the first VMs step their wall clocks for some time.
+func newFleetModel(fleet, stepped int, by, lasts time.Duration) *fleetModel {
+	f := &fleetModel{start: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), clocks: make([]*MedianClock, fleet)}
+	for i := range f.clocks {
+		f.clocks[i] = NewMedianClock(func() time.Duration { return f.boot }, func() time.Time {
+			wall := f.start.Add(f.boot + time.Duration(f.drift*float64(f.boot)))
+			if i < stepped && f.boot >= stepAt && f.boot < stepAt+lasts {
+				return wall.Add(by)
 			}
-			return start.Add(boot)
+			return wall
 		})
 	}
-	report := func(i, j int) {
-		if i != j && (j < receivers || boot < ranked) {
-			clocks[j].ObserveWall(fmt.Sprint(i), clocks[i].Wall().Add(-delay))
-			clocks[i].ObserveEstimate(fmt.Sprint(j), clocks[j].Now().Add(-delay))
+	return f
+}
+
+// step lets all routers report, and a second pass.
+func (f *fleetModel) step() {
+	const receivers, delay = 3, time.Millisecond
+	// The reports of the first seconds go to all routers, as their ranks are not known yet.
+	const ranked = 2 * time.Second
+	for i, sender := range f.clocks {
+		for j, receiver := range f.clocks {
+			if i != j && (j < receivers || f.boot < ranked) {
+				receiver.ObserveWall(fmt.Sprint(i), sender.Settled().Add(-delay))
+				sender.ObserveEstimate(fmt.Sprint(j), receiver.Now().Add(-delay))
+			}
 		}
+		sender.Now()
 	}
-	for ; boot < before+after; boot += time.Second {
-		for i := range clocks {
-			for j := range clocks {
-				report(i, j)
+	f.boot += time.Second
+}
+
+// run steps the fleet until a time and checks after each step how far the estimates are ahead.
+func (f *fleetModel) run(t *testing.T, until, want time.Duration) {
+	t.Helper()
+	for f.boot < until {
+		f.step()
+		for i, k := range f.clocks {
+			if got := k.Now().Sub(f.start.Add(f.boot)); (got - want).Abs() > 10*time.Millisecond {
+				t.Errorf("%v after the start, clock %d: got %v ahead, want %v", f.boot, i, got, want)
 			}
 		}
 	}
-	offsets := make([]time.Duration, fleet)
-	for i, k := range clocks {
-		offsets[i] = k.Now().Sub(start.Add(boot))
-	}
-	return offsets
 }
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -25,7 +25,7 @@
 	// 255 bytes.
 	usage.Report
 	// Gossip is what the sender knows of the duties. WallTime is the time by the wall clock of the
-	// sender's VM.
+	// sender's VM, without steps that have not lasted.
 	Gossip   duty.Gossip
 	WallTime time.Time
 	// token is the start of the sender's token, for the answer.
--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -106,7 +106,7 @@
 	for w := current; w > current-maxWindowsBack && now.Before(d.dueAfter.After(d.windows.End(w))); w-- {
 		for _, p := range targets {
 			if w < current && d.claimFinalReport(finalReportKey{p.Name, w}, now, steady) || w == current && sendCurrent {
-				report := peers.UsageReport{Report: d.counter.Report(d.self, w, w < current || d.stopping), Gossip: d.machine.Gossip(steady), WallTime: d.clock.Wall()}
+				report := peers.UsageReport{Report: d.counter.Report(d.self, w, w < current || d.stopping), Gossip: d.machine.Gossip(steady), WallTime: d.clock.Settled()}
 				due = append(due, sending{report, p})
 			}
 		}
