--- a/review/testdata/platform/stage/main.go
+++ b/review/testdata/platform/stage/main.go
@@ -28,7 +28,9 @@
 	rec     *record
 	dir     string
 	trouble bool
-	store   *store
+	// calm is how long the routers serve before the disruption.
+	calm  time.Duration
+	store *store
 	// link is what the routers have for the store's address.
 	link    *proxy
 	routers []*router
@@ -43,6 +45,7 @@
 var cases = map[string]func(s *stage) (broken []string, err error){
 	"drain":  (*stage).drain,
 	"config": (*stage).config,
+	"path":   (*stage).path,
 }
 
 func main() {
@@ -52,11 +55,12 @@
 	template := flag.String("template", "platform/router.yaml.tmpl", "template of the settings file")
 	trouble := flag.Bool("trouble", true, "whether the disruption happens")
 	fleet := flag.Int("routers", 4, "number of routers")
+	calm := flag.Duration("calm", 8*time.Second, "how long the routers serve before the disruption")
 	flag.Parse()
-	os.Exit(play(*name, *out, *program, *template, *trouble, *fleet))
+	os.Exit(play(&stage{trouble: *trouble, calm: *calm, stop: make(chan struct{})}, *name, *out, *program, *template, *fleet))
 }
 
-func play(name, out, program, template string, trouble bool, fleet int) int {
+func play(s *stage, name, out, program, template string, fleet int) int {
 	rec, err := newRecord(filepath.Join(out, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -78,7 +82,7 @@
 	} else {
 		fmt.Println("logs:", dir)
 	}
-	s := &stage{rec: rec, dir: dir, trouble: trouble, stop: make(chan struct{})}
+	s.rec, s.dir = rec, dir
 	defer s.end()
 	if err := s.prepare(program, template, fleet); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -111,7 +115,7 @@
 	a, b := byte(1+os.Getpid()/200%200), byte(1+os.Getpid()%200)
 	s.store = newStore(s.rec)
 	s.link = newProxy("127.0.0.1", s.store.addr())
-	s.store.put("config", "main", configuration(1, keys...))
+	s.store.put("config", "main", configuration(1, keys))
 	for i := range 4 {
 		r := newRunner(s.rec, &s.runs, fmt.Sprintf("i-%08x", 0x5eed0000+i), "score-app", zones[i], 30*time.Millisecond)
 		s.runners = append(s.runners, r)
@@ -132,18 +136,21 @@
 // keys are the API keys of the tenants at first.
 var keys = []string{"k-conservatory", "k-library"}
 
-// configuration returns a version of the operator's configuration in which these API keys are valid.
-func configuration(version int, valid ...string) map[string]any {
-	route := func(name, kind string, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": host, "path_prefix": "/" + name + "/", "service": "score-app", "kind": kind,
-			"timeout_ms": 800, "target_latency_ms": 150, "max_attempts": attempts, "priority": 2, "allow_anonymous": false, "session_affinity": false}
-	}
+// route returns a route of the configuration.
+func route(name, prefix, kind string, attempts int) map[string]any {
+	return map[string]any{"name": name, "host": host, "path_prefix": prefix, "service": "score-app", "kind": kind,
+		"timeout_ms": 800, "target_latency_ms": 150, "max_attempts": attempts, "priority": 2, "allow_anonymous": false, "session_affinity": false}
+}
+
+// configuration returns a version of the operator's configuration in which these API keys are valid. It has more
+// routes than the usual ones.
+func configuration(version int, valid []string, more ...any) map[string]any {
 	var tenants []map[string]any
 	for _, key := range valid {
 		tenants = append(tenants, map[string]any{"name": "t" + key[1:], "api_keys": []string{key}, "priority": 0})
 	}
 	return map[string]any{
-		"version": version, "routes": []any{route("pdf-fetch", "unsafe", 1), route("thumb-fetch", "safe", 2)},
+		"version": version, "routes": append([]any{route("pdf-fetch", "/pdf-fetch/", "unsafe", 1), route("thumb-fetch", "/thumb-fetch/", "safe", 2)}, more...),
 		"services": []any{map[string]any{"name": "score-app"}}, "tenants": tenants,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
 	}
--- a/review/testdata/platform/stage/runner.go
+++ b/review/testdata/platform/stage/runner.go
@@ -16,7 +16,9 @@
 // arrival is a request that a runner began to run.
 type arrival struct {
 	id, runner, tenant string
-	at                 time.Time
+	// method, target, host and body are those of the request as it came.
+	method, target, host, body string
+	at                         time.Time
 }
 
 // arrivals holds what all runners ran. It is safe for concurrent use.
@@ -67,7 +69,7 @@
 }
 
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
-	_, err := io.Copy(io.Discard, q.Body)
+	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
 	}
@@ -78,8 +80,9 @@
 	id := q.Header.Get("X-Request-Id")
 	n := r.running.Add(1)
 	defer r.running.Add(-1)
-	at := r.rec.add("runner", "%s begins to run %s for tenant %s", r.id, id, q.Header.Get("X-Tenant"))
-	r.runs.add(arrival{id, r.id, q.Header.Get("X-Tenant"), at})
+	tenant := q.Header.Get("X-Tenant")
+	at := r.rec.add("runner", "%s begins to run %s: %s %s, host %s, for tenant %s", r.id, id, q.Method, q.RequestURI, q.Host, tenant)
+	r.runs.add(arrival{id: id, runner: r.id, tenant: tenant, method: q.Method, target: q.RequestURI, host: q.Host, body: string(body), at: at})
 	time.Sleep(r.work)
 	h := w.Header()
 	h.Set("X-Request-Id", id)
--- a/review/testdata/platform/stage/silent.go
+++ b/review/testdata/platform/stage/silent.go
@@ -19,11 +19,8 @@
 
 var errNoTraffic = errors.New("no requests were served")
 
-// calm is how long the routers serve before the disruption, rest how long after it.
-const (
-	calm = 8 * time.Second
-	rest = 9 * time.Second
-)
+// rest is how long the routers serve after the disruption.
+const rest = 9 * time.Second
 
 // silence makes the open connections to the store silent, unless there is no trouble, and returns when.
 func (s *stage) silence() time.Time {
@@ -42,19 +39,22 @@
 	return at.Add(contact)
 }
 
+// usual returns the requests of a usual caller.
+func usual(n int) (method, path, key string) {
+	if n%2 == 0 {
+		return http.MethodPost, "/pdf-fetch/a", keys[0]
+	}
+	return http.MethodGet, "/thumb-fetch/a", keys[1]
+}
+
 // drain lets one runner say that it leaves and another one leave without saying so, shortly after the open connections
 // to the store have gone silent.
 func (s *stage) drain() (broken []string, err error) {
 	if err := s.startRouters(); err != nil {
 		return nil, err
 	}
-	s.startCallers(2, 40*time.Millisecond, func(n int) (string, string, string) {
-		if n%2 == 0 {
-			return http.MethodPost, "/pdf-fetch/a", keys[0]
-		}
-		return http.MethodGet, "/thumb-fetch/a", keys[1]
-	})
-	time.Sleep(calm)
+	s.startCallers(2, 40*time.Millisecond, usual)
+	time.Sleep(s.calm)
 	silentAt := s.silence()
 	time.Sleep(200 * time.Millisecond)
 	leftAt := make(map[string]time.Time)
@@ -92,16 +92,11 @@
 	if err := s.startRouters(); err != nil {
 		return nil, err
 	}
-	s.startCallers(2, 40*time.Millisecond, func(n int) (string, string, string) {
-		if n%2 == 0 {
-			return http.MethodPost, "/pdf-fetch/a", keys[0]
-		}
-		return http.MethodGet, "/thumb-fetch/a", keys[1]
-	})
-	time.Sleep(calm)
+	s.startCallers(2, 40*time.Millisecond, usual)
+	time.Sleep(s.calm)
 	silentAt := s.silence()
 	time.Sleep(200 * time.Millisecond)
-	takenAt := s.store.put("config", "main", configuration(2, keys[0]))
+	takenAt := s.store.put("config", "main", configuration(2, keys[:1]))
 	time.Sleep(rest)
 	s.quiet()
 	if before, after := s.served(silentAt); before == 0 || after == 0 {
