mirror, peers: Log why a removal takes effect later, and who told it

The logs said until when an endpoint is kept, not whether the router decided that from its own calls to the store or heard it from a peer, nor which loss of the store it took for an outage.

No behaviour changes.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -167,9 +167,14 @@
 	}
 	f.resumed = false
 	f.updateLapse(time.Now())
+	removals := 0
 	for i := range changes {
 		changes[i].LapsesAt = f.lapsesAt
+		if changes[i].Removed {
+			removals++
+		}
 	}
+	f.logLapse(removals)
 	f.Mirror.Apply(f.Kind, changes, revision, sent)
 	if len(changes) > 0 && f.BatchDelay > 0 {
 		tasks.Pause(ctx, f.BatchDelay.After(time.Now()))
@@ -287,6 +292,14 @@
 	}
 }
 
+// logLapse logs that removals which this router read from the store take effect later, if they do.
+func (f *Follower) logLapse(removals int) {
+	if removals > 0 && f.lapsesAt.After(time.Now()) {
+		f.Log.Info("mirror: Removals take effect later, as the entries may have lapsed while the store was away.", zap.String("kind", f.Kind),
+			zap.Int("removals", removals), zap.Time("lapsesAt", f.lapsesAt), zap.Time("lostSince", f.lostSince))
+	}
+}
+
 // recordFailure counts a failed call. lastSuccess is the time of the last answer.
 func (f *Follower) recordFailure(lastSuccess time.Time, err error) {
 	f.failures++
--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -313,6 +313,7 @@
 			pl.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Stringer("revision", k.revision()), zap.Int("objects", len(changes)))
 			pl.Mirror.Replace(kind, objects(changes), k.revision(), at, time.Time{})
 		} else {
+			pl.logLapses(p, kind, changes, now)
 			pl.Mirror.Apply(kind, changes, k.revision(), at)
 		}
 	}
@@ -336,6 +337,20 @@
 	return true
 }
 
+// logLapses logs that removals in a peer's response take effect later, if any does.
+func (pl *Puller) logLapses(p Peer, kind string, changes []mirror.Change, now time.Time) {
+	removals, lapsesAt := 0, time.Time{}
+	for _, c := range changes {
+		if c.Removed && c.LapsesAt.After(now) {
+			removals, lapsesAt = removals+1, c.LapsesAt
+		}
+	}
+	if removals > 0 {
+		pl.Log.Info("peers: A peer has told removals that take effect later.", zap.String("peer", p.Name), zap.String("kind", kind),
+			zap.Int("removals", removals), zap.Time("lapsesAt", lapsesAt))
+	}
+}
+
 // staleAge returns the age up to which a peer's copy, or this router's own, counts as fresh.
 func (pl *Puller) staleAge(now time.Time) config.Span {
 	if pl.Fleet.IsRelay(now) {
