mirror, platform: Ask the store on a new connection when an answer is overdue

Cause: a router waited for the answer to a held watch until callTimeout after it was due, 4 s after the call for endpoints, although other calls were answered in the meantime. It then took the lost connection for an outage of the store, in which entries lapse, and kept the removed endpoint for lapseGrace.

A retry could also meet an idle connection that was silent as well.

Why the fix works: when an answer is 250 ms overdue, a second call is made on a new connection, and the first answer counts. If the second one is answered, the connection was lost and not the store: no outage begins, and the followers of all other kinds ask on new connections too, however long their watches are held. A watch that is not overdue does not end because a second call fails. After each failed call idle connections are closed. A retry gets no second call, so that an outage costs as many calls as before.

Tests: TestSilentConnectionIsNoOutage has the silence begin at 28 points of a watch, in simulated time.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -35,6 +35,8 @@
 	// that includes them. It returns no changes at the time until. The error is ErrHistoryGone if
 	// the store no longer has the changes after since.
 	Watch func(ctx context.Context, kind string, since epoch.Revision, until time.Time) ([]Change, epoch.Revision, error)
+	// Reconnect closes the idle connections, so that the next call opens one. nil means that there are none.
+	Reconnect func()
 }
 
 // Page is a page of a list.
@@ -64,7 +66,6 @@
 	// RetrySlowly reports whether other routers retry an unreachable store more often than this one
 	// and will notify it once the store is back. Retries then use the longer backoff. nil means no.
 	RetrySlowly func() bool
-
 	// pages holds the pages of an unfinished list, and listedAt is when the first one was requested.
 	// After a failed call only the next page is requested again, not the whole list.
 	pages    []Page
@@ -159,8 +160,6 @@
 		// before is gone and other routers wait for a confirmation.
 		until = sent
 	}
-	ctx, cancel := context.WithDeadline(ctx, until.Add(callTimeout))
-	defer cancel()
 	changes, revision, err := f.watch(ctx, since, until)
 	if err != nil {
 		return err
@@ -182,29 +181,30 @@
 	return nil
 }
 
-// watch makes a watch call, which ends early if a later epoch is observed meanwhile: its answer may not come
-// any more, and changes since a revision are known within its epoch only.
+// watch waits for changes of the kind after a revision; see Source.Watch. It makes the calls of watchCalls.
 func (f *Follower) watch(ctx context.Context, since epoch.Revision, until time.Time) ([]Change, epoch.Revision, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		f.Mirror.AwaitEpoch(ctx, since.Epoch())
-		cancel()
-	}()
-	changes, revision, err := f.Source.Watch(ctx, f.Kind, since, until)
+	w := &watchCalls{f: f, since: since, due: until, answers: make(chan answer, maxWatchCalls)}
+	a := w.run(ctx)
 	cancel()
-	<-ended
-	if err == nil {
-		f.Mirror.ObserveEpoch(revision.Epoch())
+	w.wait()
+	if a.err == nil {
+		f.Mirror.ObserveEpoch(a.revision.Epoch())
 	}
 	switch newest := f.Mirror.Epoch(); {
 	case newest > since.Epoch():
-		return nil, revision, ErrHistoryGone
-	case err == nil && revision.Epoch() < newest:
-		return nil, revision, errors.Wrapf(errOutdated, "revision %v", revision)
+		return nil, a.revision, ErrHistoryGone
+	case a.err == nil && a.revision.Epoch() < newest:
+		return nil, a.revision, errors.Wrapf(errOutdated, "revision %v", a.revision)
+	}
+	return a.changes, a.revision, a.err
+}
+
+// reconnect lets the next call open a connection, instead of one that may be silent.
+func (f *Follower) reconnect() {
+	if f.Source.Reconnect != nil {
+		f.Source.Reconnect()
 	}
-	return changes, revision, err
 }
 
 // list reads the remaining pages of the kind and replaces the copy.
@@ -303,6 +303,7 @@
 // recordFailure counts a failed call. lastSuccess is the time of the last answer.
 func (f *Follower) recordFailure(lastSuccess time.Time, err error) {
 	f.failures++
+	f.reconnect()
 	if f.lostSince.IsZero() {
 		f.lostSince = lastSuccess
 		f.Log.Warn("mirror: The store was lost.", zap.String("kind", f.Kind), zap.Stringer("revision", f.Mirror.Revision(f.Kind)), logs.Err(err))
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -53,6 +53,8 @@
 	// closed and replaced whenever it increases.
 	epoch      int64
 	epochBegun chan struct{}
+	// suspected is closed and replaced by SuspectConnections.
+	suspected chan struct{}
 }
 
 // kindCopy is the copy of one kind.
@@ -75,7 +77,7 @@
 
 // New returns a mirror with empty copies of the named kinds.
 func New(kinds ...string) *Mirror {
-	m := &Mirror{OnChange: func(string, Change) {}, OnEpoch: func(int64) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{})}
+	m := &Mirror{OnChange: func(string, Change) {}, OnEpoch: func(int64) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{}), suspected: make(chan struct{})}
 	for _, k := range kinds {
 		m.kinds[k] = &kindCopy{revision: epoch.None, objects: make(map[string]Object), tombstones: make(map[string]Change)}
 	}
@@ -150,21 +152,31 @@
 	return true
 }
 
-// AwaitEpoch blocks until an epoch after e was observed or ctx is done.
-func (m *Mirror) AwaitEpoch(ctx context.Context, e int64) {
-	for {
-		m.mu.Lock()
-		begun, newer := m.epochBegun, m.epoch > e
-		m.mu.Unlock()
-		if newer {
-			return
-		}
-		select {
-		case <-begun:
-		case <-ctx.Done():
-			return
-		}
+// epochAfter returns a channel that is closed once an epoch after e was observed.
+func (m *Mirror) epochAfter(e int64) <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.epoch > e {
+		begun := make(chan struct{})
+		close(begun)
+		return begun
 	}
+	return m.epochBegun
+}
+
+// SuspectConnections makes all followers ask the store on new connections, as an open connection has gone silent.
+func (m *Mirror) SuspectConnections() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.suspected)
+	m.suspected = make(chan struct{})
+}
+
+// connectionsSuspected returns a channel that is closed by the next SuspectConnections.
+func (m *Mirror) connectionsSuspected() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.suspected
 }
 
 // Replace replaces the copy of a kind by the full list of its objects as of a revision, which was
