mirror, peers: Take a loss of the store for an outage only if no router had an answer

Cause: a follower took the first answer after a failed call of its own for the end of an outage, in which entries lapse, and kept what had been removed for lapseGrace. It also told its peers until when to keep the endpoints, and these believed it.

Change: the mirror records, for all kinds together, the last period through which the store answered, this router or another one. An outage is a gap of at least a second in it in which a call of this router failed on a new connection. Pull responses tell the period. Before a router delays removals it asks three peers, also those that it is backed off from, and it takes the removals at once as soon as any answer disproves the outage; so does a router that was told to keep an endpoint and knows better. A loss ends when a router is relieved. A held watch that is answered shows nothing about the time for which it was held.

Why it works: only the store can let entries lapse, and it can't answer anybody while it is away. A router that is cut off, rejected or relieved sees the gap, but its peers do not. What is protected stays so: in an outage nobody has answers, so that the gap remains, and entries are kept until 2 s after the first answer to anyone. The removal of an endpoint that has said it leaves is never delayed.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,6 +67,10 @@
 	// RetrySlowly reports whether other routers retry an unreachable store more often than this one
 	// and will notify it once the store is back. Retries then use the longer backoff. nil means no.
 	RetrySlowly func() bool
+	// AskPeers asks other routers when the store answered them, and records their answers in Mirror. nil means that
+	// there are no others.
+	AskPeers func(ctx context.Context)
+
 	// pages holds the pages of an unfinished list, and listedAt is when the first one was requested.
 	// After a failed call only the next page is requested again, not the whole list.
 	pages    []Page
@@ -75,10 +80,9 @@
 	relist bool
 	// resumed is set if other routers called the store until now.
 	resumed bool
-	// lostSince is the time of the last answer before the store was lost; zero while it answers.
+	// lostSince is the time of the last answer before this follower lost the store; zero while it answers, and
+	// while other routers call it.
 	lostSince time.Time
-	// lapsesAt is when removals of entries that lapsed during the last outage take effect.
-	lapsesAt time.Time
 	// failures counts the failed calls since the last successful one.
 	failures int
 }
@@ -87,12 +91,8 @@
 	// callTimeout bounds a call, beyond the time that a watch may wait. A slow store takes up to
 	// 0.4 s to answer.
 	callTimeout = 1500 * time.Millisecond
-	// minOutage is the shortest outage in which entries may lapse. The store removes an entry after
-	// three missed heartbeats, which are sent about once a second.
-	minOutage = time.Second
-	// lapseGrace is how long after an outage the entries that lapsed in it are kept, as their owners
-	// may register them again.
-	lapseGrace = config.Span(2 * time.Second)
+	// minRelief is the shortest time for which other routers called the store after which this follower begins anew.
+	minRelief = time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles with each failure.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -116,8 +116,10 @@
 			if !f.AwaitTurn(ctx) {
 				return nil
 			}
-			if time.Since(before) > minOutage {
+			if time.Since(before) > minRelief {
+				// What this follower missed meanwhile says nothing about the store.
 				lastSuccess, f.resumed = time.Now(), true
+				f.lostSince, f.failures = time.Time{}, 0
 			}
 		}
 		sent := time.Now()
@@ -165,15 +167,7 @@
 		return err
 	}
 	f.resumed = false
-	f.updateLapse(time.Now())
-	removals := 0
-	for i := range changes {
-		changes[i].LapsesAt = f.lapsesAt
-		if changes[i].Removed {
-			removals++
-		}
-	}
-	f.logLapse(removals)
+	f.delayRemovals(ctx, changes)
 	f.Mirror.Apply(f.Kind, changes, revision, sent)
 	if len(changes) > 0 && f.BatchDelay > 0 {
 		tasks.Pause(ctx, f.BatchDelay.After(time.Now()))
@@ -218,7 +212,7 @@
 			return err
 		}
 		if last {
-			return f.replace()
+			return f.replace(ctx)
 		}
 		if !f.relist && f.Mirror.Revision(f.Kind) >= 0 {
 			// A peer has supplied the list in the meantime.
@@ -236,6 +230,7 @@
 	if err != nil {
 		return false, err
 	}
+	f.Mirror.RecordAnswer(time.Now())
 	f.Mirror.ObserveEpoch(page.Revision.Epoch())
 	if page.Revision.Epoch() < f.Mirror.Epoch() {
 		f.pages = nil
@@ -251,15 +246,18 @@
 
 // replace replaces the copy by the list in pages. The copy gets the revision of the first page, so that the first
 // watch returns all changes made while the pages were read.
-func (f *Follower) replace() error {
-	f.updateLapse(time.Now())
+func (f *Follower) replace(ctx context.Context) error {
 	var objects []Object
 	for _, p := range f.pages {
 		objects = append(objects, p.Objects...)
 	}
 	revision, had := f.pages[0].Revision, f.Mirror.Revision(f.Kind)
 	pages, historyLost := len(f.pages), f.relist
-	applied := f.Mirror.Replace(f.Kind, objects, revision, f.listedAt, f.lapsesAt)
+	var lapsesAt time.Time
+	if had >= 0 {
+		lapsesAt = f.lapseTime(ctx)
+	}
+	applied := f.Mirror.Replace(f.Kind, objects, revision, f.listedAt, lapsesAt)
 	f.relist, f.pages = false, nil
 	if !applied {
 		// A peer may have sent a later state meanwhile.
@@ -285,24 +283,37 @@
 	return f.Source.Page(ctx, f.Kind, after)
 }
 
-// updateLapse sets lapsesAt on the first answer after an outage of at least minOutage.
-func (f *Follower) updateLapse(now time.Time) {
-	if !f.lostSince.IsZero() && now.Sub(f.lostSince) >= minOutage {
-		f.lapsesAt = lapseGrace.After(now)
+// lapseTime returns when removals that were just read from the store take effect. Before calls without an answer are
+// taken for an outage of the store, other routers are asked, as this one may have lost the store alone.
+func (f *Follower) lapseTime(ctx context.Context) time.Time {
+	at := f.Mirror.LapsesAt(time.Now())
+	if at.IsZero() || f.AskPeers == nil {
+		return at
 	}
+	f.AskPeers(ctx)
+	return f.Mirror.LapsesAt(time.Now())
 }
 
-// logLapse logs that removals which this router read from the store take effect later, if they do.
-func (f *Follower) logLapse(removals int) {
-	if removals > 0 && f.lapsesAt.After(time.Now()) {
-		f.Log.Info("mirror: Removals take effect later, as the entries may have lapsed while the store was away.", zap.String("kind", f.Kind),
-			zap.Int("removals", removals), zap.Time("lapsesAt", f.lapsesAt), zap.Time("lostSince", f.lostSince))
+// delayRemovals sets when the removals among changes that were just read from the store take effect.
+func (f *Follower) delayRemovals(ctx context.Context, changes []Change) {
+	if !slices.ContainsFunc(changes, func(c Change) bool { return c.Removed }) {
+		return
+	}
+	at := f.lapseTime(ctx)
+	if at.IsZero() {
+		return
+	}
+	for i := range changes {
+		changes[i].LapsesAt = at
 	}
+	f.Log.Info("mirror: Removals take effect later, as the entries may have lapsed while the store was away.", zap.String("kind", f.Kind),
+		zap.Int("changes", len(changes)), zap.Time("lapsesAt", at))
 }
 
 // recordFailure counts a failed call. lastSuccess is the time of the last answer.
 func (f *Follower) recordFailure(lastSuccess time.Time, err error) {
 	f.failures++
+	f.Mirror.RecordNoAnswer(time.Now())
 	f.reconnect()
 	if f.lostSince.IsZero() {
 		f.lostSince = lastSuccess
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -28,7 +28,8 @@
 	// Removed is set if the object was removed. Only its Name and Revision are then valid.
 	Removed bool
 	// LapsesAt is when the removal takes effect; the zero time for at once. It lies ahead if the
-	// object may have been removed only because its owner could not reach the store.
+	// object may have been removed only because its owner could not reach the store. A removal is
+	// reported again, with an earlier time, if it turns out that the store was not away.
 	LapsesAt time.Time
 	// Restored is set if the change was found by the first list of a new epoch. The store may have lost
 	// a later state of the object, which its writer will write again.
@@ -53,6 +54,8 @@
 	// closed and replaced whenever it increases.
 	epoch      int64
 	epochBegun chan struct{}
+	// store tells outages of the store from losses of this router alone.
+	store availability
 	// suspected is closed and replaced by SuspectConnections.
 	suspected chan struct{}
 }
@@ -246,6 +249,9 @@
 		m.OnChange(kind, ch)
 		return
 	}
+	if !ch.Restored {
+		ch.LapsesAt = m.store.revise(ch.LapsesAt, time.Now())
+	}
 	if len(c.tombstones) >= maxTombstones {
 		clear(c.tombstones)
 		c.deltaFloor = ch.Revision
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -150,34 +150,6 @@
 
 var errUnavailable = errors.New("down")
 
-// During an outage of the store, entries may lapse only because their owners cannot renew them.
-// Removals that are read after the outage must therefore not take effect at once.
-func TestRemovalsAfterOutageLapseLater(t *testing.T) {
-	m := New("k")
-	var got []Change
-	m.OnChange = func(_ string, c Change) { got = append(got, c) }
-	f := Follower{Log: zap.NewNop(), Mirror: m, Kind: "k", WatchTimeout: config.Span(time.Millisecond), Source: Source{
-		Page: func(context.Context, string, string) (Page, error) {
-			return Page{Objects: []Object{object("a", 1)}, Revision: 1}, nil
-		},
-		Watch: func(context.Context, string, epoch.Revision, time.Time) ([]Change, epoch.Revision, error) {
-			return []Change{{Object: Object{Name: "a", Revision: 2}, Removed: true}}, 2, nil
-		},
-	}}
-	ctx := context.Background()
-	if err := f.step(ctx, time.Now()); err != nil {
-		t.Fatal(err)
-	}
-	now := time.Now()
-	f.recordFailure(now.Add(-2*time.Second), errUnavailable)
-	if err := f.step(ctx, now); err != nil {
-		t.Fatal(err)
-	}
-	if len(got) != 2 || !got[1].Removed || got[1].LapsesAt.Before(now.Add(time.Second)) {
-		t.Errorf("changes: got %+v, want a removal that takes effect about 2 s later", got)
-	}
-}
-
 // A watch that waited for a change would detect the end of an outage late.
 func TestLostStoreIsWatchedWithoutWaiting(t *testing.T) {
 	const wait = 700 * time.Millisecond
@@ -206,17 +178,6 @@
 	}
 }
 
-// No entry lapses in an outage shorter than minOutage, so that removals take effect at once.
-func TestShortOutageDelaysNoRemoval(t *testing.T) {
-	f := Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k"}
-	now := time.Now()
-	f.recordFailure(now.Add(-minOutage/2), errUnavailable)
-	f.updateLapse(now)
-	if !f.lapsesAt.IsZero() {
-		t.Errorf("lapses at: got %v, want never", f.lapsesAt)
-	}
-}
-
 func TestLostHistoryIsRelisted(t *testing.T) {
 	m := New("k")
 	lists := 0
--- a/internal/mirror/silence_test.go
+++ b/internal/mirror/silence_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -143,12 +144,7 @@
 type removal struct{ reportedAt, lapsesAt time.Time }
 
 // effectiveAt returns when the removal takes effect.
-func (r removal) effectiveAt() time.Time {
-	if r.lapsesAt.After(r.reportedAt) {
-		return r.lapsesAt
-	}
-	return r.reportedAt
-}
+func (r removal) effectiveAt() time.Time { return later(r.reportedAt, r.lapsesAt) }
 
 // removal returns the removal of an object; ok is false if none was reported.
 func (f *simFollower) removal(name string) (r removal, ok bool) {
@@ -161,9 +157,9 @@
 // newSimFollower starts a follower, whose watches the store holds for a time. change may change it before.
 func newSimFollower(t *testing.T, s *simStore, hold time.Duration, change func(f *Follower)) *simFollower {
 	r := &simFollower{conn: &simConn{store: s}, removals: make(map[string]removal)}
-	m := New("k")
-	m.OnChange = func(_ string, c Change) {
-		if c.Removed {
+	m := New("k", "other")
+	m.OnChange = func(kind string, c Change) {
+		if kind == "k" && c.Removed {
 			s.set(func() { r.removals[c.Name] = removal{time.Now(), c.LapsesAt} })
 		}
 	}
@@ -264,3 +260,28 @@
 		}
 	})
 }
+
+// A call fails, and the next one is made on a new connection.
+//
+// Guards against retries on idle connections that have gone silent as well.
+func TestRetryOpensConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls []string
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &Follower{Log: zap.NewNop(), Mirror: New("k"), Kind: "k", Source: Source{
+			Page: func(context.Context, string, string) (Page, error) {
+				if calls = append(calls, "list"); len(calls) > 2 {
+					cancel()
+				}
+				return Page{}, errUnavailable
+			},
+			Reconnect: func() { calls = append(calls, "reconnect") },
+		}}
+		if err := f.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if want := []string{"list", "reconnect", "list"}; !slices.Equal(calls, want) {
+			t.Errorf("calls: got %v, want %v", calls, want)
+		}
+	})
+}
--- a/internal/mirror/watch.go
+++ b/internal/mirror/watch.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/pkg/epoch"
@@ -110,11 +111,20 @@
 	}
 }
 
-// call makes one call.
+// call makes one call and records whether the store answered it in time.
 func (w *watchCalls) call(ctx context.Context, second bool, until time.Time) (a answer) {
 	ctx, cancel := context.WithDeadline(ctx, until.Add(callTimeout))
 	defer cancel()
 	a.second = second
 	a.changes, a.revision, a.err = w.f.Source.Watch(ctx, w.f.Kind, w.since, until)
+	if a.err != nil && !errors.Is(a.err, ErrHistoryGone) {
+		return a
+	}
+	ended := time.Now()
+	if isNew := second || !w.f.lostSince.IsZero(); isNew && ended.Sub(until) > maxAnswerTime {
+		// The store may have been away until shortly before the answer.
+		w.f.Mirror.RecordNoAnswer(until.Add(maxAnswerTime))
+	}
+	w.f.Mirror.RecordAnswer(ended)
 	return a
 }
--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -295,6 +296,21 @@
 	return candidates[draw%uint64(len(candidates))], true
 }
 
+// PickSome returns at most n other routers, drawn at random from those that are not backed off from at now; where these
+// are fewer, others as well.
+func (f *Fleet) PickSome(now time.Time, n int) []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ready := f.available(now, len(f.byName))
+	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	for _, p := range f.ranked() {
+		if p.Name != f.self && !now.After(f.backoffUntil[p.Name]) {
+			ready = append(ready, p)
+		}
+	}
+	return ready[:min(n, len(ready))]
+}
+
 // available returns at most limit other routers, the first by rank among those that are not backed
 // off from at now. The caller holds mu.
 func (f *Fleet) available(now time.Time, limit int) (list []Peer) {
--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -296,6 +296,9 @@
 	}
 	// Verdicts come before endpoints, so that no endpoint is sent a quarantined request.
 	pl.OnVerdicts(append(list, parts...))
+	// The peer answered no earlier than HeldMs after the request was sent.
+	answered := sent.Add(time.Duration(got.HeldMs) * time.Millisecond)
+	pl.recordAvailability(got, answered, now)
 	for _, kind := range pl.Kinds {
 		k, ok := got.Kinds[kind]
 		if !ok {
@@ -307,11 +310,10 @@
 			pl.Fleet.RecordStale(p.Name, now)
 			return false
 		}
-		// The peer answered no earlier than HeldMs after the request was sent.
-		at := sent.Add(time.Duration(got.HeldMs-k.AgeMs) * time.Millisecond)
+		at := answered.Add(-time.Duration(k.AgeMs) * time.Millisecond)
 		if k.Whole {
 			pl.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Stringer("revision", k.revision()), zap.Int("objects", len(changes)))
-			pl.Mirror.Replace(kind, objects(changes), k.revision(), at, time.Time{})
+			pl.Mirror.Replace(kind, objects(changes), k.revision(), at, pl.Mirror.LapsesAt(now))
 		} else {
 			pl.logLapses(p, kind, changes, now)
 			pl.Mirror.Apply(kind, changes, k.revision(), at)
@@ -337,6 +339,17 @@
 	return true
 }
 
+// recordAvailability records when the store answered according to a response that was made between answered and now.
+// Earlier releases tell only when their copy was confirmed.
+func (pl *Puller) recordAvailability(got *pullResponse, answered, now time.Time) {
+	if got.StoreUp != nil {
+		pl.Mirror.RecordAvailability(got.StoreUp.decode(answered, now), now)
+	} else if k, ok := got.Kinds[pl.FreshnessKind]; ok {
+		at := answered.Add(-time.Duration(k.AgeMs) * time.Millisecond)
+		pl.Mirror.RecordAvailability(mirror.Period{From: at, To: at}, now)
+	}
+}
+
 // logLapses logs that removals in a peer's response take effect later, if any does.
 func (pl *Puller) logLapses(p Peer, kind string, changes []mirror.Change, now time.Time) {
 	removals, lapsesAt := 0, time.Time{}
--- a/internal/peers/storeread.go
+++ b/internal/peers/storeread.go
@@ -58,6 +58,25 @@
 	return pl.storeReachable(now) && pl.inFallbackFor(otherKindsDelay, now)
 }
 
+// maxAsked is the maximum number of peers that AskPeers asks. With two readers, one of three is none.
+const maxAsked = 3
+
+// AskPeers pulls from some peers at once and records when the store answered them. It returns when each has answered, or
+// has not in time.
+func (pl *Puller) AskPeers(ctx context.Context) {
+	asked := pl.Fleet.PickSome(time.Now(), maxAsked)
+	ended := make(chan struct{}, len(asked))
+	for _, p := range asked {
+		go func() {
+			pl.exchange(ctx, p, pullRequest{}, time.Now())
+			ended <- struct{}{}
+		}()
+	}
+	for range asked {
+		<-ended
+	}
+}
+
 // isStartReader reports whether this starting router reads the store for others: it is a reader
 // among the peers that it knows, or among those that a peer of it knows.
 func (pl *Puller) isStartReader() bool {
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -97,6 +97,9 @@
 	Kinds map[string]kindChanges `json:"kinds"`
 	// HeldMs is how long the request was held, in milliseconds, rounded down.
 	HeldMs int64 `json:"heldMs"`
+	// StoreUp is the last period through which the store is known to have answered; nil if it has not answered yet,
+	// and in responses of earlier releases.
+	StoreUp *wirePeriod `json:"storeUp,omitempty"`
 	// Verdicts are the encoded verdicts of the responding router, which the store may lack, for a
 	// peer that starts; see encodeVerdicts.
 	Verdicts []byte `json:"verdicts,omitempty"`
@@ -104,6 +107,35 @@
 	PartVerdicts []byte `json:"partVerdicts,omitempty"`
 }
 
+// wirePeriod is the encoding of a mirror.Period.
+type wirePeriod struct {
+	// FromMs and ToMs are the times from the ends of the period to the response, in milliseconds; FromMs is rounded
+	// down and ToMs up.
+	FromMs int64 `json:"fromMs"`
+	ToMs   int64 `json:"toMs"`
+}
+
+// encodePeriod encodes a period for a response at now; nil for none. age returns the age of a time.
+func encodePeriod(p mirror.Period, now time.Time, age func(at, now time.Time) time.Duration) *wirePeriod {
+	if p.To.IsZero() {
+		return nil
+	}
+	w := &wirePeriod{FromMs: now.Sub(p.From).Milliseconds(), ToMs: ceilMs(age(p.To, now))}
+	if w.FromMs < w.ToMs {
+		return nil
+	}
+	return w
+}
+
+// decode returns the period. The response was made between answered and now.
+func (w *wirePeriod) decode(answered, now time.Time) mirror.Period {
+	p := mirror.Period{From: now.Add(-time.Duration(w.FromMs) * time.Millisecond), To: answered.Add(-time.Duration(w.ToMs) * time.Millisecond)}
+	if p.From.After(p.To) {
+		p.From = p.To
+	}
+	return p
+}
+
 // kindChanges holds the changes of one kind up to a revision.
 type kindChanges struct {
 	// Number is the number of the revision, and Epoch its epoch; 0 in responses of earlier releases.
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -56,7 +56,7 @@
 		{w.EndpointKind, endpointWatchTimeout, changeBatchDelay, []string{w.TrialKind, w.VerdictKind}},
 		{w.RouterKind, routerWatchTimeout, changeBatchDelay, nil},
 	} {
-		follower := &mirror.Follower{Log: r.Log, Source: w.Source, Mirror: r.mirror, Kind: f.kind, WatchTimeout: f.watchTimeout, BatchDelay: f.batchDelay, AwaitTurn: r.awaitTurn(f.kind, f.after...), RetrySlowly: r.puller.RetriesSlowly}
+		follower := &mirror.Follower{Log: r.Log, Source: w.Source, Mirror: r.mirror, Kind: f.kind, WatchTimeout: f.watchTimeout, BatchDelay: f.batchDelay, AwaitTurn: r.awaitTurn(f.kind, f.after...), RetrySlowly: r.puller.RetriesSlowly, AskPeers: r.puller.AskPeers}
 		r.tasks.Go(ctx, "store "+f.kind, follower.Run)
 	}
 	r.tasks.Go(ctx, "peers", r.puller.Run)
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -172,14 +172,14 @@
 
 // Remove removes an endpoint, unless the book has a newer revision of it. If graceUntil is later than
 // now, as after an outage of the list, an endpoint that is not leaving is kept until then, as it may be
-// listed again.
+// listed again; until the earliest time of several calls.
 func (b *Book) Remove(id string, revision epoch.Revision, now, graceUntil time.Time) {
 	p, ok := b.byID[id]
 	if !ok || revision < p.Revision {
 		return
 	}
 	if !p.leaving && now.Before(graceUntil) {
-		if p.graceUntil.IsZero() {
+		if p.graceUntil.IsZero() || graceUntil.Before(p.graceUntil) {
 			p.graceUntil, p.removedAt = graceUntil, revision
 		}
 		return
