peers: Pull on new connections after one pull got no answer

After the connections between routers have gone silent, a router waits for the response of one source, then for that of the next one on a connection that is silent as well, and has old copies meanwhile.

Cause: idle connections are kept per peer, and a lost pull says nothing to the transport about those to other peers.

Change: a pull that failed closes the idle connections, so that the next one opens its own. TestOnePullIsLostToSilentConnections failed 3 times of 3 before (the second pull was lost too) and passed 3 of 3 after.

--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -276,6 +276,8 @@
 	got, err := pl.post(ctx, p, &q, sent)
 	if err != nil {
 		if ctx.Err() == nil {
+			// Idle connections to other peers may have gone silent too.
+			pl.HTTP.CloseIdleConnections()
 			pl.Fleet.RecordNoAnswer(p.Name, time.Now())
 			pl.Log.Info("peers: A pull from a peer failed.", zap.String("peer", p.Name), zap.Stringer("addr", p.Addr), logs.Err(err))
 		}
--- a/internal/peers/storeread_test.go
+++ b/internal/peers/storeread_test.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +78,45 @@
 		t.Errorf("asking took %v, want about %v", took, responseTimeout)
 	}
 }
+
+// silentConn is a connection that goes silent for good: what is written to it is lost, and nothing is read.
+type silentConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// All connections to peers go silent while new ones work. One pull is lost, and the next one is answered.
+//
+// Guards against a router that waits on one silent connection after the other and has old copies meanwhile.
+func TestOnePullIsLostToSilentConnections(t *testing.T) {
+	a, b := startPeer(t, "a"), startPeer(t, "b")
+	pl := newTestPuller(a, b)
+	var silent *atomic.Bool
+	pl.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return &silentConn{c, silent}, err
+	}}}
+	silent = new(atomic.Bool)
+	for _, p := range []*testPeer{a, b} {
+		putRevision(p.mirror, 5, time.Now())
+		pl.pull(context.Background(), p.Peer, false)
+	}
+	silent.Store(true)
+	silent = new(atomic.Bool)
+	for _, p := range []*testPeer{a, b} {
+		putRevision(p.mirror, 6, time.Now())
+	}
+	if pl.pull(context.Background(), a.Peer, false) {
+		t.Error("pull on a silent connection: got a fresh peer, want none")
+	}
+	if !pl.pull(context.Background(), b.Peer, false) || pl.Mirror.Revision("k") != 6 {
+		t.Errorf("next pull: got revision %v, want 6", pl.Mirror.Revision("k"))
+	}
+}
