mirror: Ask for all kinds at once when the store answers for one

Cause: the follower of each kind waited for its own backoff, up to 4 s in a router that is no reader at first. The router had the configuration from the store, so that others took it for well informed and pulled from it, and its copy of the endpoints was 2 s old. Evidence: vm-3 has answers for config from 16.25 s on and asks for servers again at 17.80 s; vm-5, which pulls from it, drops the endpoints at 17.73 s.

Change: the pause after a failed call ends as soon as the store answers any call of this router. Why it works: the store's answer shows that the outage is over, for all kinds. While it lasts there is no answer, so that no more calls are made than before.

--- a/internal/mirror/availability.go
+++ b/internal/mirror/availability.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -126,8 +127,33 @@
 	return m.store.known
 }
 
-// RecordAnswer records that the store answered a call at a time. It may have been away while it held the call.
-func (m *Mirror) RecordAnswer(at time.Time) { m.RecordAvailability(Period{at, at}, at) }
+// KnownUntil returns the time up to which changes in the store are known to this router, as it or another one had
+// answers until shortly before.
+func (m *Mirror) KnownUntil() time.Time { return m.Availability().To.Add(minOutage) }
+
+// RecordAnswer records that the store answered a call of this router at a time. It may have been away while it held
+// the call.
+func (m *Mirror) RecordAnswer(at time.Time) {
+	m.RecordAvailability(Period{at, at}, at)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.answered)
+	m.answered = make(chan struct{})
+}
+
+// awaitAnswer blocks until the store answers a call of this router, but no later than the time until or until ctx is
+// done.
+func (m *Mirror) awaitAnswer(ctx context.Context, until time.Time) {
+	m.mu.Lock()
+	answered := m.answered
+	m.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
+}
 
 // RecordNoAnswer records that a call had failed at a time, or had got no answer by then on a new connection.
 func (m *Mirror) RecordNoAnswer(at time.Time) {
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -139,7 +139,8 @@
 			tasks.Pause(ctx, time.Now().Add(f.backoff()))
 		default:
 			f.recordFailure(lastSuccess, err)
-			tasks.Pause(ctx, time.Now().Add(f.backoff()))
+			// Once the store answers another follower, it is not waited for any longer.
+			f.Mirror.awaitAnswer(ctx, time.Now().Add(f.backoff()))
 		}
 	}
 	return nil
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -56,8 +56,8 @@
 	epochBegun chan struct{}
 	// store tells outages of the store from losses of this router alone.
 	store availability
-	// suspected is closed and replaced by SuspectConnections.
-	suspected chan struct{}
+	// suspected is closed and replaced by SuspectConnections, and answered by RecordAnswer.
+	suspected, answered chan struct{}
 }
 
 // kindCopy is the copy of one kind.
@@ -80,7 +80,7 @@
 
 // New returns a mirror with empty copies of the named kinds.
 func New(kinds ...string) *Mirror {
-	m := &Mirror{OnChange: func(string, Change) {}, OnEpoch: func(int64) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{}), suspected: make(chan struct{})}
+	m := &Mirror{OnChange: func(string, Change) {}, OnEpoch: func(int64) {}, kinds: make(map[string]*kindCopy), changed: make(chan struct{}), epochBegun: make(chan struct{}), suspected: make(chan struct{}), answered: make(chan struct{})}
 	for _, k := range kinds {
 		m.kinds[k] = &kindCopy{revision: epoch.None, objects: make(map[string]Object), tombstones: make(map[string]Change)}
 	}
