relay, pool: Keep lapsed endpoints until the list is known

Cause: the grace period of entries that lapsed in the outage ended by the clock, also at a router that could not hear whether they were listed again. Evidence: vm-2 and vm-6 get no answers from 23.8 s on, drop all four endpoints at 26.73 s, and hear at 26.74 s that they are back.

A router may not conclude that an entry is missing from an answer that it did not get.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -59,6 +59,9 @@
 	// EndpointsListed reports whether the list of endpoints has been received. CopiesCurrent reports whether
 	// no copy of what requests are routed by is from before the store came back from an older copy.
 	EndpointsListed, CopiesCurrent func() bool
+	// EndpointsKnownUntil returns the time up to which it is known which endpoints are listed. It must not be called
+	// with mu held, as it may wait for a call of PutEndpoint.
+	EndpointsKnownUntil func() time.Time
 	// RouterCount returns how many routers share the operator's limits: those that may send,
 	// including routers that left the list a short time ago.
 	RouterCount func() int
@@ -201,6 +204,7 @@
 		rollouts:           make(map[string]*rollout),
 		metrics:            newMetrics(scope),
 	}
+	e.EndpointsKnownUntil = func() time.Time { return e.Now() }
 	e.crashes.OnJudged, e.crashes.MayJudge = e.logJudgement, e.mayJudge
 	e.silence = e.newSilenceDetector()
 	e.logLimits.init()
@@ -355,10 +359,19 @@
 	e.metrics.resting.Update(float64(resting))
 }
 
+// unknownGraceTicks is for how many ticks of RunMaintenance grace periods are extended at a time while it is not
+// known which endpoints are listed.
+const unknownGraceTicks = 3
+
+// expire drops what is not in force any more because of the time that has passed.
 func (e *Engine) expire() {
+	now, knownUntil := e.Now(), e.EndpointsKnownUntil()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.Now()
+	if knownUntil.Before(now) {
+		// An endpoint may be listed again without this router hearing of it.
+		e.book.ExtendGrace(now.Add(maintenanceInterval * unknownGraceTicks))
+	}
 	for _, id := range e.book.Expire(now) {
 		e.Log.Info("relay: An endpoint was not listed again within its grace period.", zap.String("endpoint", id))
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,6 +99,7 @@
 	r.Engine.ConfirmedAt = func() time.Time { return r.mirror.ConfirmedAt(w.ConfigKind) }
 	r.Engine.EndpointsListed = func() bool { return r.mirror.Revision(w.EndpointKind) >= 0 }
 	r.Engine.CopiesCurrent = func() bool { return r.mirror.IsCurrent(w.ConfigKind, w.ClosingKind, w.TrialKind, w.EndpointKind) }
+	r.Engine.EndpointsKnownUntil = r.mirror.KnownUntil
 	r.Engine.RouterCount = r.fleet.SenderCount
 	r.Engine.Senders = r.senders
 	if err := r.listen(); err != nil {
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -218,6 +218,15 @@
 	return ids
 }
 
+// ExtendGrace lets no grace period end before a time.
+func (b *Book) ExtendGrace(until time.Time) {
+	for _, p := range b.byID {
+		if !p.graceUntil.IsZero() && p.graceUntil.Before(until) {
+			p.graceUntil = until
+		}
+	}
+}
+
 // Get returns the endpoint with an ID; nil if there is none.
 func (b *Book) Get(id string) *Endpoint { return b.byID[id] }
 
--- a/pkg/pool/book_test.go
+++ b/pkg/pool/book_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,6 +76,28 @@
 	}
 }
 
+// A grace period is extended, and no other endpoint gets one.
+//
+// Guards against endpoints that are dropped while it is not known whether they are listed again.
+func TestExtendGrace(t *testing.T) {
+	b := NewBook()
+	b.Put(entry("x", 1))
+	b.Put(entry("y", 1))
+	lapsesAt, later := t0.Add(2*time.Second), t0.Add(5*time.Second)
+	b.Remove("x", 9, t0, lapsesAt)
+	b.ExtendGrace(later)
+	b.ExtendGrace(lapsesAt)
+	if got := b.Expire(later.Add(-1)); len(got) != 0 {
+		t.Errorf("dropped before the end of the grace period: got %v, want none", got)
+	}
+	if got := picks(b, later.Add(-1)); len(got) != 2 {
+		t.Errorf("endpoints in use before the end of the grace period: got %v, want x and y", got)
+	}
+	if got := b.Expire(later); !slices.Equal(got, []string{"x"}) {
+		t.Errorf("dropped at the end of the grace period: got %v, want x", got)
+	}
+}
+
 func TestRemovalWithoutOutageIsImmediate(t *testing.T) {
 	b := NewBook()
 	b.Put(entry("x", 1))
