--- a/internal/mirror/doc.go
+++ b/internal/mirror/doc.go
@@ -12,6 +12,10 @@
 // which it includes all changes, and the time at which it was last confirmed to be current. Neither
 // decreases, so that updates may arrive late, more than once and in any order.
 //
+// The entries of owners that cannot reach the store lapse while it is away, so that their removal
+// takes effect later. A mirror records when the store answered this router and others, as a router may
+// lose the store alone: only a gap in the answers to all of them is an outage of the store.
+//
 // A store that comes back from an older copy of itself has lost its last changes and begins a new
 // epoch, which is part of each revision. Copies of an earlier epoch are replaced by a whole list, as
 // changes since a revision are known within its epoch only. The changes that this list makes are
