--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -296,8 +296,8 @@
 	return candidates[draw%uint64(len(candidates))], true
 }
 
-// PickSome returns at most n other routers, drawn at random from those that are not backed off from at now; where these
-// are fewer, others as well.
+// PickSome returns at most n other routers: first those that are not backed off from at now, in random order, then the
+// others by rank.
 func (f *Fleet) PickSome(now time.Time, n int) []Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -115,7 +115,8 @@
 	ToMs   int64 `json:"toMs"`
 }
 
-// encodePeriod encodes a period for a response at now; nil for none. age returns the age of a time.
+// encodePeriod encodes a period for a response at now; nil for none, and for one that is too short for its ends to be
+// told apart. age returns the age of a time.
 func encodePeriod(p mirror.Period, now time.Time, age func(at, now time.Time) time.Duration) *wirePeriod {
 	if p.To.IsZero() {
 		return nil
