router, peers: Ask a silent peer before its registration is removed

The registration of a healthy router is removed from the store, so that the others do not pull from it, and share limits without it, until it has registered again within some 2 s.

Cause: a reader notes the first pull that a peer has not answered, and pulls no more once its own copy is fresh. 12 s later it takes the peer for gone, for all routers, on the ground of one answer that it missed itself. Asking three peers after a loss makes such a pull more likely.

Change: the peer is asked again before, twice, as a kept connection may have gone silent. One that answers is known to answer.

TestPeerThatAnswersKeepsItsRegistration failed before (both registrations removed, the one of the peer that is gone wanted).

--- a/internal/peers/fleet.go
+++ b/internal/peers/fleet.go
@@ -400,6 +400,13 @@
 	delete(f.noAnswerSince, name)
 }
 
+// HasAnswered reports whether a peer has answered the last pull.
+func (f *Fleet) HasAnswered(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.noAnswerSince[name].IsZero()
+}
+
 // unresponsiveAfter is the time without an answer after which the registration of a peer may be
 // removed. A router that was killed is back and registered again within seconds.
 const unresponsiveAfter = 12 * time.Second
--- a/internal/peers/storeread.go
+++ b/internal/peers/storeread.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// Answers pulls from a peer and reports whether it answered. It tries twice, as a kept connection may have gone silent.
+func (pl *Puller) Answers(ctx context.Context, p Peer) bool {
+	for range 2 {
+		pl.exchange(ctx, p, pullRequest{}, time.Now())
+		if pl.Fleet.HasAnswered(p.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // isStartReader reports whether this starting router reads the store for others: it is a reader
 // among the peers that it knows, or among those that a peer of it knows.
 func (pl *Puller) isStartReader() bool {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -302,12 +302,16 @@
 }
 
 // removeSilentPeers removes the registrations of peers that have been silent for long. Only the routers
-// that call the store for the fleet do so.
+// that call the store for the fleet do so. They ask a peer before, as they may not have pulled from it since
+// one answer was lost.
 func (r *Router) removeSilentPeers(ctx context.Context) {
 	if !r.fleet.ReadsStore(time.Now()) {
 		return
 	}
 	for _, p := range r.fleet.Unresponsive(time.Now()) {
+		if r.puller.Answers(ctx, p) {
+			continue
+		}
 		err := r.wire.Unregister(ctx, p)
 		r.Log.Info("router: A silent peer's registration was removed.", zap.String("peer", p.Name), zap.Stringer("revision", p.Revision), logs.Err(err))
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
--- a/internal/router/follow_test.go
+++ b/internal/router/follow_test.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"testing"
@@ -74,6 +77,37 @@
 	}
 }
 
+// A reader missed one answer of a peer, did not pull from it again, and asks it before it removes its registration.
+//
+// Guards against a router that takes a lost connection of its own, long past, for a peer that is gone for all.
+func TestPeerThatAnswersKeepsItsRegistration(t *testing.T) {
+	const token = "token-0123456789-0123456789"
+	var secret peers.Secret
+	secret.Set(token)
+	srv := httptest.NewServer(peers.NewServer(zap.NewNop(), mirror.New("routers"), "routers", &secret))
+	defer srv.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	addrOf := func(s *httptest.Server) netip.AddrPort { return s.Listener.Addr().(*net.TCPAddr).AddrPort() }
+	f := peers.NewFleet("vm")
+	f.Put(peers.Peer{Name: "vm"})
+	long := time.Now().Add(-time.Minute)
+	for name, s := range map[string]*httptest.Server{"answers": srv, "gone": gone} {
+		f.Put(peers.Peer{Name: name, Addr: addrOf(s), Token: token})
+		f.RecordNoAnswer(name, long)
+	}
+	var removed []string
+	m := mirror.New("routers")
+	r := &Router{Log: zap.NewNop(), fleet: f, mirror: m, puller: peers.NewPuller(zap.NewNop(), f, m, "routers", "routers"), wire: &Wire{RouterKind: "routers", Unregister: func(_ context.Context, p peers.Peer) error {
+		removed = append(removed, p.Name)
+		return nil
+	}}}
+	r.removeSilentPeers(t.Context())
+	if want := []string{"gone"}; !slices.Equal(removed, want) {
+		t.Errorf("registrations removed: got %v, want %v", removed, want)
+	}
+}
+
 // An epoch that another router told reaches the client of the store.
 //
 // Guards against a write under a condition of an earlier epoch by a router that has not called the store since the
