router, relay: Log each stage of a planned stop and each request that it ends

The record of the incident names four requests whose callers got no whole answer, and no log line names them. A request is named only by the line at its end; no task owns its goroutine, so that the process ended without it. A request that was cut as the process ended was logged as left by its caller, and the warning on aborted requests gave the time as its reason also after a second signal.

- A request under way has a stage: reading its body, arrived, queued, sent, answering.
The lines of a stop count them; the line of a failed request tells its stage and the time since the stop began.
- The body is read inside Engine.Serve, so that a request whose body fails has a line with its ID, and an answer with the reason.
- The stages of a process carry their cause: the signal, or the time.
- The process waits up to 100 ms for the lines of what it aborted, and names what is left. 800 such requests have a line beyond the limit of 60 a second; the rest is counted in the line Stopped.

What callers get at the end of a stop is unchanged, but for the body of answers to requests whose body could not be read.

--- a/internal/proc/life.go
+++ b/internal/proc/life.go
@@ -9,12 +9,15 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"github.com/traildrift/traildrift/pkg/fault"
 )
 
 // defaultStopTimeout is the timeout of a planned stop if stopWithin is not set.
 const defaultStopTimeout = 60 * time.Second
 
-// Stages holds the two contexts that end a process.
+// Stages holds the two contexts that end a process. Their causes are of type Signaled, or
+// ErrStopTimeout.
 type Stages struct {
 	// Stop is done once a planned stop is requested: the process accepts no new work
 	// and completes what is in progress.
@@ -24,6 +27,19 @@
 	Kill context.Context
 }
 
+// Signaled is the cause of a stage that a signal ended.
+type Signaled struct {
+	Signal os.Signal
+	// At is when the signal was handled.
+	At time.Time
+}
+
+// Error returns the name of the signal.
+func (s Signaled) Error() string { return "signal: " + s.Signal.String() }
+
+// ErrStopTimeout is the cause of Stages.Kill if the timeout of the planned stop has passed.
+const ErrStopTimeout = fault.Const("the time for the stop has passed")
+
 // Signals returns stages that SIGTERM and SIGINT control: the first signal ends Stop, and
 // a second one or the timeout of the planned stop ends Kill. Both also end with ctx.
 // release stops the handling of the signals, ends both stages and waits for the goroutine
@@ -31,34 +47,37 @@
 func (c *Common) Signals(ctx context.Context) (s Stages, release func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	stop, stopNow := context.WithCancel(ctx)
-	kill, killNow := context.WithCancel(ctx)
+	stop, stopNow := context.WithCancelCause(ctx)
+	kill, killNow := context.WithCancelCause(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
+		var first Signaled
 		select {
-		case <-signals:
+		case sig := <-signals:
+			first = Signaled{Signal: sig, At: time.Now()}
 		case <-kill.Done():
 			return
 		}
-		deadline := time.Now().Add(defaultStopTimeout)
+		deadline := first.At.Add(defaultStopTimeout)
 		if c.StopWithin > 0 {
-			deadline = c.StopWithin.After(time.Now())
+			deadline = c.StopWithin.After(first.At)
 		}
-		stopNow()
+		stopNow(first)
 		timer := time.NewTimer(time.Until(deadline))
 		defer timer.Stop()
 		select {
-		case <-signals:
+		case sig := <-signals:
+			killNow(Signaled{Signal: sig, At: time.Now()})
 		case <-timer.C:
+			killNow(ErrStopTimeout)
 		case <-kill.Done():
 		}
-		killNow()
 	}()
 	return Stages{Stop: stop, Kill: kill}, func() {
 		signal.Stop(signals)
-		stopNow()
-		killNow()
+		stopNow(nil)
+		killNow(nil)
 		<-ended
 	}
 }
--- /dev/null
+++ b/internal/relay/active.go
@@ -0,0 +1,131 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Stage is what a request under way is waiting for.
+type Stage int32
+
+// The stages, in the order in which a request passes through them. A request whose attempt failed goes back from
+// StageSent to StageQueued.
+const (
+	StageReading   Stage = iota // the rest of its body
+	StageArrived                // the decision whether it is served
+	StageQueued                 // an endpoint that takes it
+	StageSent                   // the head of an answer
+	StageAnswering              // the rest of an answer, and its caller
+	stageCount
+)
+
+var stageNames = [stageCount]string{"reading", "arrived", "queued", "sent", "answering"}
+
+// String returns the name of the stage in logs.
+func (s Stage) String() string { return stageNames[s] }
+
+// activeRequest is a request under way. A nil activeRequest keeps no stage.
+type activeRequest struct {
+	r     *Request
+	stage atomic.Int32
+}
+
+func (q *activeRequest) setStage(s Stage) {
+	if q != nil {
+		q.stage.Store(int32(s))
+	}
+}
+
+func (q *activeRequest) loadStage() Stage { return Stage(q.stage.Load()) }
+
+// activeSet holds the requests under way. The zero value is empty.
+type activeSet struct {
+	mu       sync.Mutex
+	requests map[*activeRequest]struct{}
+}
+
+func (s *activeSet) add(q *activeRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests == nil {
+		s.requests = make(map[*activeRequest]struct{})
+	}
+	s.requests[q] = struct{}{}
+}
+
+func (s *activeSet) remove(q *activeRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.requests, q)
+}
+
+func (s *activeSet) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+// each calls fn for each request. fn must be short.
+func (s *activeSet) each(fn func(q *activeRequest)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for q := range s.requests {
+		fn(q)
+	}
+}
+
+// ActiveRequests returns the number of requests that are under way.
+func (e *Engine) ActiveRequests() int { return e.active.len() }
+
+// StageFields returns log fields with the number of requests under way in each stage.
+func (e *Engine) StageFields() []zap.Field {
+	var counts [stageCount]int
+	e.active.each(func(q *activeRequest) { counts[q.loadStage()]++ })
+	fields := make([]zap.Field, stageCount)
+	for s, n := range counts {
+		fields[s] = zap.Int(Stage(s).String(), n)
+	}
+	return fields
+}
+
+// maxLeftLines is the maximum number of requests that LogLeft logs.
+const maxLeftLines = 500
+
+// LogLeft logs each request that is still under way as the process ends, as it will not reach its own line, at
+// most maxLeftLines. It returns the number of requests that it left out.
+func (e *Engine) LogLeft(why string) (unlogged int) {
+	now, n := e.Now(), 0
+	e.active.each(func(q *activeRequest) {
+		if n++; n <= maxLeftLines {
+			e.Log.Warn("relay: A request was left as the process ended.", zap.String("request", q.r.ID), zap.Stringer("stage", q.loadStage()), zap.String("why", why),
+				zap.Int64("tookMs", now.Sub(q.r.Arrived).Milliseconds()))
+		}
+	})
+	return max(n-maxLeftLines, 0)
+}
+
+// UnloggedStops returns how many requests that ended for the stop of the router were not logged, as there were too
+// many.
+func (e *Engine) UnloggedStops() int64 { return e.logLimits.unloggedStops.Load() }
+
+// stageField returns the log field of the stage in which a request failed.
+func (x *run) stageField(failed bool) zap.Field {
+	if !failed || x.active == nil {
+		return zap.Skip()
+	}
+	return zap.Stringer("stage", x.active.loadStage())
+}
+
+// stoppingField returns the log field of the time since the stop of the router began, if it did.
+func (e *Engine) stoppingField(now time.Time) zap.Field {
+	if !e.stopping.Load() {
+		return zap.Skip()
+	}
+	return zap.Int64("stoppingMs", now.Sub(e.stoppedAt).Milliseconds())
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -66,7 +66,8 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	x.closeWhenStopping()
+	x.closeWhenNeeded()
+	x.active.setStage(StageAnswering)
 	x.headSent, x.headAt = true, x.e.Now()
 	x.w.WriteHeader(reply.Status)
 }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -86,7 +86,7 @@
 	// stopping is.
 	stopDeadline time.Time
 	stoppedAt    time.Time
-	active       atomic.Int64
+	active       activeSet
 	logLimits    logLimits
 	// failureReports limits the rate of failure reports to other routers.
 	failureReports *rate.Limiter
@@ -294,9 +294,6 @@
 	return route.Kind == Stream || route.Timeout.After(now).After(e.stopDeadline)
 }
 
-// ActiveRequests returns the number of requests that are under way.
-func (e *Engine) ActiveRequests() int64 { return e.active.Load() }
-
 // RunMaintenance advances roll-outs, sends trial reports, drops endpoints whose grace period after
 // their removal has ended and updates metrics, until ctx is done. It always returns nil.
 func (e *Engine) RunMaintenance(ctx context.Context) error {
@@ -340,7 +337,7 @@
 	e.updateWaitingGauges()
 	e.mu.Unlock()
 	e.metrics.closed.Update(float64(closed))
-	e.metrics.active.Update(float64(e.active.Load()))
+	e.metrics.active.Update(float64(e.active.len()))
 	e.metrics.endpoints.Update(float64(endpoints))
 	e.metrics.routers.Update(float64(e.RouterCount()))
 	if e.table.Load() != nil {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -5,10 +5,13 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
+
+	"github.com/traildrift/traildrift/pkg/fault"
 )
 
 // metrics holds the metrics of the package.
@@ -73,6 +76,9 @@
 // logLimits limits the rate of log lines. For a request either all lines are logged or none.
 type logLimits struct {
 	ended, failed *rate.Limiter
+	// stopped limits requests that ended for the stop of the router. unloggedStops counts those left out.
+	stopped       *rate.Limiter
+	unloggedStops atomic.Int64
 	// crashes limits requests that are logged for a crash of their endpoint.
 	crashes *rate.Limiter
 	// notices limits changes in the notices of endpoints.
@@ -85,6 +91,9 @@
 	// a second.
 	endedLogsPerSecond  = 60
 	failedLogsPerSecond = 60
+	// maxStopLogs is the maximum number of requests that one router logs as ended for its stop. As each has
+	// two lines in most cases, it is less than half of the lines that wait for the output.
+	maxStopLogs = 800
 	// crashLogsPerSecond is the maximum number of requests a second that are logged for a crash of
 	// their endpoint: as many as three busy endpoints run.
 	crashLogsPerSecond = 200
@@ -96,15 +105,26 @@
 func (l *logLimits) init() {
 	l.ended = rate.NewLimiter(endedLogsPerSecond, endedLogsPerSecond)
 	l.failed = rate.NewLimiter(failedLogsPerSecond, failedLogsPerSecond)
+	l.stopped = rate.NewLimiter(0, maxStopLogs)
 	l.notices = rate.NewLimiter(noticeLogsPerSecond, noticeLogsPerSecond)
 	l.crashes = rate.NewLimiter(crashLogsPerSecond, crashLogsPerSecond)
 }
 
-func (l *logLimits) allow(now time.Time, failed bool) bool {
-	if failed {
-		return l.failed.AllowN(now, 1)
+// allow reports whether a request that ended with err, nil for a whole answer, is logged.
+func (l *logLimits) allow(now time.Time, err *fault.Error) bool {
+	switch {
+	case err == nil:
+		return l.ended.AllowN(now, 1)
+	case l.failed.AllowN(now, 1):
+		return true
+	case err.Kind != fault.Stopping:
+		return false
+	case l.stopped.AllowN(now, 1):
+		return true
+	default:
+		l.unloggedStops.Add(1)
+		return false
 	}
-	return l.ended.AllowN(now, 1)
 }
 
 // jitter returns a duration from 0 to less than d that draw determines.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -25,6 +25,8 @@
 	// Header holds what is passed on; it must not be changed.
 	Header http.Header
 	Body   []byte
+	// ReadBody reads Body; nil if Body is set already. Its error is the answer to the caller.
+	ReadBody func() *fault.Error
 	// Key is the API key; empty if there is none.
 	Key string
 	// Session names a session, whose requests belong together; empty if there is none.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -21,6 +21,7 @@
 	e         *Engine
 	r         *Request
 	w         http.ResponseWriter
+	active    *activeRequest
 	route     *Route
 	workspace *Workspace
 	// deadline is the caller's or the route's deadline, whichever is earlier.
@@ -47,6 +48,8 @@
 	mayHaveRun bool
 	// counted says that OnRequestStarted was called; it is never reset.
 	counted bool
+	// closeConn says that the caller's connection is closed after the answer.
+	closeConn bool
 	// headSent says that a head was sent to the caller; it is never reset.
 	headSent bool
 	// lastEvent is the ID of the last event that was sent to the caller.
@@ -79,6 +82,7 @@
 func (x *run) serve(ctx context.Context) {
 	x.begin()
 	for {
+		x.active.setStage(StageQueued)
 		x.awaitJudgement(ctx)
 		now := x.e.Now()
 		if !x.hasTimeLeft(now) {
@@ -122,6 +126,7 @@
 // attempt sends the request to an endpoint and handles the answer. It reports whether another
 // attempt follows.
 func (x *run) attempt(ctx context.Context, a *Attempt, t *attemptRecord) (next bool) {
+	x.active.setStage(StageSent)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer x.e.recordAttemptEnd(a)
@@ -247,11 +252,15 @@
 	return false
 }
 
-// abandonReason returns why the caller no longer waits: its deadline or its leaving.
+// abandonReason returns why the request ends before its answer: its deadline, the end of the router, or the caller's
+// leaving, which cancels ctx without a cause of its own.
 func (x *run) abandonReason(ctx context.Context) *fault.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return fault.New(fault.DeadlinePassed, fault.MayHaveRun, "The time for the answer has passed.")
 	}
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return fault.New(fault.Stopping, fault.MayHaveRun, "The router is ending.").WithCause(cause)
+	}
 	return fault.New(fault.CallerGone, fault.MayHaveRun, "The caller has left.")
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -22,12 +22,19 @@
 // Serve answers a request and returns once it has ended. It panics with http.ErrAbortHandler where
 // an answer has to be aborted after a part of it was sent.
 func (e *Engine) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
-	e.active.Add(1)
-	defer e.active.Add(-1)
+	active := &activeRequest{r: r}
+	e.active.add(active)
+	defer e.active.remove(active)
+	x := &run{e: e, r: r, w: w, active: active}
+	if err := x.readBody(); err != nil {
+		x.refuse(err)
+		return
+	}
+	active.setStage(StageArrived)
 	e.awaitStart(ctx)
 	e.awaitResume(ctx)
 	route, ws, err := e.admit(r)
-	x := &run{e: e, r: r, w: w, route: route, workspace: ws}
+	x.route, x.workspace = route, ws
 	if err != nil {
 		x.refuse(err)
 		return
@@ -44,6 +51,17 @@
 	x.serve(ctx)
 }
 
+// readBody reads the body of the request. After an error the rest of it may still arrive on the caller's
+// connection, so that no other request can follow there.
+func (x *run) readBody() *fault.Error {
+	if x.r.ReadBody == nil {
+		return nil
+	}
+	err := x.r.ReadBody()
+	x.closeConn = err != nil
+	return err
+}
+
 const (
 	// startTimeout is how long after its start a router holds requests while it has no
 	// configuration or no list of endpoints. It needs a few hundred milliseconds to get them, and a
@@ -149,7 +167,7 @@
 	if !err.RetryAt.IsZero() {
 		h.Set("Retry-After", strconv.FormatFloat(max(err.RetryAt.Sub(now).Seconds(), 0.01), 'f', 3, 64))
 	}
-	x.closeWhenStopping()
+	x.closeWhenNeeded()
 	x.w.WriteHeader(code)
 	if _, e := x.w.Write(body); e != nil {
 		x.e.Log.Debug("relay: The error response could not be written, as the caller has disconnected.", zap.String("request", x.r.ID), zap.Error(e))
@@ -157,9 +175,10 @@
 	x.log(now, code, err)
 }
 
-// closeWhenStopping asks the caller to open another connection if the router is stopping.
-func (x *run) closeWhenStopping() {
-	if x.e.stopping.Load() {
+// closeWhenNeeded asks the caller to open another connection if the router is stopping, or if the present one can't
+// be used any more.
+func (x *run) closeWhenNeeded() {
+	if x.closeConn || x.e.stopping.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
@@ -178,7 +197,7 @@
 	e.metrics.count("requests", name, kind)
 	x.countMoved(err)
 	e.metrics.time("request", name, now.Sub(x.r.Arrived))
-	if !e.logLimits.allow(now, err != nil) {
+	if !e.logLimits.allow(now, err) {
 		e.metrics.count("unlogged_requests", name, kind)
 		return
 	}
@@ -195,7 +214,7 @@
 	}
 	e.Log.Info("relay: A request has ended.", append(x.contentionFields(), zap.String("request", x.r.ID), zap.String("route", name), zap.Int64("aimMs", x.aim().Milliseconds()), zap.Int64("pauseAimMs", x.pauseAim().Milliseconds()), zap.Int64("headMs", x.timeToHead().Milliseconds()), zap.String("workspace", workspace),
 		zap.String("session", x.r.Session), zap.Int("tokensIn", x.r.TokensIn), zap.Int("tokensOut", x.r.TokensOut), zap.Int64("configuration", version), zap.Int64("configurationAgeMs", e.age(now).Milliseconds()),
-		zap.Int("status", code), e.fingerprintField(x.r), x.partField(), zap.String("outcome", kind), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err), x.room.heldField(), x.room.causeField(), x.room.ageField())...)
+		zap.Int("status", code), e.fingerprintField(x.r), x.partField(), zap.String("outcome", kind), zap.Int64("tookMs", now.Sub(x.r.Arrived).Milliseconds()), faultField(err), x.stageField(err != nil), e.stoppingField(now), x.room.heldField(), x.room.causeField(), x.room.ageField())...)
 }
 
 // fields returns the log fields of attempt n of a request; n starts at 1.
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -11,10 +11,9 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/pkg/config"
+	"github.com/traildrift/traildrift/pkg/fault"
 )
 
 const (
@@ -25,9 +24,8 @@
 	defaultIdleTimeout    = config.Span(60 * time.Second)
 	// bodyReadTimeout bounds the time in which a body is read.
 	bodyReadTimeout = config.Span(10 * time.Second)
-	// bodyRetryAfter is the Retry-After value, in seconds, of the response to a request whose body
-	// exceeds the body budget.
-	bodyRetryAfter = "0.5"
+	// bodyRetryDelay is when a caller is asked to come back whose body exceeds the body budget.
+	bodyRetryDelay = config.Span(500 * time.Millisecond)
 	// defaultMaxBodyBytes bounds a body if the configuration does not.
 	defaultMaxBodyBytes = 8 << 20
 )
@@ -55,54 +53,51 @@
 	}
 }
 
-// serveCaller reads the body of a request and passes the request to the engine.
+// serveCaller passes a request to the engine, which reads its body.
 func (r *Router) serveCaller(w http.ResponseWriter, q *http.Request) {
 	now, boot := r.Engine.Now(), r.Engine.Boot()
-	body, status, err := r.readBody(w, q)
-	if err != nil {
-		r.Log.Info("router: The body of a request could not be read.", zap.String("path", q.URL.Path), zap.Int("status", status), logs.Err(err))
-		w.Header().Set("Connection", "close")
-		if status == http.StatusServiceUnavailable {
-			w.Header().Set("Retry-After", bodyRetryAfter)
+	request := r.wire.Request(q, now)
+	request.ArrivedBoot = boot
+	if q.ContentLength != 0 {
+		request.ReadBody = func() (err *fault.Error) {
+			request.Body, err = r.readBody(w, q)
+			return err
 		}
-		w.WriteHeader(status)
-		return
 	}
-	defer r.bodies.release(len(body))
-	request := r.wire.Request(q, body, now)
-	request.ArrivedBoot = boot
+	defer func() { r.bodies.release(len(request.Body)) }()
 	r.Engine.Serve(q.Context(), w, request)
 }
 
 // readBody reads the body of a request and charges it to the body budget; serveCaller releases it.
-// If it fails, it returns the HTTP status for the response.
-func (r *Router) readBody(w http.ResponseWriter, q *http.Request) ([]byte, int, error) {
-	if q.ContentLength == 0 {
-		return nil, 0, nil
-	}
+func (r *Router) readBody(w http.ResponseWriter, q *http.Request) ([]byte, *fault.Error) {
 	maxBytes := int64(r.Engine.Bounds().MaxBody)
 	if maxBytes == 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(bodyReadTimeout.After(time.Now())); err != nil {
-		return nil, http.StatusInternalServerError, err
+		return nil, fault.From(err, fault.NotRun)
 	}
 	body, err := io.ReadAll(r.bodies.reader(http.MaxBytesReader(w, q.Body, maxBytes)))
 	if err == nil {
 		err = control.SetReadDeadline(time.Time{})
 	}
 	if err == nil {
-		return body, 0, nil
+		return body, nil
 	}
 	r.bodies.release(len(body))
+	return nil, r.bodyError(err)
+}
+
+// bodyError returns the answer to a request whose body could not be read.
+func (r *Router) bodyError(err error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge, err
+		return fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", tooLarge.Limit)
 	case errors.Is(err, errBodyBudgetFull):
-		return nil, http.StatusServiceUnavailable, err
+		return fault.New(fault.Overloaded, fault.NotRun, "The memory for bodies is used up by other requests.").WithRetryAt(bodyRetryDelay.After(r.Engine.Now()))
 	default:
-		return nil, http.StatusBadRequest, err
+		return fault.New(fault.BadRequest, fault.NotRun, "The body could not be read.").WithCause(err)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -236,7 +236,7 @@
 	r.callers = r.newCallers(ctx)
 	r.tasks.Go(ctx, "callers", func(context.Context) error { return r.callers.Serve(r.caller) })
 	<-stages.Stop.Done()
-	r.stop(stages.Kill)
+	r.stop(stages.Stop, stages.Kill)
 	end()
 	r.close(readinessServer, peerServer)
 	return nil
@@ -294,14 +294,14 @@
 // stop performs a planned stop. The router reports that it is not ready, closes each connection after
 // the current response, and waits until all requests are answered or kill is done. Requests that are
 // left then are aborted.
-func (r *Router) stop(kill context.Context) {
+func (r *Router) stop(stop, kill context.Context) {
 	r.stopping.Store(true)
 	r.fleet.SetLeaving()
 	if r.duties != nil {
 		r.duties.stop()
 	}
 	r.Engine.Stop((r.settings.StopWithin - stopMargin).After(time.Now()))
-	r.Log.Info("router: Stopping.", zap.Int64("underWay", r.Engine.ActiveRequests()))
+	r.Log.Info("router: Stopping.", append(r.Engine.StageFields(), zap.String("why", stageCause(stop)), zap.Int("underWay", r.Engine.ActiveRequests()))...)
 	if err := r.wire.Unregister(kill, r.unconditional()); err != nil {
 		r.Log.Warn("router: The registration could not be removed from the store.", logs.Err(err))
 	}
@@ -309,11 +309,20 @@
 	for kill.Err() == nil && r.Engine.ActiveRequests() > 0 {
 		tasks.Pause(kill, drainPollInterval.After(time.Now()))
 	}
+	r.Log.Info("router: The stop waits for no request any more.", append(r.Engine.StageFields(), zap.Bool("ended", kill.Err() != nil))...)
 	if err := r.callers.Shutdown(kill); err != nil {
-		r.Log.Warn("router: Requests were aborted, as the time for the stop has passed.", zap.Int64("underWay", r.Engine.ActiveRequests()), logs.Err(err))
+		r.Log.Warn("router: Requests were aborted.", append(r.Engine.StageFields(), zap.String("why", stageCause(kill)), zap.Int("underWay", r.Engine.ActiveRequests()), logs.Err(err))...)
 	}
 }
 
+// stageCause returns why a stage of the process has ended, for the log.
+func stageCause(stage context.Context) string {
+	if cause := context.Cause(stage); cause != nil {
+		return cause.Error()
+	}
+	return ""
+}
+
 // unconditional returns the registration of this router without its revision, so that Wire.Unregister
 // removes it in any case.
 func (r *Router) unconditional() peers.Peer {
@@ -325,6 +334,7 @@
 // close closes the listeners and waits until all tasks have ended.
 func (r *Router) close(servers ...*http.Server) {
 	_ = r.callers.Close()
+	unlogged := r.awaitHandlers()
 	for _, s := range servers {
 		_ = s.Close()
 	}
@@ -332,6 +342,18 @@
 	r.tasks.Wait(func(e tasks.End) {
 		r.Log.Debug("router: A task has ended.", zap.String("task", e.Name), logs.Err(e.Err))
 	})
-	r.Log.Info("router: Stopped.", zap.Int64("linesDropped", r.lines.Dropped()))
+	r.Log.Info("router: Stopped.", zap.Int64("linesDropped", r.lines.Dropped()), zap.Int64("requestsUnlogged", r.Engine.UnloggedStops()+int64(unlogged)))
 	r.lines.Close()
 }
+
+// handlerEndTimeout is how long an ending process waits until the requests that it has aborted have been logged.
+const handlerEndTimeout = config.Span(100 * time.Millisecond)
+
+// awaitHandlers waits until all requests have ended, at most for handlerEndTimeout, and logs those that have not.
+// It returns how many of these were left out of the log.
+func (r *Router) awaitHandlers() (unlogged int) {
+	for until := handlerEndTimeout.After(time.Now()); r.Engine.ActiveRequests() > 0 && time.Now().Before(until); {
+		tasks.Pause(context.Background(), time.Now().Add(time.Millisecond))
+	}
+	return r.Engine.LogLeft("the connection was closed")
+}
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -48,8 +48,8 @@
 	Verdict       func(o mirror.Object, now time.Time) (poison.Verdict, error)
 	WriteVerdict  func(ctx context.Context, v poison.Verdict, now time.Time) (poison.Verdict, error)
 	RemoveVerdict func(ctx context.Context, p poison.Fingerprint) error
-	// Request decodes a caller's request, whose body has been read.
-	Request func(r *http.Request, body []byte, now time.Time) *relay.Request
+	// Request decodes the head of a caller's request.
+	Request func(r *http.Request, now time.Time) *relay.Request
 	// WallClock returns the time of day, which may be stepped.
 	WallClock func() time.Time
 	// Send makes an attempt at an endpoint.
