router: Handle SIGHUP from the first line of the process on

What callers saw: connections reset, and a router gone for its restart, when the settings of a router that was starting changed.

Cause: the handler of SIGHUP was set by a task that starts after the listeners are open and was removed when the tasks ended; outside of that time the default action of the signal ended the process, at the end of a stop before its last lines were written. Main sets it first now, for good.

--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -20,18 +20,23 @@
 // checked, as the file may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
+// notifyReloads returns a channel that receives SIGHUP until the process ends: its default action would end the process
+// without a planned stop.
+func notifyReloads() <-chan os.Signal {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return reloads
+}
+
 // watchSettings reloads the settings file when it changes and on SIGHUP, until ctx is done. Changes
 // of the listeners take effect only when the process restarts.
 func (r *Router) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	seen := modTime(r.file)
 	for {
 		select {
-		case <-hup:
+		case <-r.reloads:
 			seen = modTime(r.file)
 			r.reload("signal")
 		case <-t.C:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,8 @@
 	transport *peers.Transport
 	traffic   peers.Traffic
 	bodies    *bodyBudget
+	// reloads receives the signals to read the settings file again; nil for none.
+	reloads <-chan os.Signal
 	// duties is nil if the settings name no duty that a router performs.
 	duties *duties
 	// secret is the token of this router, which is part of its registration and authenticates peers.
@@ -185,6 +187,7 @@
 // Main runs a router with the settings in a file until a signal ends it. wire returns the protocols of
 // the platform for the settings. Main returns errors of the settings file and of New.
 func Main(ctx context.Context, file string, wire func(s *Settings) *Wire) error {
+	reloads := notifyReloads()
 	var s Settings
 	if err := proc.Load(file, &s); err != nil {
 		return err
@@ -195,6 +198,7 @@
 	if err != nil {
 		return err
 	}
+	r.reloads = reloads
 	return r.Run(stages)
 }
 
