relay: Send the head of a stream with its first events

What callers saw: an endpoint that sent a good head and then nothing, or bytes that are no events, made their stream end with a closed connection and no head, at once, at the deadline or at the end of a planned stop.

Cause: the head counted as sent when it was handed to the HTTP server, which buffers it until the first events are flushed; a request whose answer has begun gets no error and no other endpoint. The head is handed over with the first events now. On the wire nothing changes where there are events.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -129,11 +129,9 @@
 // errLongEvent ends a stream with an event of more than maxEventSize bytes.
 var errLongEvent = errors.New("relay: an event is too long")
 
-// deliverStream passes on each event of a stream once it is complete.
+// deliverStream passes on each event of a stream once it is complete. The head goes with the first events: without any
+// the request can still be repeated, or answered with an error.
 func (x *run) deliverStream(a *Attempt, reply *Reply, t *attemptRecord, s *silenceTimer) error {
-	if !x.headSent {
-		x.sendHead(reply, -1)
-	}
 	flush := http.NewResponseController(x.w)
 	ev := eventSplitter{lastID: x.lastEvent}
 	buf := make([]byte, eventBufferSize)
@@ -153,7 +151,7 @@
 			lastRead = now
 			t.Received += n
 			s.eventReceived()
-			if werr := x.writeEvents(flush, ev.split(buf[:n])); werr != nil {
+			if werr := x.writeEvents(reply, flush, ev.split(buf[:n])); werr != nil {
 				return werr
 			}
 			x.lastEvent, t.Events = ev.lastID, ev.count
@@ -165,9 +163,14 @@
 		if ev.pendingBytes() > maxEventSize {
 			return errLongEvent
 		}
-		if err != nil {
-			return streamError(err, ev.pendingBytes())
+		if err == nil {
+			continue
+		}
+		err = streamError(err, ev.pendingBytes())
+		if err == nil && !x.headSent {
+			x.sendHead(reply, -1)
 		}
+		return err
 	}
 }
 
@@ -184,11 +187,15 @@
 	}
 }
 
-// writeEvents writes complete events to the caller and flushes its connection, if there are any.
-func (x *run) writeEvents(flush *http.ResponseController, out []byte) error {
+// writeEvents writes complete events to the caller, the first ones after the head of reply, and flushes its
+// connection, if there are any.
+func (x *run) writeEvents(reply *Reply, flush *http.ResponseController, out []byte) error {
 	if len(out) == 0 {
 		return nil
 	}
+	if !x.headSent {
+		x.sendHead(reply, -1)
+	}
 	if err := x.write(out); err != nil {
 		return err
 	}
