relay: Bound answers to 64 MiB, and test bytes without end from endpoints

What callers saw: bytes that are no answer and never end, sent as the body of an answer, were passed on until the deadline: 2.2 GB to one request in 2 s, 3.1 GB where a length was stated.

Cause: only the beginning of an answer was bounded. An answer of more than 64 MiB breaks off now, and one that states such a length is a failed answer from its head on: repeated elsewhere, or answered with 502.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -81,8 +81,18 @@
 // so that the request can be repeated if the answer ends early.
 const maxBuffered = 256 << 10
 
+// MaxAnswerBytes is the maximum size of an answer that is not a stream, in bytes. A longer one is broken off: an endpoint in
+// trouble may send bytes without end.
+const MaxAnswerBytes = 64 << 20
+
+// errLongAnswer ends an answer of more than MaxAnswerBytes.
+var errLongAnswer = errors.New("relay: the answer is too long")
+
 // deliverWhole passes on an answer that is not a stream.
 func (x *run) deliverWhole(reply *Reply, t *attemptRecord, s *silenceTimer) error {
+	if reply.Length > MaxAnswerBytes {
+		return errLongAnswer
+	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered))
 	t.Received = len(body)
 	if err != nil {
@@ -97,8 +107,12 @@
 	if err := x.write(body); err != nil {
 		return err
 	}
-	n, err := io.CopyBuffer(callerWriter{x}, struct{ io.Reader }{reply.Body}, make([]byte, copyBufferSize))
+	rest := io.LimitReader(reply.Body, int64(MaxAnswerBytes-len(body)+1))
+	n, err := io.CopyBuffer(callerWriter{x}, struct{ io.Reader }{rest}, make([]byte, copyBufferSize))
 	t.Received += int(n)
+	if err == nil && t.Received > MaxAnswerBytes {
+		return errLongAnswer
+	}
 	return err
 }
 
