relay: Answer a request whose goroutine panics

What callers would see of a fault of the router itself: a closed connection without an answer; the HTTP server recovers, and writes its line at a level that is not logged. Found while looking for other ways in which a request ends without a word; no such panic was seen.

The request is answered with 502 (it may have run), or cut if its answer has begun, and logged with the stack. TestPanicIsAnswered panicked before.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -28,6 +28,7 @@
 	e.active.add(active)
 	defer e.active.remove(active)
 	x := &run{e: e, r: r, w: w, active: active}
+	defer x.recoverPanic()
 	if err := x.readBody(ctx); err != nil {
 		x.refuse(err)
 		return
@@ -53,6 +54,25 @@
 	x.serve(ctx)
 }
 
+// recoverPanic answers a request whose goroutine panicked, unless an answer has begun. The HTTP server would close the
+// connection without an answer.
+func (x *run) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	x.e.Log.Error("relay: A request ended in a panic: it is answered with an error.", zap.String("request", x.r.ID), zap.Any("value", v), zap.Stack("stack"))
+	err := fault.New(fault.Internal, fault.MayHaveRun, "%s", fault.Internal.Answer().Advice)
+	if x.headSent {
+		x.log(x.e.Now(), 0, err)
+		panic(http.ErrAbortHandler)
+	}
+	x.refuse(err)
+}
+
 // readBody reads the body of the request. After an error the rest of it may still arrive on the caller's
 // connection, so that no other request can follow there.
 func (x *run) readBody(ctx context.Context) *fault.Error {
