relay: Tell endpoints and callers the end of a stop as early as it is known

- A request that ends for the stop is told so whatever it was doing, such as waiting for another router's grant.
- A stop of under 0.8 s answers in its last quarter; before, it refused all.
- TestStopTellsEndpointsItsDeadline: an endpoint that has not begun a request by the end of the stop says so, and its caller may repeat it (503).
- TestStopAnswersLateStreamsEarly: streams that would end too late are refused on arrival, and answered 2.5 s after the signal where they wait.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -81,9 +81,10 @@
 	// to serve; it is never reset.
 	startedAt   time.Time
 	initialized atomic.Bool
-	// stopDeadline is when a stopping router aborts the requests that are left. It is set before
-	// stopping is.
+	// stopDeadline is when a stopping router aborts the requests that are left, and answerAt when it
+	// answers those without the head of an answer. Both are set before stopping is.
 	stopDeadline time.Time
+	answerAt     time.Time
 	stoppedAt    time.Time
 	active       activeSet
 	logLimits    logLimits
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -319,6 +319,9 @@
 // answer has been sent already.
 func (x *run) fail(ctx context.Context, err *fault.Error) {
 	now := x.e.Now()
+	if s, stopped := stopReason(ctx); stopped && err.Kind != fault.Stopping {
+		err = x.stoppingError(s, err.Run)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && err.Kind != fault.DeadlinePassed {
 		err = fault.New(fault.DeadlinePassed, err.Run, "The time for the answer has passed: %s", err.Message)
 	}
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -17,6 +17,7 @@
 // still under way at abortAt will be aborted. It must be called only once.
 func (e *Engine) Stop(abortAt time.Time) {
 	e.stoppedAt, e.stopDeadline = e.Now(), abortAt
+	e.answerAt = abortAt.Add(-min(answerMargin, abortAt.Sub(e.stoppedAt)/4))
 	e.stopping.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -30,7 +31,8 @@
 	// the router accepts only requests that are certain to end in time.
 	StopGracePeriod = config.Span(2500 * time.Millisecond)
 	// answerMargin is how long before stopDeadline requests without the head of an answer are answered
-	// with an error: callers that are slow to read, or far, get it before the connection is closed.
+	// with an error, a quarter of the stop at most: callers that are slow to read, or far, get it before
+	// the connection is closed.
 	answerMargin = 200 * time.Millisecond
 	// proofMargin is how long before that an endpoint has to have begun a request that may not be
 	// repeated: if it has not, its answer is the only proof that it will not.
@@ -39,23 +41,19 @@
 	abortWriteTimeout = 50 * time.Millisecond
 )
 
-// answerBy returns when requests without the head of an answer are answered with an error. The router must be
-// stopping.
-func (e *Engine) answerBy() time.Time { return e.stopDeadline.Add(-answerMargin) }
-
-// refusesWhileStopping reports whether a stopping router refuses a request of the route, as it might not end before
-// stopDeadline, or is not expected to.
+// refusesWhileStopping reports whether a stopping router refuses a request of the route, as it might not end in time,
+// or is not expected to.
 func (e *Engine) refusesWhileStopping(route *Route, now time.Time) bool {
 	if !e.stopping.Load() {
 		return false
 	}
-	if !now.Before(e.answerBy()) {
+	if !now.Before(e.answerAt) {
 		return true
 	}
 	if !now.After(StopGracePeriod.After(e.stoppedAt)) {
 		return e.endsTooLate(route, now)
 	}
-	return route.Kind == Stream || route.Timeout.After(now).After(e.stopDeadline)
+	return route.Kind == Stream || route.Timeout.After(now).After(e.answerAt)
 }
 
 // endsTooLate reports whether a stream whose head came at now would be expected to end after stopDeadline.
@@ -103,7 +101,7 @@
 	switch {
 	case stage == StageAnswering:
 		return false
-	case !now.Before(e.answerBy()):
+	case !now.Before(e.answerAt):
 		return true
 	case !now.After(StopGracePeriod.After(e.stoppedAt)):
 		return false
@@ -143,7 +141,7 @@
 func (x *run) attemptDeadline() time.Time {
 	end, stopping := x.mustEndAt()
 	if stopping && !x.route.repeatable() {
-		return x.e.answerBy().Add(-proofMargin)
+		return x.e.answerAt.Add(-proofMargin)
 	}
 	return end
 }
