--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -89,7 +89,7 @@
 		}
 	})
 	for _, q := range late {
-		q.cancel(stopError{"it was not expected to end before the router does"})
+		q.cancel(stopError{"no answer is expected in time"})
 	}
 	return n
 }
