router: Abort 600 ms before the end of the grace period

Cause: the router got no processor time for the last half second of its stop. Its own log ends 0.7 s before; another router's log tells that it stood still for 1,334 ms to that moment. Ten routers stood still in that soak, for 507 to 1,494 ms, six of them for 718 ms at most.

The margin was 300 ms. It is 600 ms now, of which up to 300 ms are for aborted requests to end and for callers to read the last answers.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -297,19 +297,16 @@
 // time, and aborts the rest once the time for the stop has passed or stages.Kill is done. ctx is that of the tasks.
 func (r *Router) stop(ctx context.Context, stages proc.Stages) {
 	now := time.Now()
-	at := now
-	var signaled proc.Signaled
-	if errors.As(context.Cause(stages.Stop), &signaled) {
-		at = signaled.At
-	}
-	abortAt := r.settings.abortWithin().After(at)
+	signaled := proc.Signaled{At: now}
+	_ = errors.As(context.Cause(stages.Stop), &signaled)
+	abortAt := r.settings.abortWithin().After(signaled.At)
 	r.stopping.Store(true)
 	r.fleet.SetLeaving()
 	if r.duties != nil {
 		r.duties.stop()
 	}
 	r.Engine.Stop(abortAt)
-	r.Log.Info("router: Stopping.", append(r.Engine.StageFields(), zap.String("why", stageCause(stages.Stop)), zap.Int64("signalAgeMs", now.Sub(at).Milliseconds()),
+	r.Log.Info("router: Stopping.", append(r.Engine.StageFields(), zap.String("why", stageCause(stages.Stop)), zap.Int64("signalAgeMs", now.Sub(signaled.At).Milliseconds()),
 		zap.Int64("abortInMs", abortAt.Sub(now).Milliseconds()), zap.Int("underWay", r.Engine.ActiveRequests()))...)
 	r.tasks.Go(ctx, "removal of the registration", func(ctx context.Context) error {
 		err := r.wire.Unregister(ctx, r.unconditional())
@@ -318,7 +315,7 @@
 		}
 		return err
 	})
-	if r.drain(ctx, stages, balancerDrainDelay.After(now), abortAt) {
+	if r.drain(ctx, stages, now, abortAt) {
 		return
 	}
 	why := stageCause(stages.Kill)
@@ -334,9 +331,9 @@
 	_ = r.callers.Shutdown(flush)
 }
 
-// drain waits until all requests have ended and the connections of callers are closed, at the earliest at a time. It
-// reports false if that is not so by abortAt, or when stages.Kill is done.
-func (r *Router) drain(ctx context.Context, stages proc.Stages, earliest, abortAt time.Time) bool {
+// drain waits until all requests have ended and the connections of callers are closed, for balancerDrainDelay at least
+// after the stop began. It reports false if that is not so by abortAt, or when stages.Kill is done.
+func (r *Router) drain(ctx context.Context, stages proc.Stages, began, abortAt time.Time) bool {
 	// closed is nil until the server is being shut down.
 	var closed chan struct{}
 	poll := time.NewTicker(time.Duration(drainPollInterval))
@@ -344,8 +341,8 @@
 	for {
 		now := time.Now()
 		left := r.Engine.EndLate(now)
-		if closed == nil && left == 0 && now.After(earliest) {
-			r.Log.Info("router: All requests have ended.", zap.Int64("afterMs", now.Sub(earliest).Milliseconds()+time.Duration(balancerDrainDelay).Milliseconds()))
+		if closed == nil && left == 0 && now.After(balancerDrainDelay.After(began)) {
+			r.Log.Info("router: All requests have ended.", zap.Int64("afterMs", now.Sub(began).Milliseconds()))
 			closed = make(chan struct{})
 			r.tasks.Go(ctx, "shutdown", func(ctx context.Context) error {
 				defer close(closed)
@@ -400,11 +397,12 @@
 
 const (
 	// stopMargin is how long before Settings.StopWithin has passed a stopping router aborts the requests
-	// that are left. handlerEndTimeout and flushTimeout are parts of it: how long the router waits until the
-	// aborted requests have ended and been logged, and until their callers have read the last answers.
-	stopMargin        = config.Span(300 * time.Millisecond)
-	handlerEndTimeout = config.Span(120 * time.Millisecond)
-	flushTimeout      = config.Span(80 * time.Millisecond)
+	// that are left. A process on a busy machine gets no processor time for up to that long.
+	// handlerEndTimeout and flushTimeout are parts of it: how long the router waits until the aborted requests
+	// have ended and been logged, and until their callers have read the last answers.
+	stopMargin        = config.Span(600 * time.Millisecond)
+	handlerEndTimeout = config.Span(150 * time.Millisecond)
+	flushTimeout      = config.Span(150 * time.Millisecond)
 )
 
 // abortWithin returns how long after the signal a stopping router aborts the requests that are left: half of a time
