--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,13 +79,11 @@
 	return len(s.requests)
 }
 
-// each calls fn for each request. fn must be short.
-func (s *activeSet) each(fn func(q *activeRequest)) {
+// list returns the requests under way.
+func (s *activeSet) list() []*activeRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for q := range s.requests {
-		fn(q)
-	}
+	return slices.Collect(maps.Keys(s.requests))
 }
 
 // ActiveRequests returns the number of requests that are under way.
@@ -92,7 +92,9 @@
 // StageFields returns log fields with the number of requests under way in each stage.
 func (e *Engine) StageFields() []zap.Field {
 	var counts [stageCount]int
-	e.active.each(func(q *activeRequest) { counts[q.loadStage()]++ })
+	for _, q := range e.active.list() {
+		counts[q.loadStage()]++
+	}
 	fields := make([]zap.Field, stageCount)
 	for s, n := range counts {
 		fields[s] = zap.Int(Stage(s).String(), n)
@@ -106,14 +108,12 @@
 // LogLeft logs each request that is still under way as the process ends, as it will not reach its own line, at
 // most maxLeftLines. It returns the number of requests that it left out.
 func (e *Engine) LogLeft(why string) (unlogged int) {
-	now, n := e.Now(), 0
-	e.active.each(func(q *activeRequest) {
-		if n++; n <= maxLeftLines {
-			e.Log.Warn("relay: A request was left as the process ended.", zap.String("request", q.r.ID), zap.Stringer("stage", q.loadStage()), zap.String("why", why),
-				zap.Int64("tookMs", now.Sub(q.r.Arrived).Milliseconds()))
-		}
-	})
-	return max(n-maxLeftLines, 0)
+	left := e.active.list()
+	for _, q := range left[:min(len(left), maxLeftLines)] {
+		e.Log.Warn("relay: A request was left as the process ended.", zap.String("request", q.r.ID), zap.Stringer("stage", q.loadStage()), zap.String("why", why),
+			zap.Int64("tookMs", e.Now().Sub(q.r.Arrived).Milliseconds()))
+	}
+	return max(len(left)-maxLeftLines, 0)
 }
 
 // UnloggedStops returns how many requests that ended for the stop of the router were not logged, as there were too
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -80,18 +80,14 @@
 
 // EndLate ends the requests of a stopping router that can not end in time, or are not expected to, and have no head
 // of an answer. It returns the number of requests under way.
-func (e *Engine) EndLate(now time.Time) (n int) {
-	var late []*activeRequest
-	e.active.each(func(q *activeRequest) {
-		n++
+func (e *Engine) EndLate(now time.Time) int {
+	list := e.active.list()
+	for _, q := range list {
 		if e.isLate(q, now) {
-			late = append(late, q)
+			q.cancel(stopError{"no answer is expected in time"})
 		}
-	})
-	for _, q := range late {
-		q.cancel(stopError{"no answer is expected in time"})
 	}
-	return n
+	return len(list)
 }
 
 // isLate reports whether EndLate ends a request. Until StopGracePeriod has passed its caller may be sent to this
@@ -126,9 +122,7 @@
 // Abort ends all requests of a stopping router; why says why it does not wait for them. Answers that have begun are
 // cut, also where the caller does not read.
 func (e *Engine) Abort(why string) {
-	var all []*activeRequest
-	e.active.each(func(q *activeRequest) { all = append(all, q) })
-	for _, q := range all {
+	for _, q := range e.active.list() {
 		q.cancel(stopError{why})
 		if q.loadStage() == StageAnswering {
 			// Test writers have no deadlines.
