relay: Do not take a resumed stream for one that waits

The stage of a request went back to sent with each attempt, also where its answer had begun, and EndLate ends late streams in that stage. A request whose answer has begun stays in its stage now.

--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -18,8 +18,8 @@
 // Stage is what a request under way is waiting for.
 type Stage int32
 
-// The stages, in the order in which a request passes through them. A request whose attempt failed goes back from
-// StageSent to StageQueued.
+// The stages, in the order in which a request passes through them. A request whose attempt failed before the head of its
+// answer was sent goes back from StageSent to StageQueued.
 const (
 	StageReading   Stage = iota // the rest of its body
 	StageArrived                // the decision whether it is served
@@ -120,6 +120,14 @@
 // many.
 func (e *Engine) UnloggedStops() int64 { return e.logLimits.unloggedStops.Load() }
 
+// setStage sets the stage of the request, unless its answer has begun: it stays in StageAnswering then, also where
+// another endpoint goes on with it.
+func (x *run) setStage(s Stage) {
+	if !x.headSent {
+		x.active.setStage(s)
+	}
+}
+
 // stageField returns the log field of the stage in which a request failed.
 func (x *run) stageField(failed bool) zap.Field {
 	if !failed || x.active == nil {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -82,7 +82,7 @@
 func (x *run) serve(ctx context.Context) {
 	x.begin()
 	for {
-		x.active.setStage(StageQueued)
+		x.setStage(StageQueued)
 		x.awaitJudgement(ctx)
 		now := x.e.Now()
 		if !x.hasTimeLeft(now) {
@@ -126,7 +126,7 @@
 // attempt sends the request to an endpoint and handles the answer. It reports whether another
 // attempt follows.
 func (x *run) attempt(ctx context.Context, a *Attempt, t *attemptRecord) (next bool) {
-	x.active.setStage(StageSent)
+	x.setStage(StageSent)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer x.e.recordAttemptEnd(a)
