relay: Bound streams too, and continue none whose events have no ID

What callers saw: bytes that end like events and never end were passed on as a stream until its deadline, 300 MB in 2 s; and a stream that began with such bytes and broke off went on at another endpoint and looked complete, with their bytes before the answer.

Cause: the bound of 64 MiB held for whole answers alone; and a stream was resumed also where no event had told where to resume. Such a stream is cut now, and so is one that is too long.

TestEndlessAnswers/events/stream and /eventsInChunks/stream, and TestNoiseIsNotContinued/brokenOff, failed before (once) and pass now, -race.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -81,7 +81,7 @@
 // so that the request can be repeated if the answer ends early.
 const maxBuffered = 256 << 10
 
-// MaxAnswerBytes is the maximum size of an answer that is not a stream, in bytes. A longer one is broken off: an endpoint in
+// MaxAnswerBytes is the maximum size of the answer to one attempt, in bytes. A longer one is broken off: an endpoint in
 // trouble may send bytes without end.
 const MaxAnswerBytes = 64 << 20
 
@@ -174,8 +174,11 @@
 			}
 			x.e.awaitNext(a)
 		}
-		if ev.pendingBytes() > maxEventSize {
+		switch {
+		case ev.pendingBytes() > maxEventSize:
 			return errLongEvent
+		case t.Received > MaxAnswerBytes:
+			return errLongAnswer
 		}
 		if err == nil {
 			continue
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -287,7 +287,7 @@
 	if x.room.rejected {
 		return x.reoffer(ctx, err)
 	}
-	rules := tries.Rules{Repeatable: x.route.repeatable(), Resumable: x.route.resumable(), MaxAttempts: max(x.route.MaxAttempts, 1)}
+	rules := tries.Rules{Repeatable: x.route.repeatable(), Resumable: x.mayResume(err), MaxAttempts: max(x.route.MaxAttempts, 1)}
 	state := tries.State{Attempts: x.attempts, AnswerBegun: x.headSent, Finished: ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent)}
 	if len(x.records) >= maxTries || tries.Next(rules, state, err) == tries.Stop {
 		return false
@@ -301,6 +301,12 @@
 	return x.prepaid
 }
 
+// mayResume reports whether another endpoint may continue the answer, if it has begun, after an attempt that failed with
+// err. It must know which event the caller has, and an answer of too many bytes was none.
+func (x *run) mayResume(err *fault.Error) bool {
+	return x.route.resumable() && (!x.headSent || x.lastEvent != "" && !errors.Is(err.Cause, errLongAnswer))
+}
+
 // maxTries is the maximum number of attempts of a request, including those that never reached an
 // endpoint.
 const maxTries = 8
