relay, router: Refuse what arrives during an abort; log all that fails in a stop

Found on reading the change again: - After a second SIGINT, requests that arrived between the abort and the end of the listener were cut with a line only.

--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -116,8 +116,7 @@
 	return max(len(left)-maxLeftLines, 0)
 }
 
-// UnloggedStops returns how many requests that ended for the stop of the router were not logged, as there were too
-// many.
+// UnloggedStops returns how many requests that failed while the router stopped were not logged, as there were too many.
 func (e *Engine) UnloggedStops() int64 { return e.logLimits.unloggedStops.Load() }
 
 // setStage sets the stage of the request, unless its answer has begun: it stays in StageAnswering then, also where
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -73,8 +73,8 @@
 	stalls clock.StallDetector
 	limits atomic.Pointer[Limits]
 	table  atomic.Pointer[Table]
-	// stopping is set by Stop and never reset.
-	stopping atomic.Bool
+	// stopping is set by Stop, aborted by Abort. Neither is ever reset.
+	stopping, aborted atomic.Bool
 	// incarnation is a random number that identifies this start of the router.
 	incarnation uint64
 	// startedAt is when the router started. initialized says that it has received all that it needs
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -10,8 +10,6 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
-
-	"github.com/traildrift/traildrift/pkg/fault"
 )
 
 // metrics holds the metrics of the package.
@@ -76,7 +74,8 @@
 // logLimits limits the rate of log lines. For a request either all lines are logged or none.
 type logLimits struct {
 	ended, failed *rate.Limiter
-	// stopped limits requests that ended for the stop of the router. unloggedStops counts those left out.
+	// stopped limits requests that failed while the router stopped, beyond those that failed allows.
+	// unloggedStops counts those left out.
 	stopped       *rate.Limiter
 	unloggedStops atomic.Int64
 	// crashes limits requests that are logged for a crash of their endpoint.
@@ -91,8 +90,8 @@
 	// a second.
 	endedLogsPerSecond  = 60
 	failedLogsPerSecond = 60
-	// maxStopLogs is the maximum number of requests that one router logs as ended for its stop. As each has
-	// two lines in most cases, it is less than half of the lines that wait for the output.
+	// maxStopLogs is the maximum number of failed requests that one router logs in its stop beyond
+	// failedLogsPerSecond. Their lines, two for most, fit the queue of the logger.
 	maxStopLogs = 800
 	// crashLogsPerSecond is the maximum number of requests a second that are logged for a crash of
 	// their endpoint: as many as three busy endpoints run.
@@ -110,14 +109,14 @@
 	l.crashes = rate.NewLimiter(crashLogsPerSecond, crashLogsPerSecond)
 }
 
-// allow reports whether a request that ended with err, nil for a whole answer, is logged.
-func (l *logLimits) allow(now time.Time, err *fault.Error) bool {
+// allow reports whether the lines of a request are logged that ended at now.
+func (l *logLimits) allow(now time.Time, failed, stopping bool) bool {
 	switch {
-	case err == nil:
+	case !failed:
 		return l.ended.AllowN(now, 1)
 	case l.failed.AllowN(now, 1):
 		return true
-	case err.Kind != fault.Stopping:
+	case !stopping:
 		return false
 	case l.stopped.AllowN(now, 1):
 		return true
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -29,6 +29,12 @@
 	defer e.active.remove(active)
 	x := &run{e: e, r: r, w: w, active: active}
 	defer x.recoverPanic()
+	if e.aborted.Load() {
+		// Abort may have listed the requests before this one was added.
+		x.closeConn = true
+		x.refuse(x.stoppingError(stopError{"it is about to end"}, fault.NotRun))
+		return
+	}
 	if err := x.readBody(ctx); err != nil {
 		x.refuse(err)
 		return
@@ -134,7 +140,7 @@
 	if route == nil {
 		return nil, nil, denied(known, fault.NotFound, now, "No route of this host begins the path.")
 	}
-	if e.refusesWhileStopping(route, now) {
+	if e.refusesWhileStopping(route, r, now) {
 		return route, nil, fault.New(fault.Stopping, fault.NotRun, "The router is stopping.").WithRetryAt(now)
 	}
 	if !t.RequiresKey() || route.Anonymous {
@@ -222,7 +228,7 @@
 	e.metrics.count("requests", name, kind)
 	x.countMoved(err)
 	e.metrics.time("request", name, now.Sub(x.r.Arrived))
-	if !e.logLimits.allow(now, err) {
+	if !e.logLimits.allow(now, err != nil, e.stopping.Load()) {
 		e.metrics.count("unlogged_requests", name, kind)
 		return
 	}
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -43,7 +43,7 @@
 
 // refusesWhileStopping reports whether a stopping router refuses a request of the route, as it might not end in time,
 // or is not expected to.
-func (e *Engine) refusesWhileStopping(route *Route, now time.Time) bool {
+func (e *Engine) refusesWhileStopping(route *Route, r *Request, now time.Time) bool {
 	if !e.stopping.Load() {
 		return false
 	}
@@ -51,14 +51,15 @@
 		return true
 	}
 	if !now.After(StopGracePeriod.After(e.stoppedAt)) {
-		return e.endsTooLate(route, now)
+		return e.endsTooLate(route, r, now)
 	}
 	return route.Kind == Stream || route.Timeout.After(now).After(e.answerAt)
 }
 
-// endsTooLate reports whether a stream whose head came at now would be expected to end after stopDeadline.
-func (e *Engine) endsTooLate(route *Route, now time.Time) bool {
-	if route.Kind != Stream {
+// endsTooLate reports whether a stream whose head came at now would be expected to end after stopDeadline. Of a stream
+// that its caller resumes it is not known how much is left.
+func (e *Engine) endsTooLate(route *Route, r *Request, now time.Time) bool {
+	if route.Kind != Stream || r.LastEvent != "" {
 		return false
 	}
 	e.mu.Lock()
@@ -78,7 +79,7 @@
 	return s, ok
 }
 
-// EndLate ends the requests of a stopping router that can not end in time, or are not expected to, and have no head
+// EndLate ends the requests of a stopping router that cannot end in time, or are not expected to, and have no head
 // of an answer. It returns the number of requests under way.
 func (e *Engine) EndLate(now time.Time) int {
 	list := e.active.list()
@@ -111,17 +112,18 @@
 	case route == nil:
 		return false
 	case stage == StageReading:
-		return e.refusesWhileStopping(route, now)
+		return e.refusesWhileStopping(route, q.r, now)
 	case stage == StageSent && !route.repeatable():
 		return false
 	default:
-		return e.endsTooLate(route, now)
+		return e.endsTooLate(route, q.r, now)
 	}
 }
 
-// Abort ends all requests of a stopping router; why says why it does not wait for them. Answers that have begun are
-// cut, also where the caller does not read.
+// Abort ends all requests of a stopping router, and refuses those that still arrive; why says why it does not wait for
+// them. Answers that have begun are cut, also where the caller does not read.
 func (e *Engine) Abort(why string) {
+	e.aborted.Store(true)
 	for _, q := range e.active.list() {
 		q.cancel(stopError{why})
 		if q.loadStage() == StageAnswering {
@@ -131,10 +133,10 @@
 	}
 }
 
-// attemptDeadline returns the deadline of an attempt that is sent now.
+// attemptDeadline returns the deadline of an attempt that is sent now. A stream may go on until the router ends.
 func (x *run) attemptDeadline() time.Time {
 	end, stopping := x.mustEndAt()
-	if stopping && !x.route.repeatable() {
+	if stopping && !x.route.repeatable() && x.route.Kind != Stream {
 		return x.e.answerAt.Add(-proofMargin)
 	}
 	return end
