--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -112,7 +112,7 @@
 
 const (
 	// stopMargin is how long before Settings.StopWithin has passed a stopping router aborts the requests
-	// that are left. A process on a busy machine gets no processor time for up to that long.
+	// that are left. It includes times for which a busy machine does not run the process.
 	// handlerEndTimeout and flushTimeout are parts of it: how long the router waits until the aborted requests
 	// have ended and been logged, and until their callers have read the last answers.
 	stopMargin        = config.Span(600 * time.Millisecond)
