--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -40,7 +40,7 @@
 	stage atomic.Int32
 	// cancel ends the request.
 	cancel context.CancelCauseFunc
-	// control is that of the caller's connection.
+	// control sets the deadlines of the caller's connection.
 	control *http.ResponseController
 }
 
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -34,8 +34,8 @@
 	// with an error, a quarter of the stop at most: callers that are slow to read, or far, get it before
 	// the connection is closed.
 	answerMargin = 200 * time.Millisecond
-	// proofMargin is how long before that an endpoint has to have begun a request that may not be
-	// repeated: if it has not, its answer is the only proof that it will not.
+	// proofMargin is how long before answerAt the deadline of an attempt is that may not be repeated: an
+	// endpoint that has not begun it by then says so, in time for the caller to hear that it did not run.
 	proofMargin = 100 * time.Millisecond
 	// abortWriteTimeout is how long a caller that does not read holds up an abort.
 	abortWriteTimeout = 50 * time.Millisecond
@@ -127,7 +127,7 @@
 	for _, q := range e.active.list() {
 		q.cancel(stopError{why})
 		if q.loadStage() == StageAnswering {
-			// Test writers have no deadlines.
+			// It fails only where there is no connection any more, or none at all, as in tests.
 			_ = q.control.SetWriteDeadline(time.Now().Add(abortWriteTimeout))
 		}
 	}
