--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -26,7 +26,7 @@
 		deliverErr = x.deliverWhole(reply, t, s)
 	}
 	if deliverErr == nil {
-		t.Outcome = "delivered"
+		t.Outcome = outcomeDelivered
 		x.e.recordStreamTime(x.route, x.e.Now().Sub(began))
 		x.e.addCompletion(a)
 		x.e.recordCompleted(a, reply)
@@ -96,10 +96,12 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered))
 	t.Received = len(body)
 	if err != nil {
+		t.BodyEnd = bodyEndOf(reply, err)
 		return err
 	}
 	s.stop()
 	if len(body) < maxBuffered {
+		t.BodyEnd = bodyEndOf(reply, nil)
 		x.sendHead(reply, int64(len(body)))
 		return x.write(body)
 	}
@@ -113,6 +115,7 @@
 	if err == nil && t.Received > MaxAnswerBytes {
 		return errLongAnswer
 	}
+	t.BodyEnd = bodyEndOf(reply, err)
 	return err
 }
 
@@ -169,6 +172,7 @@
 				return werr
 			}
 			x.lastEvent, t.Events = ev.lastID, ev.count
+			t.FirstEvent, t.LastEvent = ev.firstID, ev.lastID
 			if w.add(now, ev.count, err == nil) {
 				return errMoved
 			}
@@ -183,6 +187,7 @@
 		if err == nil {
 			continue
 		}
+		t.BodyEnd = bodyEndOf(reply, err)
 		err = streamError(err, ev.pendingBytes())
 		if err == nil && !x.headSent {
 			x.sendHead(reply, -1)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -14,6 +14,8 @@
 	// lastID is the ID of the last complete event; empty before the first. An event whose number is
 	// not greater is dropped.
 	lastID string
+	// firstID is the ID of the first event that split has returned; empty before, or if it had none.
+	firstID string
 	// count is the number of events that split has returned.
 	count int
 	buf   []byte
@@ -34,6 +36,9 @@
 		id, ok := eventID(event)
 		if !ok || !alreadySent(id, s.lastID) {
 			out = append(out, event...)
+			if s.count == 0 {
+				s.firstID = id
+			}
 			s.count++
 			if ok {
 				s.lastID = id
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -80,6 +80,8 @@
 	unloggedStops atomic.Int64
 	// crashes limits requests that are logged for a crash of their endpoint.
 	crashes *rate.Limiter
+	// unannounced limits requests that ended as endsUnannounced tells, beyond those that the others allow.
+	unannounced *rate.Limiter
 	// notices limits changes in the notices of endpoints.
 	notices *rate.Limiter
 }
@@ -105,6 +107,7 @@
 	l.ended = rate.NewLimiter(endedLogsPerSecond, endedLogsPerSecond)
 	l.failed = rate.NewLimiter(failedLogsPerSecond, failedLogsPerSecond)
 	l.stopped = rate.NewLimiter(0, maxStopLogs)
+	l.unannounced = rate.NewLimiter(endedLogsPerSecond, endedLogsPerSecond)
 	l.notices = rate.NewLimiter(noticeLogsPerSecond, noticeLogsPerSecond)
 	l.crashes = rate.NewLimiter(crashLogsPerSecond, crashLogsPerSecond)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -215,8 +215,13 @@
 	HeadMillis int64
 	// PauseMillis is the longest time between two reads of a stream, in milliseconds.
 	PauseMillis int64
-	// Events is the number of events that were passed on.
-	Events int
+	// Events is the number of events that were passed on, FirstEvent and LastEvent the IDs of the first and the
+	// last of them; empty if there are none.
+	Events                int
+	FirstEvent, LastEvent string
+	// Framing is the end of the body that the head of the Reply announced, BodyEnd the end that came. Both are
+	// empty without a Reply.
+	Framing, BodyEnd bodyEnd
 	// Pace is the shortest of the first times between reads of the stream; 0 if there were fewer of
 	// them than needed.
 	Pace time.Duration
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -75,6 +75,9 @@
 // outcomeSilent is the outcome of an attempt that was ended for its endpoint's silence.
 const outcomeSilent = "silent"
 
+// outcomeDelivered is the outcome of an attempt whose answer the caller was sent whole.
+const outcomeDelivered = "delivered"
+
 // errSilent is the cause of ending an attempt whose endpoint sent nothing for too long.
 var errSilent = errors.New("relay: the endpoint sent nothing within the silence timeout")
 
@@ -141,7 +144,7 @@
 		return x.handleFailure(ctx, a, t, fault.From(sendErr, fault.MayHaveRun))
 	}
 	defer func() { _ = reply.Body.Close() }()
-	t.Status, t.Confidence = reply.Status, reply.Confidence
+	t.Status, t.Confidence, t.Framing = reply.Status, reply.Confidence, reply.framing()
 	x.e.recordHead(a, t, reply, now)
 	x.room.rejected = a.rejected
 	err := x.checkHead(reply)
