relay: Announce no end that the endpoint has not announced, and confirm that the endpoint outlived one

Cause: an answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a killed process in the same way, and the router took that for the end of the answer, which it then announced itself: it gave the caller's answer chunks or a length.

Change: such an answer has neither a length nor chunks at its caller. While it is under way the caller's connection is set to end with a reset, also if the router is killed or aborts it, as its closing would look like the end. The caller is told the end only once the endpoint was found alive after it: its health check answers, or a connection opened after the end stays open. All ends at an endpoint share the next check, so that there is one at a time. Otherwise the answer has broken off: it is repeated or resumed where that is allowed, or reset. A caller who was promised chunks is not told the end of a rest that has none; another endpoint goes on, and if there is none the stream is cut.

Why it works: who is dead does not answer, and who is alive has closed the connection himself. That an endpoint that lives has sent all is its own word, which the caller gets as it was given.

--- /dev/null
+++ b/internal/relay/alive.go
@@ -0,0 +1,148 @@
+// Copyright 2026 The traildrift authors.
+// SPDX-License-Identifier: BSD-3-Clause
+
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/traildrift/traildrift/pkg/pool"
+)
+
+// Liveness is what is known of the process of an endpoint.
+type Liveness string
+
+// The states. The kernel closes the connections of a process that is killed, in the same way as the process closes one
+// whose answer has ended.
+const (
+	LivenessUnknown Liveness = "unknown"
+	// Alive says that the process answered, or held a connection, after the check began.
+	Alive Liveness = "alive"
+	// Ended says that nothing listens at the address, or another process does.
+	Ended Liveness = "ended"
+)
+
+// CheckAlive checks whether the process of an endpoint is alive, until ctx is done. path is that of the service's health
+// check.
+type CheckAlive func(ctx context.Context, p pool.Entry, path string) Liveness
+
+const (
+	// aliveTimeout limits a check, for which the end of an answer waits. An endpoint that lives answers within the
+	// time of a round trip or two.
+	aliveTimeout = 500 * time.Millisecond
+	// defaultHealthPath is the path of the health check of a service whose configuration names none.
+	defaultHealthPath = "/health"
+)
+
+// errEndUnconfirmed ends an answer without an announced end of whose endpoint it is not known that it outlived the
+// answer.
+var errEndUnconfirmed = errors.New("relay: the connection was closed, and the endpoint was not heard of since")
+
+// errEndUnannounced ends a stream whose caller was promised an announced end, if the endpoint that went on with it has
+// announced none.
+var errEndUnannounced = errors.New("relay: the rest of the stream has no announced end")
+
+// confirmEnd returns nil if the caller may be told the end of an answer that was read to its end: the endpoint has
+// announced it, or, where neither it nor the head that the caller has announces an end, the endpoint outlived it.
+func (x *run) confirmEnd(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord) error {
+	if !reply.Unframed {
+		return nil
+	}
+	if x.headSent && x.told != endConnection {
+		return errEndUnannounced
+	}
+	t.Liveness = x.e.checkAlive(ctx, a)
+	x.e.metrics.count("unannounced_ends", x.route.Name, string(t.Liveness))
+	if t.Liveness != Alive {
+		return errEndUnconfirmed
+	}
+	return nil
+}
+
+// checkAlive checks whether the endpoint of an attempt outlives the call. It ends within twice aliveTimeout.
+func (e *Engine) checkAlive(ctx context.Context, a *Attempt) Liveness {
+	path := defaultHealthPath
+	if t := e.table.Load(); t != nil {
+		path = t.healthPath(a.Endpoint.Service)
+	}
+	return e.aliveChecks.do(ctx, a.hash, func() Liveness {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), aliveTimeout)
+		defer cancel()
+		return e.CheckAlive(ctx, a.Endpoint, path)
+	})
+}
+
+// aliveChecks runs one check at a time of each endpoint. All callers that come while one is running share the next,
+// which begins after they came. The zero value is ready to use.
+type aliveChecks struct {
+	mu sync.Mutex
+	// running and next hold checks by the endpoint's hash.
+	running, next map[uint64]*aliveCheck
+}
+
+// aliveCheck is a check of an endpoint.
+type aliveCheck struct {
+	// done is closed when result is set.
+	done   chan struct{}
+	result Liveness
+}
+
+// do returns the result of a check that begins after the call; LivenessUnknown if ctx ends before.
+func (l *aliveChecks) do(ctx context.Context, hash uint64, check func() Liveness) Liveness {
+	l.mu.Lock()
+	if l.running == nil {
+		l.running, l.next = make(map[uint64]*aliveCheck), make(map[uint64]*aliveCheck)
+	}
+	c := l.next[hash]
+	if c != nil {
+		l.mu.Unlock()
+		select {
+		case <-c.done:
+			return c.result
+		case <-ctx.Done():
+			return LivenessUnknown
+		}
+	}
+	c = &aliveCheck{done: make(chan struct{}), result: LivenessUnknown}
+	before := l.running[hash]
+	if before == nil {
+		l.running[hash] = c
+	} else {
+		l.next[hash] = c
+	}
+	l.mu.Unlock()
+	defer l.end(hash, c)
+	if before != nil {
+		// Others share this check, so that it is run also if ctx ends.
+		<-before.done
+		l.mu.Lock()
+		l.running[hash] = c
+		delete(l.next, hash)
+		l.mu.Unlock()
+	}
+	c.result = check()
+	return c.result
+}
+
+// end publishes the result of a check.
+func (l *aliveChecks) end(hash uint64, c *aliveCheck) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running[hash] == c {
+		delete(l.running, hash)
+	}
+	close(c.done)
+}
+
+// livenessField returns the log field of what was found of an endpoint; it is skipped if that was not checked.
+func livenessField(l Liveness) zap.Field {
+	if l == "" {
+		return zap.Skip()
+	}
+	return zap.String("endpointAfter", string(l))
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -21,11 +21,12 @@
 	var deliverErr error
 	began := x.e.Now()
 	if x.route.Kind == Stream && reply.Status < 300 {
-		deliverErr = x.deliverStream(a, reply, t, s)
+		deliverErr = x.deliverStream(ctx, a, reply, t, s)
 	} else {
-		deliverErr = x.deliverWhole(reply, t, s)
+		deliverErr = x.deliverWhole(ctx, a, reply, t, s)
 	}
 	if deliverErr == nil {
+		x.setReset(false)
 		t.Outcome = outcomeDelivered
 		x.e.recordStreamTime(x.route, x.e.Now().Sub(began))
 		x.e.addCompletion(a)
@@ -44,6 +45,9 @@
 		x.fail(ctx, x.abandonReason(ctx, fault.MayHaveRun))
 		return false
 	}
+	if errors.Is(deliverErr, errEndUnannounced) {
+		return x.resumeUnannounced(ctx, a, t, reply)
+	}
 	if isCallerGone(deliverErr) {
 		t.Outcome = "caller left"
 		x.log(x.e.Now(), reply.Status, fault.New(fault.CallerGone, fault.MayHaveRun, "The caller has left."))
@@ -52,6 +56,28 @@
 	return x.handleFailure(ctx, a, t, fault.New(fault.EndpointLost, fault.MayHaveRun, "The answer broke off.").WithCause(deliverErr))
 }
 
+// resumeUnannounced handles a rest of a stream that was read to an end that the caller can not be told. The endpoint has
+// done its work, but only another one may announce the end. It reports whether another attempt follows.
+func (x *run) resumeUnannounced(ctx context.Context, a *Attempt, t *attemptRecord, reply *Reply) (next bool) {
+	t.Outcome = "end not announced"
+	x.mayHaveRun = true
+	x.e.recordCompleted(a, reply)
+	t.Err = fault.New(fault.EndpointFailed, fault.Ran, "The rest of the stream has no announced end.").WithCause(errEndUnannounced)
+	if x.retry(ctx, t.Err) {
+		return true
+	}
+	x.fail(ctx, t.Err)
+	return false
+}
+
+// setReset sets whether the caller's connection ends with a reset. Until an answer that ends with its connection is
+// whole, it does: the caller would take any other end for that of the answer.
+func (x *run) setReset(on bool) {
+	if x.told == endConnection && x.r.SetReset != nil {
+		x.r.SetReset(on)
+	}
+}
+
 // callerGoneError is an error of writing to the caller.
 type callerGoneError struct{ error }
 
@@ -60,7 +86,8 @@
 	return ok
 }
 
-// sendHead sends the head of an answer to the caller. length is that of the body in bytes, or -1.
+// sendHead sends the head of an answer to the caller. length is that of the body in bytes, or -1. The head announces no
+// end that the endpoint has not announced.
 func (x *run) sendHead(reply *Reply, length int64) {
 	h := x.w.Header()
 	maps.Copy(h, reply.Header)
@@ -68,9 +95,19 @@
 		h["Content-Type"] = nil // keeps net/http from guessing a type
 	}
 	h.Del("Content-Length")
-	if length >= 0 {
+	switch {
+	case reply.Unframed:
+		x.told = endConnection
+		h.Set("Transfer-Encoding", "identity") // keeps net/http from adding a length or chunks
+	case length >= 0:
+		x.told = endLength
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	case x.r.NoChunks:
+		x.told = endConnection
+	default:
+		x.told = endLastChunk
 	}
+	x.setReset(true)
 	x.closeWhenNeeded()
 	x.active.setStage(StageAnswering)
 	x.headSent, x.headAt = true, x.e.Now()
@@ -89,7 +126,7 @@
 var errLongAnswer = errors.New("relay: the answer is too long")
 
 // deliverWhole passes on an answer that is not a stream.
-func (x *run) deliverWhole(reply *Reply, t *attemptRecord, s *silenceTimer) error {
+func (x *run) deliverWhole(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord, s *silenceTimer) error {
 	if reply.Length > MaxAnswerBytes {
 		return errLongAnswer
 	}
@@ -102,6 +139,9 @@
 	s.stop()
 	if len(body) < maxBuffered {
 		t.BodyEnd = bodyEndOf(reply, nil)
+		if err := x.confirmEnd(ctx, a, reply, t); err != nil {
+			return err
+		}
 		x.sendHead(reply, int64(len(body)))
 		return x.write(body)
 	}
@@ -116,7 +156,10 @@
 		return errLongAnswer
 	}
 	t.BodyEnd = bodyEndOf(reply, err)
-	return err
+	if err != nil {
+		return err
+	}
+	return x.confirmEnd(ctx, a, reply, t)
 }
 
 // callerWriter writes to the caller and returns a callerGoneError on failure.
@@ -148,7 +191,7 @@
 
 // deliverStream passes on each event of a stream once it is complete. The head goes with the first events: without any
 // the request can still be repeated, or answered with an error.
-func (x *run) deliverStream(a *Attempt, reply *Reply, t *attemptRecord, s *silenceTimer) error {
+func (x *run) deliverStream(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord, s *silenceTimer) error {
 	flush := http.NewResponseController(x.w)
 	ev := eventSplitter{lastID: x.lastEvent}
 	buf := make([]byte, eventBufferSize)
@@ -188,11 +231,17 @@
 			continue
 		}
 		t.BodyEnd = bodyEndOf(reply, err)
-		err = streamError(err, ev.pendingBytes())
-		if err == nil && !x.headSent {
+		if err := streamError(err, ev.pendingBytes()); err != nil {
+			return err
+		}
+		s.stop()
+		if err := x.confirmEnd(ctx, a, reply, t); err != nil {
+			return err
+		}
+		if !x.headSent {
 			x.sendHead(reply, -1)
 		}
-		return err
+		return nil
 	}
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -43,6 +43,8 @@
 	SendTrialReport    func(r roll.Report)
 	// CheckEnded reports whether the process of an endpoint has ended.
 	CheckEnded CheckEnded
+	// CheckAlive checks whether the process of an endpoint is alive.
+	CheckAlive CheckAlive
 	// Quarantines sends other routers reports on requests that crash endpoints.
 	Quarantines QuarantineHooks
 	// Notifier sends other routers the notices that endpoints gave about themselves.
@@ -91,6 +93,7 @@
 	// failureReports limits the rate of failure reports to other routers.
 	failureReports *rate.Limiter
 	metrics        metrics
+	aliveChecks    aliveChecks
 
 	// silenceUsed is closed, by startSilence, once silence is looked for.
 	silenceUsed chan struct{}
@@ -187,6 +190,7 @@
 		Boot:               clock.Boot,
 		OnRequestStarted:   func(string, time.Time) {},
 		CheckEnded:         func(context.Context, pool.Entry) (gone, known bool) { return false, true },
+		CheckAlive:         func(context.Context, pool.Entry, string) Liveness { return Alive },
 		budgets:            make(map[string]*budget.Window),
 		headTimes:          make(map[string]*timeMean),
 		readSpeeds:         make(map[string]*readSpeed),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -51,6 +51,12 @@
 	ArrivedBoot time.Duration
 	// Deadline is when the caller stops waiting; zero if it sent none.
 	Deadline time.Time
+	// NoChunks says that the caller's protocol has no chunks, so that an answer of unknown length ends with its
+	// connection.
+	NoChunks bool
+	// SetReset makes the caller's connection end with a reset, also if the process is killed, or no more; nil if it can
+	// not.
+	SetReset func(on bool)
 	// fingerprint identifies the request and its repeats. It is computed on first use and zero
 	// before.
 	fingerprint poison.Fingerprint
@@ -222,6 +228,8 @@
 	// Framing is the end of the body that the head of the Reply announced, BodyEnd the end that came. Both are
 	// empty without a Reply.
 	Framing, BodyEnd bodyEnd
+	// Liveness is what was found of the endpoint after an unannounced end; empty if that was not checked.
+	Liveness Liveness
 	// Pace is the shortest of the first times between reads of the stream; 0 if there were fewer of
 	// them than needed.
 	Pace time.Duration
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -50,8 +50,9 @@
 	counted bool
 	// closeConn says that the caller's connection is closed after the answer.
 	closeConn bool
-	// headSent says that a head was sent to the caller; it is never reset.
+	// headSent says that a head was sent to the caller; it is never reset. told is the end that it announced.
 	headSent bool
+	told     bodyEnd
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	// headAt is when a head was sent to the caller; zero before.
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -78,6 +78,18 @@
 	// WarmupRate is how many requests a second an endpoint can take while it warms up; 0 if it can
 	// take as many as later.
 	WarmupRate float64
+	// HealthPath is the path of the endpoints' health check; empty for defaultHealthPath.
+	HealthPath string
+}
+
+// healthPath returns the path of the health check of a service's endpoints.
+func (t *Table) healthPath(service string) string {
+	for i := range t.Services {
+		if s := &t.Services[i]; s.Name == service && s.HealthPath != "" {
+			return s.HealthPath
+		}
+	}
+	return defaultHealthPath
 }
 
 // Cost is what a model's token costs that is read (Input) or generated (Output), in the same money
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -50,14 +50,34 @@
 		MaxHeaderBytes:    b.MaxHeader,
 		ErrorLog:          logs.NewStdLog(r.Log, "callers"),
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 }
 
+// connKey is the context key of a caller's connection.
+type connKey struct{}
+
+// setReset sets whether the connection of a request ends with a reset, also if the process is killed.
+func setReset(q *http.Request, on bool) {
+	c, ok := q.Context().Value(connKey{}).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := -1
+	if on {
+		linger = 0
+	}
+	// It fails only on a connection that has ended.
+	_ = c.SetLinger(linger)
+}
+
 // serveCaller passes a request to the engine, which reads its body.
 func (r *Router) serveCaller(w http.ResponseWriter, q *http.Request) {
 	now, boot := r.Engine.Now(), r.Engine.Boot()
 	request := r.wire.Request(q, now)
 	request.ArrivedBoot = boot
+	request.NoChunks = !q.ProtoAtLeast(1, 1)
+	request.SetReset = func(on bool) { setReset(q, on) }
 	if q.ContentLength != 0 {
 		request.ReadBody = func(ctx context.Context) (err *fault.Error) {
 			request.Body, err = r.readBody(ctx, w, q)
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -56,6 +56,8 @@
 	Send relay.Send
 	// Gone reports whether the process of an endpoint has ended.
 	Gone relay.CheckEnded
+	// Alive checks whether the process of an endpoint is alive.
+	Alive relay.CheckAlive
 	// Duties makes the calls for the duties that one VM at a time performs.
 	Duties DutyWire
 	// ContentionRule is the name in Settings.Rules that says that callers compete for endpoints; empty
