relay: Resume streams only with answers that continue them

A stream that broke off went on with whatever the next endpoint answered: of a 204 or a 206, of a 404 with its body, of events without IDs, which the caller may have already. It was then told complete.

Cause: the head of a resumption was checked as that of a first answer. Change: one with another status than the caller's head, and events without an ID in a resumed stream, are failures of the attempt: another endpoint goes on, or the stream is cut. A difference of the media type is no reason: an endpoint may name none, and what holds no events can not end a stream.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -107,6 +107,7 @@
 	default:
 		x.told = endLastChunk
 	}
+	x.status = reply.Status
 	x.setReset(true)
 	x.closeWhenNeeded()
 	x.active.setStage(StageAnswering)
@@ -189,11 +190,14 @@
 // errLongEvent ends a stream with an event of more than maxEventSize bytes.
 var errLongEvent = errors.New("relay: an event is too long")
 
+// errNoEventID ends a resumed stream with an event that has no ID, so that the caller may have it already.
+var errNoEventID = errors.New("relay: an event of a resumed stream has no ID")
+
 // deliverStream passes on each event of a stream once it is complete. The head goes with the first events: without any
 // the request can still be repeated, or answered with an error.
 func (x *run) deliverStream(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord, s *silenceTimer) error {
 	flush := http.NewResponseController(x.w)
-	ev := eventSplitter{lastID: x.lastEvent}
+	ev := eventSplitter{lastID: x.lastEvent, resumed: x.headSent}
 	buf := make([]byte, eventBufferSize)
 	lastRead := x.e.Now()
 	var p pace
@@ -222,6 +226,8 @@
 			x.e.awaitNext(a)
 		}
 		switch {
+		case ev.lacksID:
+			return errNoEventID
 		case ev.pendingBytes() > maxEventSize:
 			return errLongEvent
 		case t.Received > MaxAnswerBytes:
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -19,6 +19,9 @@
 	// count is the number of events that split has returned.
 	count int
 	buf   []byte
+	// resumed says that the stream goes on with one of another endpoint: its events need IDs. lacksID says that one
+	// had none; split returns no more events then.
+	resumed, lacksID bool
 }
 
 // split adds b to the stream and returns the events that are complete now. It leaves out events
@@ -29,11 +32,14 @@
 	out := s.buf[:0:0]
 	for {
 		n := eventEnd(s.buf)
-		if n < 0 {
+		if n < 0 || s.lacksID {
 			return out
 		}
 		event := s.buf[:n]
 		id, ok := eventID(event)
+		if s.lacksID = s.resumed && !ok; s.lacksID {
+			return out
+		}
 		if !ok || !alreadySent(id, s.lastID) {
 			out = append(out, event...)
 			if s.count == 0 {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -50,9 +50,11 @@
 	counted bool
 	// closeConn says that the caller's connection is closed after the answer.
 	closeConn bool
-	// headSent says that a head was sent to the caller; it is never reset. told is the end that it announced.
+	// headSent says that a head was sent to the caller; it is never reset. told is the end that it announced, status its
+	// status.
 	headSent bool
 	told     bodyEnd
+	status   int
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	// headAt is when a head was sent to the caller; zero before.
@@ -211,6 +213,8 @@
 		return fault.New(fault.EndpointFailed, fault.MayHaveRun, "The endpoint refused with status %d without proof.", reply.Status)
 	case failedAnswer(reply.Status):
 		return fault.New(fault.EndpointFailed, fault.Ran, "The endpoint failed with status %d.", reply.Status)
+	case x.headSent && reply.Status != x.status:
+		return fault.New(fault.EndpointFailed, fault.MayHaveRun, "The endpoint answered the resumption with status %d.", reply.Status)
 	default:
 		return nil
 	}
