guard: Take an unannounced end of a service's answer for whole only if the service outlives it

The same class as in the relay: an answer with neither a length nor chunks of a service that ends with it was whole, at any byte; the entry passed it on with a length. TestCutAnswersOfServicesAreNotWhole failed for all 13 lengths of that row, and passes; cut answers with a length or chunks were told from whole ones before, at each byte. The check takes 10 ms on the endpoint's own VM. Answers of engines show in themselves whether they are whole, and are not affected.

--- a/internal/guard/endpoint.go
+++ b/internal/guard/endpoint.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -227,7 +228,32 @@
 		return engineRefusal(status, resp)
 	}
 	b.SetHead(0, stream.Head{Status: status, ContentType: string(resp.Header.ContentType()), Model: w.Model, Version: w.Version})
-	return appendBody(resp, b)
+	err := appendBody(resp, b)
+	// The answers of engines show in themselves whether they are whole.
+	if err == nil && c.kind == KindService && resp.Header.ContentLength() == unannouncedLength && !c.outlivesAnswer() {
+		return fault.New(fault.NotWhole, fault.Ran, "The endpoint has ended with its answer, whose end it had not announced.")
+	}
+	return err
+}
+
+// unannouncedLength is the length that fasthttp gives a body with neither a length nor chunks.
+const unannouncedLength = -2
+
+// aliveHold is how long a connection to the endpoint must stay open to show that its process lives. The kernel closes
+// those of a process that ends at once.
+const aliveHold = 10 * time.Millisecond
+
+// outlivesAnswer reports whether the endpoint lives after an answer that ended with its connection, as that of an
+// endpoint does that is killed.
+func (c *client) outlivesAnswer() bool {
+	conn, err := dialEndpoint(c.addr.String())
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(aliveHold))
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // callFault returns the fault for a call without a response.
