--- a/internal/relay/alive.go
+++ b/internal/relay/alive.go
@@ -70,8 +70,8 @@
 	if t := e.table.Load(); t != nil {
 		path = t.healthPath(a.Endpoint.Service)
 	}
-	return e.aliveChecks.do(ctx, a.hash, func() Liveness {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), aliveTimeout)
+	return e.aliveChecks.do(ctx, a.hash, func(ctx context.Context) Liveness {
+		ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 		defer cancel()
 		return e.CheckAlive(ctx, a.Endpoint, path)
 	})
@@ -92,45 +92,49 @@
 	result Liveness
 }
 
-// do returns the result of a check that begins after the call; LivenessUnknown if ctx ends before.
-func (l *aliveChecks) do(ctx context.Context, hash uint64, check func() Liveness) Liveness {
+// do returns the result of a check that begins after the call; LivenessUnknown if ctx ends before it.
+func (l *aliveChecks) do(ctx context.Context, hash uint64, check func(ctx context.Context) Liveness) Liveness {
+	c := l.join(ctx, hash, check)
+	select {
+	case <-c.done:
+		return c.result
+	case <-ctx.Done():
+		return LivenessUnknown
+	}
+}
+
+// join returns a check that has not begun yet, and starts its goroutine if there is none. It goes on after ctx, as others
+// share it.
+func (l *aliveChecks) join(ctx context.Context, hash uint64, check func(ctx context.Context) Liveness) *aliveCheck {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.running == nil {
 		l.running, l.next = make(map[uint64]*aliveCheck), make(map[uint64]*aliveCheck)
 	}
-	c := l.next[hash]
-	if c != nil {
-		l.mu.Unlock()
-		select {
-		case <-c.done:
-			return c.result
-		case <-ctx.Done():
-			return LivenessUnknown
-		}
+	if c := l.next[hash]; c != nil {
+		return c
 	}
-	c = &aliveCheck{done: make(chan struct{}), result: LivenessUnknown}
+	c := &aliveCheck{done: make(chan struct{})}
 	before := l.running[hash]
 	if before == nil {
 		l.running[hash] = c
 	} else {
 		l.next[hash] = c
 	}
-	l.mu.Unlock()
-	defer l.end(hash, c)
+	go l.run(context.WithoutCancel(ctx), hash, c, before, check)
+	return c
+}
+
+// run makes a check once the one before it, if any, has ended.
+func (l *aliveChecks) run(ctx context.Context, hash uint64, c, before *aliveCheck, check func(ctx context.Context) Liveness) {
 	if before != nil {
-		// Others share this check, so that it is run also if ctx ends.
 		<-before.done
 		l.mu.Lock()
 		l.running[hash] = c
 		delete(l.next, hash)
 		l.mu.Unlock()
 	}
-	c.result = check()
-	return c.result
-}
-
-// end publishes the result of a check.
-func (l *aliveChecks) end(hash uint64, c *aliveCheck) {
+	c.result = check(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.running[hash] == c {
