--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -225,13 +225,8 @@
 			}
 			x.e.awaitNext(a)
 		}
-		switch {
-		case ev.lacksID:
-			return errNoEventID
-		case ev.pendingBytes() > maxEventSize:
-			return errLongEvent
-		case t.Received > MaxAnswerBytes:
-			return errLongAnswer
+		if err := ev.check(t.Received); err != nil {
+			return err
 		}
 		if err == nil {
 			continue
@@ -241,12 +236,31 @@
 			return err
 		}
 		s.stop()
-		if err := x.confirmEnd(ctx, a, reply, t); err != nil {
-			return err
-		}
-		if !x.headSent {
-			x.sendHead(reply, -1)
-		}
+		return x.endStream(ctx, a, reply, t)
+	}
+}
+
+// endStream handles the end of a stream whose last event is complete.
+func (x *run) endStream(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord) error {
+	if err := x.confirmEnd(ctx, a, reply, t); err != nil {
+		return err
+	}
+	if !x.headSent {
+		x.sendHead(reply, -1)
+	}
+	return nil
+}
+
+// check returns what is wrong with the events after received bytes in all; nil if nothing is.
+func (s *eventSplitter) check(received int) error {
+	switch {
+	case s.lacksID:
+		return errNoEventID
+	case s.pendingBytes() > maxEventSize:
+		return errLongEvent
+	case received > MaxAnswerBytes:
+		return errLongAnswer
+	default:
 		return nil
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -213,11 +213,18 @@
 		return fault.New(fault.EndpointFailed, fault.MayHaveRun, "The endpoint refused with status %d without proof.", reply.Status)
 	case failedAnswer(reply.Status):
 		return fault.New(fault.EndpointFailed, fault.Ran, "The endpoint failed with status %d.", reply.Status)
-	case x.headSent && reply.Status != x.status:
-		return fault.New(fault.EndpointFailed, fault.MayHaveRun, "The endpoint answered the resumption with status %d.", reply.Status)
 	default:
+		return x.checkResumption(reply)
+	}
+}
+
+// checkResumption returns what is wrong with the head of an answer that is to continue the one that the caller has the
+// beginning of; nil if there is no such beginning.
+func (x *run) checkResumption(reply *Reply) *fault.Error {
+	if !x.headSent || reply.Status == x.status {
 		return nil
 	}
+	return fault.New(fault.EndpointFailed, fault.MayHaveRun, "The endpoint answered the resumption with status %d.", reply.Status)
 }
 
 // claimsNotRun reports whether a status tells the caller that its request has not run.
