relay: Write an answer to its caller before its connection may close as whole

Between the end of the reset of a connection and the write of what net/http has buffered, a kill of the router would have closed an answer over 256 KB, without an announced end, early and as whole. Read, not played: the window is some microseconds.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -71,11 +71,16 @@
 }
 
 // setReset sets whether the caller's connection ends with a reset. Until an answer that ends with its connection is
-// whole, it does: the caller would take any other end for that of the answer.
+// whole, and written, it does: the caller would take any other end for that of the answer.
 func (x *run) setReset(on bool) {
-	if x.told == endConnection && x.r.SetReset != nil {
-		x.r.SetReset(on)
+	if x.told != endConnection || x.r.SetReset == nil {
+		return
 	}
+	if !on {
+		// After an error the caller has left.
+		_ = http.NewResponseController(x.w).Flush()
+	}
+	x.r.SetReset(on)
 }
 
 // callerGoneError is an error of writing to the caller.
