--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -54,8 +54,8 @@
 	// NoChunks says that the caller's protocol has no chunks, so that an answer of unknown length ends with its
 	// connection.
 	NoChunks bool
-	// SetReset makes the caller's connection end with a reset, also if the process is killed, or no more; nil if it can
-	// not.
+	// SetReset sets whether the caller's connection ends with a reset, also if the process is killed; nil if that is
+	// not supported.
 	SetReset func(on bool)
 	// fingerprint identifies the request and its repeats. It is computed on first use and zero
 	// before.
