relay: Leave a silent endpoint only for one that is better by the time left

What callers saw: streams were cut at the end of a planned stop, 7.4 s after the signal, though their sound endpoint would have gone on 0.2 s after it was left; streams without event IDs were cut after a pause of 1.2 s at any time. Cause: the silence timeout compares the pause with the route's aim alone. What the next endpoint can bring by the stop's end or the caller's deadline, whether any may go on, and whether the retry budget pays for it were asked after the attempt was given up. Change: the timeout asks for a decision (leave.go). Where another endpoint ends the answer in time for certain, the silent one is left as before. Otherwise, and for streams that have begun in a stop, it is asked for its health: one that answers is kept, one that accepts no connection is left, and one that holds the connection open is left at the last time at which another one would end the answer, if that is more likely than an end where it is. Waiting attempts at the next endpoint count as its time to begin. The next attempt is paid before the present one is ended. Joint detection asks the same. Asking two endpoints at once was weighed: the platform forbids that a request goes on at one while another still works on it.

--- a/internal/relay/alive.go
+++ b/internal/relay/alive.go
@@ -21,8 +21,10 @@
 // whose answer has ended.
 const (
 	LivenessUnknown Liveness = "unknown"
-	// Alive says that the process answered, or held a connection, after the check began.
+	// Alive says that the process answered after the check began, Held that it held a connection open, as the kernel
+	// also does for a process that is suspended.
 	Alive Liveness = "alive"
+	Held  Liveness = "held"
 	// Ended says that nothing listens at the address, or another process does.
 	Ended Liveness = "ended"
 )
@@ -58,7 +60,7 @@
 	}
 	t.Liveness = x.e.checkAlive(ctx, a)
 	x.e.metrics.count("unannounced_ends", x.route.Name, string(t.Liveness))
-	if t.Liveness != Alive {
+	if t.Liveness != Alive && t.Liveness != Held {
 		return errEndUnconfirmed
 	}
 	return nil
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -228,7 +228,7 @@
 				return werr
 			}
 			x.lastEvent, t.Events, x.passed = ev.lastID, ev.count, before+ev.count
-			x.progress.hear(now, ev.count)
+			x.progress.hear(now, ev.count, x.canResume())
 			t.FirstEvent, t.LastEvent = ev.firstID, ev.lastID
 			if w.add(now, ev.count, err == nil) {
 				return errMoved
--- a/internal/relay/joint.go
+++ b/internal/relay/joint.go
@@ -28,9 +28,8 @@
 	retryable bool
 	// gotHead says that the head of an answer was received.
 	gotHead bool
-	// ended says that the attempt was ended as its endpoint is silent; it is never reset. paid says that the
-	// next attempt was taken from the retry budget then and has not been made.
-	ended, paid bool
+	// ended says that the attempt was ended as its endpoint is silent; it is never reset.
+	ended bool
 }
 
 // errJointSilent is the cause of ending an attempt whose endpoint several routers found silent. It is an
@@ -213,9 +212,9 @@
 	for _, s := range b.requests {
 		switch {
 		case s.attempt == nil || s.attempt.watch == nil || s.attempt.watch.ended:
-		case s.attempt.watch.mayContinue() && e.budget(s.attempt.watch.service).Take(now, 0):
+		case s.attempt.watch.mayContinue() && s.attempt.leaving.decide(LivenessUnknown, now) == "":
 			w := s.attempt.watch
-			w.ended, w.paid = true, true
+			w.ended = true
 			w.cancel(errJointSilent)
 			moved++
 		default:
@@ -228,16 +227,6 @@
 // mayContinue reports whether the request may continue at another endpoint.
 func (w *silenceWatch) mayContinue() bool { return w.retryable && (!w.gotHead || w.route.resumable()) }
 
-// claimPaid reports whether the next attempt has been taken from the retry budget when the present one was ended,
-// once. The caller must hold the engine's mu.
-func (w *silenceWatch) claimPaid() bool {
-	if w == nil || !w.paid {
-		return false
-	}
-	w.paid = false
-	return true
-}
-
 // watchAttempt observes an attempt if the mechanism is in use; cancel ends the attempt.
 func (x *run) watchAttempt(a *Attempt, cancel context.CancelCauseFunc) {
 	x.e.mu.Lock()
@@ -250,7 +239,7 @@
 	a.watch = &silenceWatch{
 		stream: stall.Stream{Endpoint: a.hash, Service: x.service, Model: a.Model, Pause: time.Duration(x.route.EventAim), Pace: a.paceFactor, Passive: x.route.Kind != Stream || a.warming},
 		route:  x.route, service: x.service, cancel: cancel,
-		retryable: x.route.repeatable() && x.attempts < x.route.MaxAttempts && len(x.records) < maxTries,
+		retryable: x.mayTryAgain(),
 	}
 	x.watch = a.watch
 	x.e.silence.Add(x.e.Now(), &a.watch.stream)
@@ -343,11 +332,10 @@
 // endObservation ends the observation of an attempt that has ended, and returns an extra attempt that was taken for it
 // and not made. The caller must hold the engine's mu.
 func (e *Engine) endObservation(a *Attempt, now time.Time) {
-	if a.watch == nil {
-		return
+	if a.leaving != nil {
+		a.leaving.refund(now)
 	}
-	e.silence.Remove(now, &a.watch.stream)
-	if a.watch.claimPaid() {
-		e.budget(a.watch.service).Refund(now)
+	if a.watch != nil {
+		e.silence.Remove(now, &a.watch.stream)
 	}
 }
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -22,12 +22,18 @@
 	heard atomic.Int64
 	// events is the number of events that the caller got from the attempt.
 	events atomic.Int64
+	// resumable says that another endpoint may go on after what the caller has.
+	resumable atomic.Bool
+	// kept is why the endpoint was last kept though it was silent; nil if it never was.
+	kept atomic.Pointer[string]
 }
 
-// hear records that something was received at now, and the number of events that the caller has got.
-func (p *progress) hear(now time.Time, events int) {
+// hear records that something was received at now, the number of events that the caller has got, and whether another
+// endpoint may go on after them.
+func (p *progress) hear(now time.Time, events int, resumable bool) {
 	p.heard.Store(int64(now.Sub(p.sentAt)))
 	p.events.Store(int64(events))
+	p.resumable.Store(resumable)
 }
 
 // quiet returns how long nothing was received.
@@ -35,8 +41,9 @@
 	return now.Sub(p.sentAt) - time.Duration(p.heard.Load())
 }
 
-// leaving estimates what leaving the endpoint of an attempt would bring its caller. The engine's mu guards it, so that
-// timers can use it while the request's goroutine waits for the endpoint.
+// leaving decides whether the endpoint of an attempt is left for its silence: only for one that is better for the caller by
+// the time that is left. The engine's mu guards it, so that timers can use it while the request's goroutine waits for the
+// endpoint.
 type leaving struct {
 	// run is a copy of the request's state as the attempt was sent.
 	run  run
@@ -44,9 +51,11 @@
 	// before is the number of events that earlier attempts passed on.
 	before   int
 	progress *progress
+	// paid says that the next attempt was taken from the retry budget and has not been made.
+	paid bool
 }
 
-// newLeaving returns the estimate for an attempt that is about to be sent.
+// newLeaving returns the decision for an attempt that is about to be sent.
 func (x *run) newLeaving(a *Attempt, p *progress) *leaving {
 	l := &leaving{run: *x, hash: a.hash, before: x.passed, progress: p}
 	l.run.records = nil
@@ -56,15 +65,16 @@
 // outlook is what is expected of a request whose endpoint is silent, by the time that is left.
 type outlook struct {
 	// left is the time until the request must have been served; stopping says that the router's stop comes first. quiet
-	// is how long the endpoint has been silent.
-	left, quiet time.Duration
-	stopping    bool
-	// next is the endpoint that would go on; empty if there is none. nextHead is the expected time until it begins, and
-	// nextProb the probability that the answer ends there in time. known says that this rests on data of answers' ends.
-	next     string
-	nextHead time.Duration
-	nextProb float64
-	known    bool
+	// is how long the endpoint has been silent, and begun says that the caller has a part of the answer.
+	left, quiet     time.Duration
+	stopping, begun bool
+	// next is the endpoint that would go on; empty if there is none. nextHead is the expected time until it begins,
+	// nextProb the probability that the answer ends there in time, and laterProb that if it is asked at the next check.
+	// known says that the lengths of answers are known.
+	next                string
+	nextHead            time.Duration
+	nextProb, laterProb float64
+	known               bool
 	// stayProb is the probability that the answer ends in time where it is, if the endpoint lives.
 	stayProb float64
 }
@@ -74,27 +84,125 @@
 	x := &l.run
 	x.passed = l.before + int(l.progress.events.Load())
 	end, stopping := x.mustEndAt()
-	o := &outlook{left: end.Sub(now), quiet: l.progress.quiet(now), stopping: stopping}
-	o.known = x.prepareEnd(now)
-	rest := 0.0
-	if present := x.e.book.ByHash(l.hash); o.known && present != nil {
-		rest, _, _ = x.end.rest.Interval(math.Exp(x.logGap(present, 0)))
-	}
-	o.stayProb = silenceEndProb(o.quiet, o.left-seconds(min(rest, maxPredicted.Seconds())))
+	o := &outlook{left: end.Sub(now), quiet: l.progress.quiet(now), stopping: stopping, begun: x.passed > 0}
+	rest, byEvents := l.rest(now)
+	o.known = rest > 0 || x.route.Kind != Stream
+	o.stayProb = silenceEndProb(o.quiet, o.left-rest)
 	p, why := x.pick(now)
 	if p == nil {
 		return o
 	}
 	head := x.nextHead(p, why, now)
 	o.next, o.nextHead = p.ID, seconds(min(head, maxPredicted.Seconds()))
-	if o.known {
-		o.nextProb = 1 - x.end.rest.UnfinishedProb(o.left.Seconds()-headSpread*head, x.logGap(p, 1))
-	} else {
-		o.nextProb = headProb(head, o.left)
+	prob := func(left time.Duration) float64 {
+		if byEvents {
+			return 1 - x.end.rest.UnfinishedProb(left.Seconds()-headSpread*head, x.logGap(p, 1))
+		}
+		return headProb(head+rest.Seconds(), left)
 	}
+	o.nextProb, o.laterProb = prob(o.left), prob(o.left-recheckInterval-aliveTimeout)
 	return o
 }
 
+// minRestFraction is the least part of a stream's usual time that is expected to be left of one that goes on.
+const minRestFraction = 0.25
+
+// rest returns the time that the rest of the answer is expected to take once it goes on; 0 if that is not known. byEvents
+// says that x.end has the estimate. The caller must hold the engine's mu.
+func (l *leaving) rest(now time.Time) (rest time.Duration, byEvents bool) {
+	x := &l.run
+	if x.route.Kind != Stream {
+		return 0, false
+	}
+	if present := x.e.book.ByHash(l.hash); x.prepareEnd(now) && present != nil {
+		median, _, _ := x.end.rest.Interval(math.Exp(x.logGap(present, 0)))
+		return seconds(min(median, maxPredicted.Seconds())), true
+	}
+	usual := seconds(x.e.streamTimes[x.route.Name].expect(0))
+	return max(usual-time.Duration(l.progress.heard.Load()), time.Duration(minRestFraction*float64(usual))), false
+}
+
+const (
+	// recheckInterval is how often the decision for a silent endpoint that was kept is made anew.
+	recheckInterval = 500 * time.Millisecond
+	// sureProb is the probability of ending elsewhere in time from which on that counts as certain.
+	sureProb = 1 - safeMovedProb
+)
+
+// The reasons to keep a silent endpoint, as a metric and the logs name them. keptUnchecked asks for a check whether the
+// endpoint is alive.
+const (
+	keptUnresumable = "unresumable"
+	keptBudget      = "budget"
+	keptNoOther     = "noOther"
+	keptAlive       = "alive"
+	keptTimeLeft    = "timeLeft"
+	keptUnchecked   = "unchecked"
+)
+
+// keeps returns why the endpoint is kept; empty if it is left. alive is what a check has shown of it; empty without a
+// check, which is not needed where another endpoint ends the answer in time for certain. In a stop a stream that has begun
+// stays for as long as another endpoint would still end it later, since silences pass.
+func (o *outlook) keeps(alive Liveness) string {
+	cut := o.begun && o.stopping
+	switch {
+	case o.next == "" || o.nextProb <= 0:
+		return keptNoOther
+	case alive == LivenessUnknown:
+		return ""
+	case !cut && o.nextProb >= sureProb:
+		return ""
+	case alive == "":
+		return keptUnchecked
+	case alive == Alive:
+		return keptAlive
+	case cut && (!o.known || o.laterProb >= sureProb) || o.nextProb <= o.stayProb:
+		return keptTimeLeft
+	default:
+		return ""
+	}
+}
+
+// decide returns why the endpoint is kept; empty if it is left, which has taken the next attempt from the retry budget
+// then. alive is as in keeps. The caller must hold the engine's mu.
+func (l *leaving) decide(alive Liveness, now time.Time) (kept string) {
+	x := &l.run
+	switch o := l.outlook(now); {
+	case !l.progress.resumable.Load() || x.quarantineError(now) != nil:
+		kept = keptUnresumable
+	case (o.stopping || alive == LivenessUnknown) && pool.HashOf(o.next) == l.hash:
+		kept = keptNoOther
+	default:
+		kept = o.keeps(alive)
+	}
+	if kept == "" && !l.paid {
+		if l.paid = x.e.budget(x.service).Take(now, 0); !l.paid {
+			kept = keptBudget
+		}
+	}
+	if kept != "" {
+		l.progress.kept.Store(&kept)
+	}
+	return kept
+}
+
+// claimPaid reports whether the next attempt was taken from the retry budget when the endpoint was left, once. The caller
+// must hold the engine's mu.
+func (l *leaving) claimPaid() bool {
+	if l == nil || !l.paid {
+		return false
+	}
+	l.paid = false
+	return true
+}
+
+// refund returns a next attempt that was taken and not made to the retry budget. The caller must hold the engine's mu.
+func (l *leaving) refund(now time.Time) {
+	if l.claimPaid() {
+		l.run.e.budget(l.run.service).Refund(now)
+	}
+}
+
 // silenceEndProb returns the probability that an endpoint that has been silent for quiet sends something within left. The
 // lengths of silences have no usual scale: half of those that have lasted for a time last for as long again.
 func silenceEndProb(quiet, left time.Duration) float64 {
@@ -178,7 +286,15 @@
 	if p == nil {
 		return nil
 	}
-	return []zap.Field{zap.String("atWork", p.endpoint), zap.Int64("atWorkMs", now.Sub(p.sentAt).Milliseconds()), zap.Int64("atWorkQuietMs", p.quiet(now).Milliseconds()), zap.Int64("atWorkEvents", p.events.Load())}
+	return []zap.Field{zap.String("atWork", p.endpoint), zap.Int64("atWorkMs", now.Sub(p.sentAt).Milliseconds()), zap.Int64("atWorkQuietMs", p.quiet(now).Milliseconds()), zap.Int64("atWorkEvents", p.events.Load()), p.keptField()}
+}
+
+// keptField returns the log field of why the endpoint was kept though it was silent; it is skipped if it never was.
+func (p *progress) keptField() zap.Field {
+	if why := p.kept.Load(); why != nil {
+		return zap.String("kept", *why)
+	}
+	return zap.Skip()
 }
 
 // minQuiet is the silence from which on an endpoint counts as quiet in QuietFields.
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -111,3 +111,61 @@
 		t.Errorf("cut requests logged and counted: got %d, want %d", got, requests)
 	}
 }
+
+// Guards against decisions that look at the silence of an endpoint alone: what another one brings the caller by the time
+// left, whether the present one is alive, and that a stop cuts what has begun all count.
+func TestSilentEndpointIsLeftOnlyForBetter(t *testing.T) {
+	sure := outlook{next: "f", nextProb: 1, laterProb: 0.3, stayProb: 0.5, known: true}
+	unsure := sure
+	unsure.nextProb = 0.6
+	worse := sure
+	worse.nextProb = 0.4
+	stop := func(o outlook) outlook { o.begun, o.stopping = true, true; return o }
+	later := stop(sure)
+	later.laterProb = 1
+	unknown := stop(sure)
+	unknown.known = false
+	for _, c := range []struct {
+		name  string
+		o     outlook
+		alive Liveness
+		want  string
+	}{
+		{"another ends it for certain", sure, "", ""},
+		{"no other endpoint", outlook{stayProb: 0.5}, "", keptNoOther},
+		{"too late for any other", outlook{next: "f"}, LivenessUnknown, keptNoOther},
+		{"another may end it", unsure, "", keptUnchecked},
+		{"another may end it, alive", unsure, Alive, keptAlive},
+		{"another may end it, held", unsure, Held, ""},
+		{"another may end it, refused", unsure, Ended, ""},
+		{"another will hardly end it, held", worse, Held, keptTimeLeft},
+		{"another will hardly end it, lost", worse, LivenessUnknown, ""},
+		{"in a stop", stop(sure), "", keptUnchecked},
+		{"in a stop, alive", stop(sure), Alive, keptAlive},
+		{"in a stop, held, at the last time to leave", stop(sure), Held, ""},
+		{"in a stop, held, with time to leave later", later, Held, keptTimeLeft},
+		{"in a stop, held, nothing known", unknown, Held, keptTimeLeft},
+		{"in a stop, lost", later, LivenessUnknown, ""},
+	} {
+		if got := c.o.keeps(c.alive); got != c.want {
+			t.Errorf("%s: kept: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against an expected head that ignores attempts that already wait for longer at the endpoint.
+func TestWaitingAttemptsDelayTheNext(t *testing.T) {
+	e := engine(streamRoute, nil)
+	e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
+	now := time.Now()
+	e.inFlight[pool.HashOf("f")] = &inFlight{requests: []*sentRequest{{attempt: &Attempt{}, sentAt: now.Add(-3 * time.Second)}, {attempt: &Attempt{}, sentAt: now.Add(-9 * time.Second), headAt: now}}}
+	x := &run{e: e, route: e.table.Load().Match("h", "/"), service: "s", r: &Request{Arrived: now}, deadline: now.Add(4 * time.Second)}
+	p := &progress{endpoint: "e", sentAt: now.Add(-time.Second)}
+	x.tried = []string{"e"}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := x.newLeaving(&Attempt{hash: pool.HashOf("e")}, p).outlook(now)
+	if o.next != "f" || o.nextHead != 3*time.Second || o.nextProb >= sureProb {
+		t.Errorf("outlook: got head at %q after %v with probability %.2f, want at f after 3s, less than %v", o.next, o.nextHead, o.nextProb, sureProb)
+	}
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -121,6 +121,8 @@
 	sent *sentRequest
 	// watch observes the attempt for joint detection of silence; nil if that is not in use.
 	watch *silenceWatch
+	// leaving decides whether the endpoint is left for its silence.
+	leaving *leaving
 	// harmless says that the endpoint answered the whole request, or certainly did not run it.
 	harmless bool
 	// gotHead says that the head of an answer was received that may be passed on.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -145,13 +145,15 @@
 	x.progress = &progress{endpoint: a.Endpoint.ID, sentAt: t.At}
 	x.active.setWork(x.progress)
 	defer x.active.setWork(nil)
+	x.progress.resumable.Store(x.canResume())
 	x.leaving = x.newLeaving(a, x.progress)
-	s := x.startSilenceTimer(a, cancel)
+	a.leaving = x.leaving
+	s := x.startSilenceTimer(ctx, a, cancel)
 	defer s.stop()
 	reply, sendErr := x.sendWatched(ctx, a, cancel)
 	now := x.e.Now()
 	if sendErr == nil {
-		x.progress.hear(now, 0)
+		x.progress.hear(now, 0, x.canResume())
 	}
 	x.e.endPromptWait(a, sendErr == nil, now)
 	t.HeadMillis = now.Sub(t.At).Milliseconds()
@@ -328,16 +330,19 @@
 	}
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
-	x.prepaid = x.watch.claimPaid() || x.e.budget(x.service).Take(x.e.Now(), 0)
+	x.prepaid = x.leaving.claimPaid() || x.e.budget(x.service).Take(x.e.Now(), 0)
 	return x.prepaid
 }
 
 // mayResume reports whether another endpoint may continue the answer, if it has begun, after an attempt that failed with
 // err. It must know which event the caller has, and an answer of too many bytes was none.
 func (x *run) mayResume(err *fault.Error) bool {
-	return x.route.resumable() && (!x.headSent || x.lastEvent != "" && !errors.Is(err.Cause, errLongAnswer))
+	return x.route.resumable() && x.canResume() && (!x.headSent || !errors.Is(err.Cause, errLongAnswer))
 }
 
+// canResume reports whether it is known what the caller has of the answer.
+func (x *run) canResume() bool { return !x.headSent || x.lastEvent != "" }
+
 // maxTries is the maximum number of attempts of a request, including those that never reached an
 // endpoint.
 const maxTries = 8
