store, desk, trail: Read VM lists, bills and trails without their odd entries

Change: the list of VMs, batches of bills and records of trails are decoded element by element. Entries log an odd VM once; the commands show what can be read, and end with an error that names the rest. Claims still fail as a whole: a missing one may let a request run twice.

--- a/cmd/traildrift/query.go
+++ b/cmd/traildrift/query.go
@@ -125,10 +125,7 @@
 }
 
 func (a *billsArgs) run(ctx context.Context) error {
-	lines, err := desk.Bills(ctx, a.store(), a.Workspace)
-	if err != nil {
-		return err
-	}
+	lines, bad := desk.Bills(ctx, a.store(), a.Workspace)
 	enc := json.NewEncoder(os.Stdout)
 	for _, l := range lines {
 		if a.JSON {
@@ -139,5 +136,5 @@
 		}
 		fmt.Printf("%-50s %-12s %-16s attempts %d cost %.6f\n", l.ID, l.Workspace, l.Workload, len(l.Attempts), l.Cost())
 	}
-	return nil
+	return bad
 }
--- a/internal/desk/explain.go
+++ b/internal/desk/explain.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/traildrift/traildrift/internal/elems"
 	"github.com/traildrift/traildrift/internal/ledger"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/pkg/bill"
@@ -51,17 +51,18 @@
 // FindTrail returns the decision record of a past request from the platform. A request ID begins
 // with the incarnation of the process that served it, and so do the names of that process's trail
 // batches; only these batches are read. FindTrail returns ErrUnknownRequest if none of them holds
-// the request.
+// the request; the error also names the records that can't be decoded.
 func FindTrail(ctx context.Context, c *store.Client, requestID string) (trail.Record, error) {
 	incarnation, _, _ := strings.Cut(requestID, "-")
 	objects, err := c.List(ctx, ledger.KindTrail, incarnation)
 	if err != nil {
 		return trail.Record{}, err
 	}
+	var bad error
 	for _, o := range objects {
 		batch, err := trail.Decode(o.Value)
 		if err != nil {
-			return trail.Record{}, errors.Wrapf(err, "trail batch %s", o.Name)
+			bad = errors.Join(bad, errors.Wrapf(err, "trail batch %s", o.Name))
 		}
 		for _, r := range batch {
 			if r.RequestID == requestID {
@@ -69,29 +70,32 @@
 			}
 		}
 	}
-	return trail.Record{}, ErrUnknownRequest
+	return trail.Record{}, errors.Join(ErrUnknownRequest, bad)
 }
 
 // Bills returns the bill lines of a workspace, or of all workspaces if it is empty, as bill.Fold
-// merges them: one for each bill ID, sorted by ID.
+// merges them: one for each bill ID, sorted by ID. Beside those that can be decoded it returns an error that names the
+// others.
 func Bills(ctx context.Context, c *store.Client, workspace string) ([]bill.Line, error) {
 	objects, err := c.List(ctx, ledger.KindBills, "")
 	if err != nil {
 		return nil, err
 	}
 	var lines []bill.Line
+	var bad error
 	for _, o := range objects {
-		var batch []bill.Line
-		if err := json.Unmarshal(o.Value, &batch); err != nil {
-			return nil, errors.Wrapf(err, "bill batch %s", o.Name)
+		var batch elems.List[bill.Line]
+		err := elems.Unmarshal(o.Value, &batch)
+		if err = errors.Join(err, batch.Err()); err != nil {
+			bad = errors.Join(bad, errors.Wrapf(err, "bill batch %s", o.Name))
 		}
-		for _, l := range batch {
+		for _, l := range batch.Items {
 			if workspace == "" || l.Workspace == workspace {
 				lines = append(lines, l)
 			}
 		}
 	}
-	return bill.Fold(lines), nil
+	return bill.Fold(lines), bad
 }
 
 // Explain writes a decision record as text. It returns the error of w.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -19,6 +19,7 @@
 
 	"github.com/traildrift/traildrift/internal/admin"
 	"github.com/traildrift/traildrift/internal/assert"
+	"github.com/traildrift/traildrift/internal/elems"
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/secure"
@@ -106,6 +107,8 @@
 	p.Identity = wire.Identity{VM: c.VM, Role: o.Role, Incarnation: NewID(), AvailabilityZone: c.AvailabilityZone, Link: c.Link}
 	p.Store = store.New(c.Platform)
 	p.VMs = store.NewVMs(c.Platform)
+	unreadable := &elems.Reporter{Log: p.Log}
+	p.VMs.OnUnreadable = func(name string, err error) { unreadable.Report("vms", name, err) }
 	p.Holder = spread.New(p.Log, p.Now, o.OnSettingsChange)
 	if p.Pool, err = ants.NewPool(o.Handlers, ants.WithNonblocking(true)); err != nil {
 		return nil, err
--- a/internal/store/vms.go
+++ b/internal/store/vms.go
@@ -9,6 +9,8 @@
 	"net/netip"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/traildrift/traildrift/internal/elems"
 )
 
 // Roles of a VM.
@@ -37,19 +39,33 @@
 
 // VMs is a client of the platform's VM list. Tests replace its function.
 type VMs struct {
-	// List returns all VMs, or ErrUnavailable.
+	// List returns all VMs but those that can't be decoded, or ErrUnavailable.
 	List func(ctx context.Context) ([]VM, error)
+	// OnUnreadable is called for each VM that can't be decoded; name is empty if that can't be read either.
+	OnUnreadable func(name string, err error)
 }
 
 // NewVMs returns a client of the VM list at addr.
 func NewVMs(addr netip.AddrPort) *VMs {
 	h := &httpClient{base: "http://" + addr.String(), conns: newConnSet()}
 	h.http = &fasthttp.HostClient{Addr: addr.String(), Dial: h.conns.dial}
-	return &VMs{List: h.vms}
+	v := &VMs{OnUnreadable: func(string, error) {}}
+	v.List = func(ctx context.Context) ([]VM, error) {
+		list, err := h.vms(ctx)
+		for _, b := range list.Bad {
+			var named struct {
+				Name string `json:"name"`
+			}
+			_ = json.Unmarshal(b.Text, &named)
+			v.OnUnreadable(named.Name, b.Err)
+		}
+		return list.Items, err
+	}
+	return v
 }
 
-func (h *httpClient) vms(ctx context.Context) ([]VM, error) {
-	var out []VM
+func (h *httpClient) vms(ctx context.Context) (elems.List[VM], error) {
+	var out elems.List[VM]
 	err := h.do(ctx, func(req *fasthttp.Request) {
 		req.SetRequestURI(h.base + "/v1/vms")
 	}, func(resp *fasthttp.Response) error {
@@ -63,7 +79,7 @@
 	if err := statusError(resp.StatusCode()); err != nil {
 		return err
 	}
-	if err := json.Unmarshal(resp.Body(), dst); err != nil {
+	if err := elems.Unmarshal(resp.Body(), dst); err != nil {
 		return ErrUnavailable
 	}
 	return nil
--- a/pkg/trail/record.go
+++ b/pkg/trail/record.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/traildrift/traildrift/internal/elems"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/route"
@@ -82,12 +83,13 @@
 }
 
 // Decode decodes a batch that Encode returned and sets Settings of every record.
-// It returns the error of the JSON decoder.
+// Beside the records that can be decoded it returns an error that names the others.
 func Decode(body []byte) ([]Record, error) {
-	var out []Record
-	if err := json.Unmarshal(body, &out); err != nil {
+	var list elems.List[Record]
+	if err := elems.Unmarshal(body, &list); err != nil {
 		return nil, err
 	}
+	out := list.Items
 	settingsByKey := make(map[settingsKey][]config.Setting)
 	for i := range out {
 		key := out[i].settingsKey()
@@ -96,7 +98,7 @@
 		}
 		out[i].Settings = settingsByKey[key]
 	}
-	return out, nil
+	return out, list.Err()
 }
 
 // Step is one decision and the outcome of the attempt that followed it.
