--- a/internal/guard/answerend_test.go
+++ b/internal/guard/answerend_test.go
@@ -81,3 +81,31 @@
 		})
 	}
 }
+
+// A head that did not end is no answer, wherever it is cut, also where it had told the length of the body, and with a body
+// in the same packet as the head of the next answer would be.
+//
+// Guards against cut heads that become answers with an empty body.
+func TestCutHeadsAreNoAnswers(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Type: text/plain\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.0 200 OK\nContent-Length: 0\n\n",
+	} {
+		for _, kind := range []string{KindService, KindEngine} {
+			for n := range len(head) {
+				addr := cutService(t, head[:n], false)
+				b := stream.New(1 << 20)
+				work := wire.Work{Call: wire.Call{Method: http.MethodGet, Path: "/titles/17", Deadline: time.Now().Add(10 * time.Second)}}
+				_, err := NewEndpoint(kind, addr).Run(t.Context(), wire.RunKey{RunID: "r"}, &work, b)
+				if err == nil || len(b.Bytes()) > 0 {
+					t.Errorf("%s: %q cut after %d bytes: got %q, %v, want an error", kind, head, n, b.Bytes(), err)
+				}
+			}
+		}
+	}
+}
