relay, peers: Split functions that the linter finds too long; keep named objects of a whole list that can't be read

Cause: a change in a pulled list that can't be decoded was missing from a whole list, whose recipient takes what is missing for removed. Change: one that has a name is applied as unreadable, which the recipient logs and which leaves the state before in force. Measured: TestBadChangeOfWholeListRemovesNothing; a change without a name is left out and logged.

--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -304,27 +304,10 @@
 	answered := sent.Add(time.Duration(got.HeldMs) * time.Millisecond)
 	pl.recordAvailability(got, answered, now)
 	for _, kind := range pl.Kinds {
-		k, ok := got.Kinds[kind]
-		if !ok {
-			continue
-		}
-		changes, bad, err := k.decode(now)
-		for _, b := range bad {
-			pl.OnUnreadable(kind, "", errors.Wrapf(b.Err, "peers: a change told by %s: %.60q", p.Name, b.Text))
-		}
-		if err != nil {
-			pl.Log.Warn("peers: The changes in a pull response could not be decoded.", zap.String("peer", p.Name), zap.String("kind", kind), logs.Err(err))
+		if k, ok := got.Kinds[kind]; ok && !pl.applyKind(p, kind, &k, answered, now) {
 			pl.Fleet.RecordStale(p.Name, now)
 			return false
 		}
-		at := answered.Add(-time.Duration(k.AgeMs) * time.Millisecond)
-		if k.Whole {
-			pl.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Stringer("revision", k.revision()), zap.Int("objects", len(changes)))
-			pl.Mirror.Replace(kind, objects(changes), k.revision(), at, pl.Mirror.LapsesAt(now))
-		} else {
-			pl.logLapses(p, kind, changes, now)
-			pl.Mirror.Apply(kind, changes, k.revision(), at)
-		}
 	}
 	pl.Fleet.RecordAnswer(p.Name)
 	w, ok := got.Kinds[pl.FreshnessKind]
@@ -346,6 +329,28 @@
 	return true
 }
 
+// applyKind applies the changes of a kind in a response that was made between answered and now. It reports false if they
+// could not be decoded.
+func (pl *Puller) applyKind(p Peer, kind string, k *kindChanges, answered, now time.Time) bool {
+	changes, bad, err := k.decode(now)
+	for _, b := range bad {
+		pl.OnUnreadable(kind, "", errors.Wrapf(b.Err, "peers: a change told by %s: %.60q", p.Name, b.Text))
+	}
+	if err != nil {
+		pl.Log.Warn("peers: The changes in a pull response could not be decoded.", zap.String("peer", p.Name), zap.String("kind", kind), logs.Err(err))
+		return false
+	}
+	at := answered.Add(-time.Duration(k.AgeMs) * time.Millisecond)
+	if k.Whole {
+		pl.Log.Info("peers: All of a kind was told.", zap.String("kind", kind), zap.String("peer", p.Name), zap.Stringer("revision", k.revision()), zap.Int("objects", len(changes)))
+		pl.Mirror.Replace(kind, objects(changes), k.revision(), at, pl.Mirror.LapsesAt(now))
+	} else {
+		pl.logLapses(p, kind, changes, now)
+		pl.Mirror.Apply(kind, changes, k.revision(), at)
+	}
+	return true
+}
+
 // recordAvailability records when the store answered according to a response that was made between answered and now.
 // Earlier releases tell only when their copy was confirmed.
 func (pl *Puller) recordAvailability(got *pullResponse, answered, now time.Time) {
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -286,12 +286,30 @@
 	} else {
 		list, bad = a.decodeChanges(now), a.bad
 	}
+	list, bad = appendNamed(list, bad, a.Number)
 	for i := range list {
 		list[i].Revision = epoch.At(a.Epoch, min(list[i].Revision.Number(), a.Number))
 	}
 	return list, bad, err
 }
 
+// appendNamed appends an unreadable object for each bad change that has a name, so that a whole list does not remove it. It
+// returns the changes without a name.
+func appendNamed(list []mirror.Change, bad []elems.Bad, number int64) (all []mirror.Change, unnamed []elems.Bad) {
+	for _, b := range bad {
+		var named struct {
+			Name string `json:"name"`
+			Gone bool   `json:"gone"`
+		}
+		if elems.Object(b.Text, &named) != nil || named.Name == "" {
+			unnamed = append(unnamed, b)
+			continue
+		}
+		list = append(list, mirror.Change{Object: mirror.Object{Name: named.Name, Revision: epoch.At(0, number), Spec: elems.Unreadable(b.Err)}, Removed: named.Gone})
+	}
+	return list, unnamed
+}
+
 // decodeChanges returns the changes that are not compressed as a list.
 func (a *kindChanges) decodeChanges(now time.Time) []mirror.Change {
 	list := make([]mirror.Change, 0, len(a.Changes))
--- a/internal/peers/wire_test.go
+++ b/internal/peers/wire_test.go
@@ -82,3 +82,23 @@
 		}
 	})
 }
+
+// Guards against a whole list that removes an object that could not be decoded.
+func TestBadChangeOfWholeListRemovesNothing(t *testing.T) {
+	got, err := decodeResponse(strings.NewReader(`{"kinds":{"k":{"revision":9,"whole":true,"changes":[{"name":"a","revision":"x"},7,{"name":"b","revision":3}]}}}` + "\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := got.Kinds["k"]
+	list, bad, err := k.decode(time.Now())
+	if err != nil || len(list) != 2 || len(bad) != 1 {
+		t.Fatalf("got %d changes, %d left out, %v, want a, b and one without a name", len(list), len(bad), err)
+	}
+	names := map[string]bool{}
+	for _, c := range list {
+		names[c.Name] = elems.Object(c.Spec, &struct{}{}) == nil
+	}
+	if names["a"] || len(names) != 2 {
+		t.Errorf("changes: got %v, want a, which can't be read, and b", names)
+	}
+}
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -144,25 +144,31 @@
 // check, which is not needed where another endpoint ends the answer in time for certain. In a stop a stream that has begun
 // stays for as long as another endpoint would still end it later, since silences pass.
 func (o *outlook) keeps(alive Liveness) string {
-	cut := o.begun && o.stopping
 	switch {
 	case o.next == "" || o.nextProb <= 0:
 		return keptNoOther
 	case alive == LivenessUnknown:
 		return ""
-	case !cut && o.nextProb >= sureProb:
+	case !o.cutByStop() && o.nextProb >= sureProb:
 		return ""
 	case alive == "":
 		return keptUnchecked
 	case alive == Alive:
 		return keptAlive
-	case cut && (!o.known || o.laterProb >= sureProb) || o.nextProb <= o.stayProb:
+	case o.cutByStop() && !o.lastChance() || o.nextProb <= o.stayProb:
 		return keptTimeLeft
 	default:
 		return ""
 	}
 }
 
+// cutByStop reports whether the answer has begun, so that the router's stop cuts it if it does not end before.
+func (o *outlook) cutByStop() bool { return o.begun && o.stopping }
+
+// lastChance reports whether it is known how long answers take, and that another endpoint would not end this one any more if
+// it were asked later.
+func (o *outlook) lastChance() bool { return o.known && o.laterProb < sureProb }
+
 // decide returns why the endpoint is kept; empty if it is left, which has taken the next attempt from the retry budget
 // then. alive is as in keeps. The caller must hold the engine's mu.
 func (l *leaving) decide(alive Liveness, now time.Time) (kept string) {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -135,13 +135,9 @@
 		return nil, nil, fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", t.Bounds.MaxBody)
 	}
 	age := e.age(now)
-	known := age <= time.Duration(e.limits.Load().ConfigWithin)
-	route := t.Match(r.Host, r.Path)
-	if route == nil {
-		return nil, nil, denied(known && !t.LacksRoutes, fault.NotFound, now, "No route of this host begins the path.")
-	}
-	if route.Unreadable {
-		return route, nil, fault.New(fault.StaleSettings, fault.NotRun, "The configuration of the route could not be read.").WithRetryAt(retryDelay.After(now))
+	route, err := t.find(r, age <= time.Duration(e.limits.Load().ConfigWithin), now)
+	if err != nil {
+		return route, nil, err
 	}
 	if e.refusesWhileStopping(route, r, now) {
 		return route, nil, fault.New(fault.Stopping, fault.NotRun, "The router is stopping.").WithRetryAt(now)
@@ -149,14 +145,34 @@
 	if !t.RequiresKey() || route.Anonymous {
 		return route, nil, nil
 	}
+	ws, err := e.workspaceOf(t, r, age, now)
+	return route, ws, err
+}
+
+// workspaceOf returns the workspace of a request's API key, or why it is not served. age is the age of the table.
+func (e *Engine) workspaceOf(t *Table, r *Request, age time.Duration, now time.Time) (*Workspace, *fault.Error) {
 	if maxAge := e.maxConfirmAge(); maxAge > 0 && age > maxAge {
-		return route, nil, fault.New(fault.StaleSettings, fault.NotRun, "The API keys were last confirmed %d ms ago.", age.Milliseconds()).WithRetryAt(retryDelay.After(now))
+		return nil, fault.New(fault.StaleSettings, fault.NotRun, "The API keys were last confirmed %d ms ago.", age.Milliseconds()).WithRetryAt(retryDelay.After(now))
 	}
 	ws := t.ByKey(r.Key)
 	if ws == nil {
-		return route, nil, denied(known && !t.LacksWorkspaces, fault.Unauthorized, now, "The API key is not known.")
+		known := age <= time.Duration(e.limits.Load().ConfigWithin) && !t.LacksWorkspaces
+		return nil, denied(known, fault.Unauthorized, now, "The API key is not known.")
+	}
+	return ws, nil
+}
+
+// find returns the route of a request, or why it is not served. known says that the table is known to be current.
+func (t *Table) find(r *Request, known bool, now time.Time) (*Route, *fault.Error) {
+	route := t.Match(r.Host, r.Path)
+	switch {
+	case route == nil:
+		return nil, denied(known && !t.LacksRoutes, fault.NotFound, now, "No route of this host begins the path.")
+	case route.Unreadable:
+		return route, fault.New(fault.StaleSettings, fault.NotRun, "The configuration of the route could not be read.").WithRetryAt(retryDelay.After(now))
+	default:
+		return route, nil
 	}
-	return route, ws, nil
 }
 
 // denied returns an error of kind k if the table is known to be current. Otherwise it returns one
