--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -224,7 +224,7 @@
 	if left <= 0 {
 		return 0
 	}
-	return min(left.Seconds()/max(headSpread*head, left.Seconds()), 1)
+	return left.Seconds() / max(headSpread*head, left.Seconds())
 }
 
 // nextHead returns the expected time until endpoint p begins to go on with the answer, in seconds. Attempts that still
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -14,7 +14,7 @@
 type silenceTimer struct {
 	e       *Engine
 	leaving *leaving
-	// attempt is the endpoint's entry, and ctx that of the attempt, which cancel ends.
+	// attempt is the one that is observed, ctx its context, which cancel ends.
 	attempt *Attempt
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
