relay: Answer a request whose endpoint is lost and that no other endpoint can take

Found by reading the change again. Cause: a silent endpoint was kept for want of a better one without asking whether it lives. Change: where no other can replace it and the caller has nothing of the answer, it is checked every 2 s; if it is lost, the attempt ends, and the caller is told when to come back. An endpoint that lives is still waited for.

--- a/internal/relay/borrow_test.go
+++ b/internal/relay/borrow_test.go
@@ -133,3 +133,31 @@
 		}
 	}
 }
+
+// A request that may be repeated and whose endpoint is lost is told when to come back, though no other endpoint has room or no
+// retry is left. Guards against callers that wait until their deadline for an endpoint that can't answer any more.
+func TestLostEndpointAtLimitNamesRetryTime(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spend bool
+	}{{"no endpoint with room", false}, {"no retry left", true}} {
+		var e *Engine
+		e = engine(Route{Kind: Safe, MaxAttempts: 3}, func(ctx context.Context, _ *Attempt) (*Reply, error) {
+			e.mu.Lock()
+			e.book.Get("e").RecordNotice(pool.Notice{Limit: pool.Limited, PerSecond: 0.01}, time.Now(), time.Now())
+			for c.spend && e.budget("s").Take(time.Now(), 0) {
+				continue
+			}
+			e.mu.Unlock()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		e.CheckAlive = func(context.Context, pool.Entry, string) Liveness { return LivenessUnknown }
+		e.CheckEnded = func(context.Context, pool.Entry) (gone, known bool) { return false, false }
+		w, began := httptest.NewRecorder(), time.Now()
+		e.Serve(t.Context(), w, &Request{ID: "x", Method: "POST", Host: "h", Path: "/", Target: "/", Header: http.Header{}, Arrived: began, Deadline: began.Add(20 * time.Second)})
+		if took := time.Since(began); w.Code < 500 || w.Header().Get("Retry-After") == "" || took > 10*time.Second {
+			t.Errorf("%s: got status %d, Retry-After %q after %v, want an error with Retry-After long before the deadline", c.name, w.Code, w.Header().Get("Retry-After"), took)
+		}
+	}
+}
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -53,6 +53,8 @@
 	progress *progress
 	// paid says that the next attempt was taken from the retry budget and has not been made.
 	paid bool
+	// checkAt is when an endpoint that no other can replace is next asked whether it is alive.
+	checkAt time.Time
 }
 
 // newLeaving returns the decision for an attempt that is about to be sent.
@@ -186,12 +188,34 @@
 			kept = keptBudget
 		}
 	}
-	if kept != "" {
+	kept = l.endIfLost(kept, alive, now)
+	if kept != "" && kept != keptUnchecked {
 		l.progress.kept.Store(&kept)
 	}
 	return kept
 }
 
+// lostCheckInterval is the time between two checks of an endpoint that no other can replace.
+const lostCheckInterval = 2 * time.Second
+
+// endIfLost returns why the endpoint is kept, as decide does, where no other one can replace it or no retry is left. If it is
+// lost, and its caller has nothing of the answer, the attempt is ended, so that the caller hears of it and may come back.
+// The caller must hold the engine's mu.
+func (l *leaving) endIfLost(kept string, alive Liveness, now time.Time) string {
+	if kept != keptNoOther && kept != keptBudget || l.run.headSent || l.progress.events.Load() > 0 {
+		return kept
+	}
+	switch {
+	case alive == LivenessUnknown:
+		return ""
+	case alive == "" && !now.Before(l.checkAt):
+		l.checkAt = now.Add(lostCheckInterval)
+		return keptUnchecked
+	default:
+		return kept
+	}
+}
+
 // claimPaid reports whether the next attempt was taken from the retry budget when the endpoint was left, once. The caller
 // must hold the engine's mu.
 func (l *leaving) claimPaid() bool {
