relay: Expect a rest of streams of whose route none has ended yet

Cause: with no usual length known, the rest of a stream counted as nothing, so that shortly before a deadline another endpoint seemed to end it in time for certain, and a pausing one was left without a check. Change: as much is expected as has come. With much time left the endpoint is left as before. Measured: TestRestOfFirstStreamIsNotNothing failed before (probability 1.00 elsewhere with 3 s left after 2 s of events) and passes.

--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -88,7 +88,7 @@
 	end, stopping := x.mustEndAt()
 	o := &outlook{left: end.Sub(now), quiet: l.progress.quiet(now), stopping: stopping, begun: x.passed > 0}
 	rest, byEvents := l.rest(now)
-	o.known = rest > 0 || x.route.Kind != Stream
+	o.known = byEvents || x.route.Kind != Stream || x.e.streamTimes[x.route.Name].expect(0) > 0
 	o.stayProb = silenceEndProb(o.quiet, o.left-rest)
 	p, why := x.pick(now)
 	if p == nil {
@@ -109,8 +109,9 @@
 // minRestFraction is the least part of a stream's usual time that is expected to be left of one that goes on.
 const minRestFraction = 0.25
 
-// rest returns the time that the rest of the answer is expected to take once it goes on; 0 if that is not known. byEvents
-// says that x.end has the estimate. The caller must hold the engine's mu.
+// rest returns the time that the rest of the answer is expected to take once it goes on. byEvents says that x.end has the
+// estimate. Where no stream of the route has ended yet, as much is expected as has come. The caller must hold the engine's
+// mu.
 func (l *leaving) rest(now time.Time) (rest time.Duration, byEvents bool) {
 	x := &l.run
 	if x.route.Kind != Stream {
@@ -120,8 +121,11 @@
 		median, _, _ := x.end.rest.Interval(math.Exp(x.logGap(present, 0)))
 		return seconds(min(median, maxPredicted.Seconds())), true
 	}
-	usual := seconds(x.e.streamTimes[x.route.Name].expect(0))
-	return max(usual-time.Duration(l.progress.heard.Load()), time.Duration(minRestFraction*float64(usual))), false
+	heard, usual := time.Duration(l.progress.heard.Load()), seconds(x.e.streamTimes[x.route.Name].expect(0))
+	if usual == 0 {
+		return heard, false
+	}
+	return max(usual-heard, time.Duration(minRestFraction*float64(usual))), false
 }
 
 const (
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -169,3 +169,22 @@
 		t.Errorf("outlook: got head at %q after %v with probability %.2f, want at f after 3s, less than %v", o.next, o.nextHead, o.nextProb, sureProb)
 	}
 }
+
+// Guards against a rest of a stream that counts as nothing as long as no stream of the route has ended: another endpoint then
+// seems to end it in time for certain.
+func TestRestOfFirstStreamIsNotNothing(t *testing.T) {
+	e := engine(streamRoute, nil)
+	e.PutEndpoint(pool.Entry{ID: "f", Service: "s", Slots: 4, Revision: 1})
+	now := time.Now()
+	for left, want := range map[time.Duration]string{20 * time.Second: "", 3 * time.Second: keptUnchecked} {
+		x := &run{e: e, route: e.table.Load().Match("h", "/"), service: "s", r: &Request{Arrived: now}, deadline: now.Add(left), tried: []string{"e"}}
+		p := &progress{endpoint: "e", sentAt: now.Add(-3 * time.Second)}
+		p.hear(now.Add(-time.Second), 5, true)
+		e.mu.Lock()
+		o := x.newLeaving(&Attempt{hash: pool.HashOf("e")}, p).outlook(now)
+		e.mu.Unlock()
+		if got := o.keeps(""); got != want || o.known {
+			t.Errorf("%v left after 2 s of events: kept: got %q with probability %.2f elsewhere, want %q", left, got, o.nextProb, want)
+		}
+	}
+}
