--- a/internal/elems/elems_test.go
+++ b/internal/elems/elems_test.go
@@ -10,6 +10,9 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // nested returns lists nested so deeply.
@@ -115,3 +118,22 @@
 		}
 	})
 }
+
+// Guards against a log line that grows with the number of bad elements, and against one for each reading.
+func TestReporterLogsOnceAndShort(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	r := Reporter{Log: zap.New(core)}
+	for range 3 {
+		r.Report("k", "a", errors.New(strings.Repeat("x", 1<<20)))
+		r.Report("k", "", errors.New("no name"))
+	}
+	r.Forget("k", "a")
+	r.Report("k", "a", errors.New("again"))
+	lines := logs.All()
+	if len(lines) != 3 {
+		t.Fatalf("lines: got %d, want one for each object, and one after it was forgotten", len(lines))
+	}
+	if got := len(lines[0].ContextMap()["error"].(string)); got != maxReportText {
+		t.Errorf("error in a line: got %d bytes, want %d", got, maxReportText)
+	}
+}
--- a/internal/elems/report.go
+++ b/internal/elems/report.go
@@ -7,13 +7,14 @@
 	"sync"
 
 	"go.uber.org/zap"
-
-	"github.com/traildrift/traildrift/internal/logs"
 )
 
 // maxReported is the maximum number of objects that a Reporter remembers. Further ones are not logged.
 const maxReported = 1000
 
+// maxReportText is the maximum length of the error in a line, in bytes: an object may have thousands of bad elements.
+const maxReportText = 1 << 10
+
 // Reporter logs each object that can't be decoded once, until it can be again. It is safe for concurrent use once Log is
 // set.
 type Reporter struct {
@@ -28,6 +29,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	text := err.Error()
+	text = text[:min(len(text), maxReportText)]
 	key := [2]string{kind, name}
 	if name == "" {
 		key[1] = text
@@ -40,7 +42,7 @@
 		r.logged = make(map[[2]string]string)
 	}
 	r.logged[key] = text
-	r.Log.Error("elems: An object that others wrote could not be decoded; it alone is left out.", zap.String("kind", kind), zap.String("name", name), logs.Err(err))
+	r.Log.Error("elems: An object that others wrote could not be decoded; it alone is left out.", zap.String("kind", kind), zap.String("name", name), zap.String("error", text))
 }
 
 // Forget lets an object be logged again, as it could be decoded or is gone.
