--- a/internal/crowd/kinds.go
+++ b/internal/crowd/kinds.go
@@ -70,8 +70,7 @@
 		if !c.Send(head(c) + framing + "\r\n\r\n") {
 			return
 		}
-		for !c.Ended() && c.Send("1000\r\n"+zeros[:0x1000]+"\r\n") {
-		}
+		c.sendEndlessly("1000\r\n" + zeros[:0x1000] + "\r\n")
 	}
 }
 
@@ -129,8 +128,7 @@
 // Pipeline sends requests ahead without reading an answer.
 func Pipeline(head func(c *Conn) string) func(c *Conn) {
 	return func(c *Conn) {
-		for !c.Ended() && c.Send(head(c)+"\r\n") {
-		}
+		c.sendEndlessly(head(c) + "\r\n")
 		c.Stay()
 	}
 }
@@ -171,6 +169,13 @@
 	}
 }
 
+// sendEndlessly sends text again and again until the process closes the connection.
+func (c *Conn) sendEndlessly(text string) {
+	for sent := true; sent && !c.Ended(); {
+		sent = c.Send(text)
+	}
+}
+
 // zeros is one piece of the bodies of the crowd.
 var zeros = strings.Repeat("0", 64<<10)
 
--- a/internal/rig/crowd_test.go
+++ b/internal/rig/crowd_test.go
@@ -31,7 +31,7 @@
 
 // crowdHeads returns a function that makes the head of a POST request to a path of an entry.
 func crowdHeads(path string, more ...string) func(c *crowd.Conn) string {
-	return func(c *crowd.Conn) string {
+	return func(*crowd.Conn) string {
 		return crowd.Head(http.MethodPost, path, "entry", append([]string{"Authorization: Bearer " + testKey, "Content-Type: application/json"}, more...)...)
 	}
 }
