relay: Refuse by the head before a body is read

Callers saw: a request without a route or a key, or one whose announced length is over the limit, was refused only once its body had come, up to 10 s later; meanwhile its body took memory that ordinary callers were refused for want of. Cause: Serve read the body before it looked up route and key. Fix: the route and the key are looked up first, and again once a body was read, as the configuration may have changed meanwhile. A refused caller's connection is closed where a body may still come on it.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -25,9 +25,18 @@
 	// Header holds what is passed on; it must not be changed.
 	Header http.Header
 	Body   []byte
-	// ReadBody reads Body, at most until ctx is done; nil if Body is set already. Its error is the answer to the
-	// caller.
+	// BodyLength is the length that the caller announced of a body that ReadBody reads, in bytes; -1 if it announced
+	// none, 0 if there is no body.
+	BodyLength int64
+	// ReadBody reads Body, at most until ctx is done, and takes the memory for the request; nil if Body is set already.
+	// Its error is the answer to the caller.
 	ReadBody func(ctx context.Context) *fault.Error
+	// CloseConn says that the caller's connection is to be closed after the answer.
+	CloseConn bool
+	// Grant reports whether the caller may hold n more bytes of memory, until the end of the request or until Return gives
+	// them back; nil if that is not bounded.
+	Grant  func(n int) bool
+	Return func(n int)
 	// Key is the API key; empty if there is none.
 	Key string
 	// Session names a session, whose requests belong together; empty if there is none.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -35,21 +35,12 @@
 		x.refuse(x.stoppingError(stopError{"it is about to end"}, fault.NotRun))
 		return
 	}
-	if err := x.readBody(ctx); err != nil {
-		x.refuse(err)
-		return
-	}
-	active.setStage(StageArrived)
-	e.awaitStart(ctx)
-	e.awaitResume(ctx)
-	route, ws, err := e.admit(r)
-	x.route, x.workspace = route, ws
-	if err != nil {
+	if err := x.arrive(ctx); err != nil {
 		x.refuse(err)
 		return
 	}
 	x.deadline = r.Deadline
-	if t := route.Timeout.After(r.Arrived); route.Timeout > 0 && (x.deadline.IsZero() || t.Before(x.deadline)) {
+	if t := x.route.Timeout.After(r.Arrived); x.route.Timeout > 0 && (x.deadline.IsZero() || t.Before(x.deadline)) {
 		x.deadline = t
 	}
 	if x.deadline.IsZero() {
@@ -79,12 +70,38 @@
 	x.refuse(err)
 }
 
+// arrive admits the request and reads its body. A request that is refused by its head gets no memory for a body; one that
+// is admitted is admitted again once its body was read, as the configuration may have changed.
+func (x *run) arrive(ctx context.Context) *fault.Error {
+	hasBody := x.r.ReadBody != nil && x.r.BodyLength != 0
+	if err := x.lookUp(ctx); err != nil {
+		// The rest of the body may still arrive on the caller's connection.
+		x.closeConn = hasBody
+		return err
+	}
+	if x.r.ReadBody != nil {
+		if err := x.readBody(ctx); err != nil {
+			return err
+		}
+	}
+	x.active.setStage(StageArrived)
+	if !hasBody {
+		return nil
+	}
+	return x.lookUp(ctx)
+}
+
+// lookUp sets route and workspace of the request once the router has a configuration.
+func (x *run) lookUp(ctx context.Context) (err *fault.Error) {
+	x.e.awaitStart(ctx)
+	x.e.awaitResume(ctx)
+	x.route, x.workspace, err = x.e.admit(x.r)
+	return err
+}
+
 // readBody reads the body of the request. After an error the rest of it may still arrive on the caller's
 // connection, so that no other request can follow there.
 func (x *run) readBody(ctx context.Context) *fault.Error {
-	if x.r.ReadBody == nil {
-		return nil
-	}
 	err := x.r.ReadBody(ctx)
 	x.closeConn = err != nil
 	if s, stopped := stopReason(ctx); stopped && err != nil {
@@ -131,7 +148,7 @@
 	if r.ID == "" {
 		return nil, nil, fault.New(fault.BadRequest, fault.NotRun, "The request has no ID.")
 	}
-	if t.Bounds.MaxBody > 0 && len(r.Body) > t.Bounds.MaxBody {
+	if t.Bounds.MaxBody > 0 && max(int64(len(r.Body)), r.BodyLength) > int64(t.Bounds.MaxBody) {
 		return nil, nil, fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", t.Bounds.MaxBody)
 	}
 	age := e.age(now)
@@ -228,7 +245,7 @@
 // closeWhenNeeded asks the caller to open another connection if the router is stopping, or if the present one can't
 // be used any more.
 func (x *run) closeWhenNeeded() {
-	if x.closeConn || x.e.stopping.Load() {
+	if x.closeConn || x.r.CloseConn || x.e.stopping.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -78,6 +78,7 @@
 	request.ArrivedBoot = boot
 	request.NoChunks = !q.ProtoAtLeast(1, 1)
 	request.SetReset = func(on bool) { setReset(q, on) }
+	request.BodyLength = q.ContentLength
 	if q.ContentLength != 0 {
 		request.ReadBody = func(ctx context.Context) (err *fault.Error) {
 			request.Body, err = r.readBody(ctx, w, q)
