router: Charge callers' connections, heads and bodies to one account

Callers saw: beside a crowd whose bodies stop short, 503 for each request, as the body budget is full to the brim of bodies that make no progress; beside silent, resting or slow connections no answer at all, as all descriptors are taken and a runner, a peer or the store needs one too. On a machine that enforces its memory the process would have ended. Cause: nothing bounded callers' connections, heads or parsed fields; the body budget charged bytes once they were read, not the buffers, and refused whoever came next while those that held the memory kept it for 10 s; the kernel took up to megabytes unread for each connection. Fix: the callers' listener is a quota.Door. It has a third of the descriptors, which leaves a third to endpoints and a third to all else; its connections are charged for what they make the process allocate, before it does; who has gone the longest without progress gives way, so that a small request finds room. Receive buffers of 16 KB bound unread bytes. A refused caller's connection is kept for half a second at most. New settings: maxDescriptors (from the platform's file), callersMB, callersConns; new metrics callers_bytes, callers_connections, callers_limited; a log line a second at most. The garbage collector's limit is 60 % of the memory (70 before), as unread bytes and the program come on top.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
@@ -24,7 +24,10 @@
 	defaultIdleTimeout    = config.Span(60 * time.Second)
 	// bodyReadTimeout bounds the time in which a body is read.
 	bodyReadTimeout = config.Span(10 * time.Second)
-	// bodyRetryDelay is when a caller is asked to come back whose body exceeds the body budget.
+	// lingerTime is how long the rest of a body is read after its request was refused, so that the answer is not lost to a
+	// reset.
+	lingerTime = config.Span(500 * time.Millisecond)
+	// bodyRetryDelay is when a caller is asked to come back for whose request there is no memory.
 	bodyRetryDelay = config.Span(500 * time.Millisecond)
 	// defaultMaxBodyBytes bounds a body if the configuration does not.
 	defaultMaxBodyBytes = 8 << 20
@@ -50,19 +53,12 @@
 		MaxHeaderBytes:    b.MaxHeader,
 		ErrorLog:          logs.NewStdLog(r.Log, "callers"),
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnContext:       quota.WithConn,
 	}
 }
 
-// connKey is the context key of a caller's connection.
-type connKey struct{}
-
 // setReset sets whether the connection of a request ends with a reset, also if the process is killed.
-func setReset(q *http.Request, on bool) {
-	c, ok := q.Context().Value(connKey{}).(*net.TCPConn)
-	if !ok {
-		return
-	}
+func setReset(c *quota.Conn, on bool) {
 	linger := -1
 	if on {
 		linger = 0
@@ -71,55 +67,64 @@
 	_ = c.SetLinger(linger)
 }
 
-// serveCaller passes a request to the engine, which reads its body.
+// serveCaller passes a request to the engine, which has its body read once it knows the route.
 func (r *Router) serveCaller(w http.ResponseWriter, q *http.Request) {
 	now, boot := r.Engine.Now(), r.Engine.Boot()
+	c := quota.FromContext(q.Context())
+	c.Begin()
+	defer func() {
+		last := w.Header().Get("Connection") == "close" || q.Close
+		if last && q.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(lingerTime.After(time.Now()))
+		}
+		c.End(q.ContentLength, last)
+	}()
 	request := r.wire.Request(q, now)
 	request.ArrivedBoot = boot
 	request.NoChunks = !q.ProtoAtLeast(1, 1)
-	request.SetReset = func(on bool) { setReset(q, on) }
-	request.BodyLength = q.ContentLength
-	if q.ContentLength != 0 {
-		request.ReadBody = func(ctx context.Context) (err *fault.Error) {
-			request.Body, err = r.readBody(ctx, w, q)
-			return err
-		}
+	request.SetReset = func(on bool) { setReset(c, on) }
+	request.BodyLength, request.CloseConn = q.ContentLength, c.GivesWay()
+	request.Grant, request.Return = func(n int) bool { return c.Grant(n) == nil }, c.Return
+	request.ReadBody = func(ctx context.Context) (err *fault.Error) {
+		request.Body, err = r.readBody(ctx, w, q, c)
+		return err
 	}
-	defer func() { r.bodies.release(len(request.Body)) }()
 	r.Engine.Serve(q.Context(), w, request)
 }
 
-// readBody reads the body of a request, at most until ctx is done, and charges it to the body budget; serveCaller
-// releases it.
-func (r *Router) readBody(ctx context.Context, w http.ResponseWriter, q *http.Request) ([]byte, *fault.Error) {
-	maxBytes := int64(r.Engine.Bounds().MaxBody)
+// readBody reads the body of a request, at most until ctx is done, and charges the request to the connection until its
+// end.
+func (r *Router) readBody(ctx context.Context, w http.ResponseWriter, q *http.Request, c *quota.Conn) ([]byte, *fault.Error) {
+	maxBytes := r.Engine.Bounds().MaxBody
 	if maxBytes == 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(bodyReadTimeout.After(time.Now())); err != nil {
-		return nil, fault.From(err, fault.NotRun)
-	}
-	defer context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Now()) })()
-	body, err := io.ReadAll(r.bodies.reader(http.MaxBytesReader(w, q.Body, maxBytes)))
-	if err == nil {
-		err = control.SetReadDeadline(time.Time{})
+	var body []byte
+	if q.ContentLength != 0 {
+		control := http.NewResponseController(w)
+		if err := control.SetReadDeadline(bodyReadTimeout.After(time.Now())); err != nil {
+			return nil, fault.From(err, fault.NotRun)
+		}
+		defer context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Now()) })()
+		var err error
+		if body, err = c.ReadBody(q.Body, quota.Body{Length: q.ContentLength, MaxBytes: maxBytes, Copies: 1}); err != nil {
+			return nil, r.bodyError(err, maxBytes)
+		}
+		_ = control.SetReadDeadline(time.Time{})
 	}
-	if err == nil {
-		return body, nil
+	if err := c.BeginService(); err != nil {
+		return nil, r.bodyError(err, maxBytes)
 	}
-	r.bodies.release(len(body))
-	return nil, r.bodyError(err)
+	return body, nil
 }
 
-// bodyError returns the answer to a request whose body could not be read.
-func (r *Router) bodyError(err error) *fault.Error {
-	var tooLarge *http.MaxBytesError
+// bodyError returns the answer to a request whose body could not be read; maxBytes is the maximum length of a body.
+func (r *Router) bodyError(err error, maxBytes int) *fault.Error {
 	switch {
-	case errors.As(err, &tooLarge):
-		return fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", tooLarge.Limit)
-	case errors.Is(err, errBodyBudgetFull):
-		return fault.New(fault.Overloaded, fault.NotRun, "The memory for bodies is used up by other requests.").WithRetryAt(bodyRetryDelay.After(r.Engine.Now()))
+	case errors.Is(err, quota.ErrTooLarge):
+		return fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", maxBytes)
+	case errors.Is(err, quota.ErrNoMemory):
+		return fault.New(fault.Overloaded, fault.NotRun, "The memory for callers is used up by other requests.").WithRetryAt(bodyRetryDelay.After(r.Engine.Now()))
 	default:
 		return fault.New(fault.BadRequest, fault.NotRun, "The body could not be read.").WithCause(err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -16,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/traildrift/traildrift/internal/admin"
@@ -26,6 +24,7 @@
 	"github.com/traildrift/traildrift/internal/mirror"
 	"github.com/traildrift/traildrift/internal/peers"
 	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/internal/relay"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/pkg/config"
@@ -34,21 +33,22 @@
 
 // Router is one router process. It must be created with New.
 type Router struct {
-	Engine    *relay.Engine
-	Log       *zap.Logger
-	file      string
-	settings  Settings
-	wire      *Wire
-	lines     *logs.AsyncWriter
-	admin     *admin.Server
-	tasks     tasks.Group
-	callers   *http.Server
-	mirror    *mirror.Mirror
-	fleet     *peers.Fleet
-	puller    *peers.Puller
-	transport *peers.Transport
-	traffic   peers.Traffic
-	bodies    *bodyBudget
+	Engine          *relay.Engine
+	Log             *zap.Logger
+	file            string
+	settings        Settings
+	wire            *Wire
+	lines           *logs.AsyncWriter
+	admin           *admin.Server
+	tasks           tasks.Group
+	callers         *http.Server
+	mirror          *mirror.Mirror
+	fleet           *peers.Fleet
+	puller          *peers.Puller
+	transport       *peers.Transport
+	traffic         peers.Traffic
+	account         *quota.Account
+	accountRecorder *quota.Recorder
 	// reloads receives the signals to read the settings file again; nil for none.
 	reloads <-chan os.Signal
 	// duties is nil if the settings name no duty that a router performs.
@@ -93,7 +93,6 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
-	r.bodies = newBodyBudget(s.MemoryMB)
 	r.mirror = mirror.New(w.ConfigKind, w.ClosingKind, w.VerdictKind, w.TrialKind, w.EndpointKind, w.RouterKind)
 	r.mirror.OnChange, r.mirror.OnEpoch = r.applyChange, w.ObserveEpoch
 	r.fleet = peers.NewFleet(s.VM)
@@ -143,25 +142,6 @@
 	return r, nil
 }
 
-// listen opens the listeners for which the settings name an address.
-func (r *Router) listen() error {
-	s := &r.settings
-	for _, l := range []struct {
-		addr netip.AddrPort
-		dst  *net.Listener
-	}{{s.Listen, &r.caller}, {s.Readiness, &r.ready}, {s.Peers, &r.peer}, {s.Metrics, &r.metrics}} {
-		if !l.addr.IsValid() {
-			continue
-		}
-		ln, err := net.Listen("tcp", l.addr.String())
-		if err != nil {
-			return errors.Wrap(err, "router")
-		}
-		*l.dst = ln
-	}
-	return nil
-}
-
 // senders returns the routers that share the load limit of endpoints that warm up, and the generation
 // of the fleet that they belong to. changed is false if the generation is still have, or if the
 // registrations of routers have not been listed yet.
@@ -187,8 +167,8 @@
 const millicoresPerCore = 1000
 
 // memoryLimitPercent is the percentage of Settings.MemoryMB above which the garbage collector runs
-// more often. The rest is for the memory that the kernel uses for connections.
-const memoryLimitPercent = 70
+// more often. The rest is for the program itself and for bytes that wait in receive buffers.
+const memoryLimitPercent = 60
 
 // Main runs a router with the settings in a file until a signal ends it. wire returns the protocols of
 // the platform for the settings. Main returns errors of the settings file and of New.
@@ -224,6 +204,7 @@
 	r.tasks.Go(ctx, "silence probes", r.Engine.ProbeSilence)
 	r.tasks.Go(ctx, "crashes of endpoints", r.Engine.WatchCrashes)
 	r.tasks.Go(ctx, "settings", r.watchSettings)
+	r.tasks.Go(ctx, "account of callers", r.accountRecorder.Run)
 	if r.duties != nil {
 		r.tasks.Go(ctx, "duties", r.duties.run)
 		r.tasks.Go(ctx, "usage", r.duties.sendReports)
@@ -250,11 +231,6 @@
 }
 
 const (
-	// headerReadTimeout bounds the time in which the header of a request to the readiness or peer
-	// listener is read. idleConnTimeout is how long an idle connection to these is kept; the balancer
-	// sends a request once a second.
-	headerReadTimeout = 3 * time.Second
-	idleConnTimeout   = 30 * time.Second
 	// configWaitTimeout is how long connections of callers wait for the configuration before they are
 	// served without one. The server for callers takes its bounds from the configuration.
 	configWaitTimeout = config.Span(500 * time.Millisecond)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -35,6 +35,9 @@
 	WarmSlack        float64           `yaml:"warmSlack,omitempty" doc:"Requests in a second that it may get beyond that; 5 if left out."`
 	ConfigWithin     config.Span       `yaml:"configWithin,omitempty" doc:"How long after its acceptance a configuration has to be in force; 2s if left out."`
 	MemoryMB         int               `yaml:"memoryMB,omitempty" doc:"Memory that the process may use; not bounded if left out."`
+	MaxDescriptors   int               `yaml:"maxDescriptors,omitempty" doc:"File descriptors that the process may use; the limit of its environment if left out or greater."`
+	CallersMB        int               `yaml:"callersMB,omitempty" doc:"Memory that callers may hold together, for connections, heads, bodies and answers; 35 % of memoryMB if left out, or 256 without memoryMB."`
+	CallersConns     int               `yaml:"callersConns,omitempty" doc:"Connections that callers may have open; if left out a third of the descriptors, or fewer where these would take more than half of callersMB."`
 	FirstStart       bool              `yaml:"firstStart,omitempty" doc:"Whether the whole fleet starts for the first time: then routers wait for one another to register."`
 	CPUShare         float64           `yaml:"cpuShare,omitempty" doc:"Processor cores that the process may use; VMs with more serve those with less what they read of the store."`
 	Straight         int               `yaml:"straight,omitempty" doc:"Confidence under which an answer gives way to the largest model, with fixed bounds; 40 if left out."`
@@ -91,6 +94,7 @@
 		}
 	}
 	s.checkLimits(report)
+	s.checkCallers(report)
 	s.checkMechanisms(report)
 	s.checkDuties(report)
 	switch s.LogLevel {
@@ -133,6 +137,21 @@
 	}
 }
 
+// checkCallers checks the keys that bound the process and what callers hold.
+func (s *Settings) checkCallers(report func(key, message string)) {
+	for _, c := range []struct {
+		key string
+		n   int
+	}{{"memoryMB", s.MemoryMB}, {"maxDescriptors", s.MaxDescriptors}, {"callersMB", s.CallersMB}, {"callersConns", s.CallersConns}} {
+		if c.n < 0 {
+			report(c.key, "0 (the default) or more is allowed")
+		}
+	}
+	if s.MemoryMB > 0 && s.CallersMB > s.MemoryMB/2 {
+		report("callersMB", "at most half of memoryMB is allowed")
+	}
+}
+
 // checkLimits checks the ranges of times and numbers.
 func (s *Settings) checkLimits(report func(key, message string)) {
 	if s.StopWithin <= 0 {
