router: Bound heads, bodies and connections at the addresses for the balancer and for peers

Callers saw: with 600 connections at the readiness address, bodies that stop short there or silence, a router that is never ready and serves no ordinary request, as all descriptors are taken and kept; heads of 1 MB took 281 MB. Cause: these servers had net/http's defaults: heads of 1 MB, and no bound on the time of a body: the handler answers, and the server reads on. Nothing bounded their connections.

--- a/internal/router/doors.go
+++ b/internal/router/doors.go
@@ -4,12 +4,16 @@
 package router
 
 import (
+	"bytes"
+	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/quota"
 )
 
@@ -40,9 +44,60 @@
 	return nil
 }
 
-// headerReadTimeout bounds the time in which the header of a request to the readiness or peer listener is read.
-// idleConnTimeout is how long an idle connection to these is kept; the balancer sends a request once a second.
 const (
-	headerReadTimeout = 3 * time.Second
-	idleConnTimeout   = 30 * time.Second
+	// smallBodyBytes is the maximum size of a body at the listeners for the balancer and for other routers, and
+	// smallHeaderBytes that of a head.
+	smallBodyBytes   = 4 << 10
+	smallHeaderBytes = 4 << 10
+	// smallRequestTimeout bounds the time in which a request to these listeners is read, and that of writing the answer
+	// to the balancer. The balancer sends a request once a second.
+	smallRequestTimeout = 3 * time.Second
+	// idleConnTimeout is how long an idle connection to these listeners is kept.
+	idleConnTimeout = 30 * time.Second
 )
+
+// newSmallServer returns the HTTP server of a listener whose requests are small.
+func (r *Router) newSmallServer(name string, h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: accounted(h), ReadHeaderTimeout: smallRequestTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: smallHeaderBytes,
+		ErrorLog: logs.NewStdLog(r.Log, name), ConnContext: quota.WithConn,
+	}
+}
+
+// accounted returns a handler that charges its requests to the account, and gets small bodies that have been read.
+func accounted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		c := quota.FromContext(q.Context())
+		c.Begin()
+		status := readSmallBody(w, q, c)
+		if status == 0 && c.BeginService() != nil {
+			status = http.StatusServiceUnavailable
+		}
+		defer func() { c.End(q.ContentLength, status != 0) }()
+		if status != 0 {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(status)
+			return
+		}
+		h.ServeHTTP(w, q)
+	})
+}
+
+// readSmallBody reads the body of a request. It returns the status of a refusal, or 0.
+func readSmallBody(w http.ResponseWriter, q *http.Request, c *quota.Conn) (refusal int) {
+	if q.ContentLength == 0 {
+		return 0
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(smallRequestTimeout))
+	if q.ContentLength > smallBodyBytes {
+		return http.StatusRequestEntityTooLarge
+	}
+	text, err := c.ReadBody(q.Body, quota.Body{Length: q.ContentLength, MaxBytes: smallBodyBytes, Copies: 1})
+	if err != nil {
+		return http.StatusServiceUnavailable
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	q.Body = io.NopCloser(bytes.NewReader(text))
+	return 0
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -213,9 +213,9 @@
 	peerHandler.Traffic, peerHandler.OnStartingPeer, peerHandler.Verdicts = &r.traffic, r.puller.RecordStartingPeer, r.Engine.StartupVerdicts
 	peerHandler.Age = r.Engine.Age
 	r.tasks.Go(ctx, "traffic", func(ctx context.Context) error { return r.traffic.Run(ctx, r.Log) })
-	peerServer := &http.Server{Handler: peerHandler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, ErrorLog: logs.NewStdLog(r.Log, "peers")}
+	peerServer := r.newSmallServer("peers", peerHandler)
 	r.tasks.Go(ctx, "answers to peers", func(context.Context) error { return peerServer.Serve(r.peer) })
-	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout}
+	readinessServer := r.newSmallServer("readiness", http.HandlerFunc(r.serveReady))
 	r.tasks.Go(ctx, "readiness", func(context.Context) error { return readinessServer.Serve(r.ready) })
 	if r.metrics != nil {
 		r.tasks.Go(ctx, "metrics", func(context.Context) error { return r.admin.Serve(r.metrics) })
