admin: Bound bodies, writes and memory at the operators' address

Callers saw nothing as long as memory is not enforced; there the process would have ended: 200 clients whose bodies stop a byte short at /metrics took 830 MB. Cause: the HTTP library reads whole requests of up to 4 MB before anything is known of them; a write to a reader that stops had no bound. Fix: bodies of 4 KB, 10 s for an answer, and requests on the account of the listener's connections.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -18,6 +18,8 @@
 	promreport "github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/traildrift/traildrift/internal/quota"
 )
 
 // Server handles the HTTP requests of operators. It must be created with New or
@@ -55,15 +57,22 @@
 	}, reportInterval)
 	s := &Server{Scope: scope, token: token, state: state, explain: explain, closer: closer}
 	s.metrics = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	s.http = &fasthttp.Server{Handler: s.handle, Name: "traildrift", ReadTimeout: readTimeout, CloseOnShutdown: true, NoDefaultDate: true}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, Name: "traildrift", ReadTimeout: readTimeout, WriteTimeout: readTimeout, MaxRequestBodySize: maxRequestBytes,
+		CloseOnShutdown: true, NoDefaultDate: true,
+	}
 	return s
 }
 
 // NewMetrics returns a server that serves only /metrics and requires no token.
 func NewMetrics() *Server { return New("", nil, nil) }
 
-// readTimeout is the timeout of reading a request.
-const readTimeout = 10 * time.Second
+const (
+	// readTimeout is the timeout of reading a request, and of writing its answer.
+	readTimeout = 10 * time.Second
+	// maxRequestBytes is the maximum size of a request's body.
+	maxRequestBytes = 4 << 10
+)
 
 // Serve accepts connections on ln until Close is called or the listener fails.
 func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
@@ -75,6 +84,15 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if c := quota.Of(ctx.Conn()); c != nil {
+		defer c.End(int64(len(ctx.Request.Body())), false)
+		c.Begin()
+		if c.BeginService() != nil {
+			ctx.SetConnectionClose()
+			ctx.Error("others use the memory for callers", fasthttp.StatusServiceUnavailable)
+			return
+		}
+	}
 	if !s.authorized(ctx) {
 		ctx.Error("the operators' token is required", fasthttp.StatusUnauthorized)
 		return
