--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -134,19 +134,63 @@
 // errLongAnswer ends an answer of more than MaxAnswerBytes.
 var errLongAnswer = errors.New("relay: the answer is too long")
 
+// firstBuffered is the size of the first buffer for an answer of unknown length, in bytes.
+const firstBuffered = 4 << 10
+
+// readStart reads up to maxBuffered bytes of an answer, or fewer if the caller may not hold that much memory. whole
+// says that these are all. heldBytes is what the caller holds for them.
+func (x *run) readStart(reply *Reply) (start []byte, whole bool, heldBytes int, err error) {
+	size := firstBuffered
+	if reply.Length >= 0 {
+		size = int(min(reply.Length+1, maxBuffered))
+	}
+	for x.r.Grant == nil || x.r.Grant(size) {
+		start = append(make([]byte, 0, size), start...)
+		x.giveBack(heldBytes)
+		heldBytes = size
+		for len(start) < size {
+			n, err := reply.Body.Read(start[len(start):size])
+			start = start[:len(start)+n]
+			if err != nil {
+				return start, err == io.EOF, heldBytes, eofIsNil(err)
+			}
+		}
+		if size == maxBuffered {
+			break
+		}
+		size = min(4*size, maxBuffered)
+	}
+	return start, false, heldBytes, nil
+}
+
+func eofIsNil(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
+// giveBack gives back n bytes of the memory that the caller holds.
+func (x *run) giveBack(n int) {
+	if x.r.Return != nil {
+		x.r.Return(n)
+	}
+}
+
 // deliverWhole passes on an answer that is not a stream.
 func (x *run) deliverWhole(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord, s *silenceTimer) error {
 	if reply.Length > MaxAnswerBytes {
 		return errLongAnswer
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered))
+	body, whole, heldBytes, err := x.readStart(reply)
+	defer x.giveBack(heldBytes)
 	t.Received = len(body)
 	if err != nil {
 		t.BodyEnd = bodyEndOf(reply, err)
 		return err
 	}
 	s.stop()
-	if len(body) < maxBuffered {
+	if whole {
 		t.BodyEnd = bodyEndOf(reply, nil)
 		if err := x.confirmEnd(ctx, a, reply, t); err != nil {
 			return err
