link: A stranger may announce frames of 16 KB only, and is not kept after it left

Callers saw nothing as long as memory is not enforced; there the process would have ended: 100 clients that announce a frame of 16 MB on a link and send all but its last byte took 3,036 MB of an entry and 1,921 MB of a guard. Cause: the limit of a frame was that of proven peers also before the handshake, and memory was allocated as it was announced. Found beside it: the timer that closes a stranger after 2 s held the link for as long, also when the stranger had left: 30 MB under a crowd that comes again. Evidence: entryLinkFrames and guardLinkFrames of TestCrowdAtFleet failed on. Fix: 16 KB until the peer has proved the link key; the timer is dropped with the connection. A link that was proven does not give way any more.

--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -17,8 +17,8 @@
 // cannot make this process allocate without limit.
 type frameCodec struct {
 	jsonrpc2.VarintObjectCodec
-	// limit is the maximum length of a frame that is read, in bytes.
-	limit uint64
+	// limit returns the maximum length of a frame that is read, in bytes.
+	limit func() uint64
 }
 
 // ReadObject reads one frame and decodes it into v. It returns ErrFrameTooLarge,
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	if n > f.limit {
+	if n > f.limit() {
 		return ErrFrameTooLarge
 	}
 	body := make([]byte, n)
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -22,6 +22,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/seal"
@@ -42,6 +43,8 @@
 const (
 	// MaxFrame is the maximum length of an encoded message, in bytes.
 	MaxFrame = 16 << 20
+	// maxStrangerFrame is the maximum length of a message from a process that has not proved the link key.
+	maxStrangerFrame = 16 << 10
 	// dialTimeout bounds the opening of a connection, and then its handshake.
 	dialTimeout = 2 * time.Second
 	// writeTimeout bounds one write, as a peer may have stopped reading.
@@ -78,7 +81,7 @@
 type Conn struct {
 	local *Local
 	rpc   *jsonrpc2.Conn
-	raw   net.Conn
+	raw   *meteredConn
 	// Peer is the identity that the peer sent in the handshake. It is set before
 	// Dial returns or onProven is called, and not changed later.
 	Peer wire.Identity
@@ -115,6 +118,18 @@
 type meteredConn struct {
 	net.Conn
 	local *Local
+	// closed is set by Close. expiry closes the connection of a stranger; nil for none.
+	closed atomic.Bool
+	expiry atomic.Pointer[time.Timer]
+}
+
+// Close closes the connection, and drops the timer, which would keep the link in memory.
+func (m *meteredConn) Close() error {
+	m.closed.Store(true)
+	if t := m.expiry.Load(); t != nil {
+		t.Stop()
+	}
+	return m.Conn.Close()
 }
 
 // Read reads from the connection and counts the bytes.
@@ -137,14 +152,22 @@
 
 // open starts to read messages from raw. The handshake is still to come.
 func (l *Local) open(ctx context.Context, raw net.Conn, onProven func(*Conn)) *Conn {
-	c := &Conn{local: l, raw: raw, nonce: newNonce(), onProven: onProven}
-	s := jsonrpc2.NewBufferedStream(&meteredConn{Conn: raw, local: l}, frameCodec{limit: MaxFrame})
+	c := &Conn{local: l, raw: &meteredConn{Conn: raw, local: l}, nonce: newNonce(), onProven: onProven}
+	s := jsonrpc2.NewBufferedStream(c.raw, frameCodec{limit: c.maxFrame})
 	ready := make(chan struct{})
 	c.rpc = jsonrpc2.NewConn(ctx, s, handler{conn: c, ready: ready}, jsonrpc2.SetLogger(logs.LibraryLogger{}))
 	close(ready)
 	return c
 }
 
+// maxFrame returns the maximum length of a frame of the peer.
+func (c *Conn) maxFrame() uint64 {
+	if c.onProven != nil && !c.Proven() {
+		return maxStrangerFrame
+	}
+	return MaxFrame
+}
+
 func newNonce() string {
 	var b [16]byte
 	_, _ = rand.Read(b[:])
@@ -215,12 +238,20 @@
 		if l.TLS != nil {
 			raw = tls.Server(raw, l.TLS)
 		}
-		c := l.open(ctx, raw, onProven)
-		time.AfterFunc(dialTimeout, func() {
+		c := l.open(ctx, raw, func(c *Conn) {
+			if q := quota.Of(raw); q != nil {
+				q.Keep()
+			}
+			onProven(c)
+		})
+		c.raw.expiry.Store(time.AfterFunc(dialTimeout, func() {
 			if !c.Proven() {
 				c.Close()
 			}
-		})
+		}))
+		if c.raw.closed.Load() {
+			_ = c.raw.Close()
+		}
 	}
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -44,7 +44,7 @@
 		r := bufio.NewReader(bytes.NewReader(data))
 		for {
 			var v json.RawMessage
-			err := frameCodec{limit: 1 << 12}.ReadObject(r, &v)
+			err := frameCodec{limit: func() uint64 { return 1 << 12 }}.ReadObject(r, &v)
 			if err != nil {
 				return
 			}
