entry, guard, proc: Charge what callers, operators and strangers hold to one account

Callers saw: an entry whose descriptors were used up once took no connection any more, also after the crowd had gone, until it was restarted; 200 clients with bodies of 4 MB that stop a byte short took 827 MB, also without a route or a key and at /readyz. Cause: the HTTP library reads a whole request before its handler is called, up to the greatest body for each; its server ends for good when accept fails with another error than a time-out, and so does the server of links. Nothing bounded connections. Fix: all listeners of a process are doors on one account, which go on after a lack of descriptors. Bodies are read by the handler, once key, path and headers are known, and are charged four times, as they are in the message to the guard and in the link's buffer too. The rest of a body that was not read ends the connection. New settings of entries and guards: memoryMB (128 if left out), maxDescriptors, callersMB, callersConns.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -103,6 +103,8 @@
 	end *stream.End
 	// release is called once the caller has been answered or has disconnected.
 	release func()
+	// onClose is called after release; nil for no call.
+	onClose func()
 }
 
 // Read waits for more of the answer. It returns the error of an incomplete answer after its
@@ -151,6 +153,9 @@
 		a.e.callerGone(a.r)
 	}
 	a.release()
+	if a.onClose != nil {
+		a.onClose()
+	}
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/traildrift/traildrift/internal/ledger"
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/proc"
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/internal/store"
 	"github.com/traildrift/traildrift/internal/tasks"
@@ -117,7 +118,7 @@
 	if e.runs, err = ants.NewPool(maxRuns, ants.WithNonblocking(true)); err != nil {
 		return nil, err
 	}
-	if e.listener, err = listen(s); err != nil {
+	if e.listener, err = e.listen(); err != nil {
 		return nil, err
 	}
 	e.bills = ledger.New(p.Log, p.Store, ledger.Options[bill.Line]{
@@ -144,12 +145,17 @@
 }
 
 // listen opens the listener for callers, with TLS if the settings name its files.
-func listen(s Settings) (net.Listener, error) {
-	plain, err := net.Listen("tcp", s.Listen.String())
+func (e *Entry) listen() (net.Listener, error) {
+	s := &e.settings
+	o := quota.Options{Name: "callers", MaxConns: e.Limits.Callers}
+	if !s.TLS.IsSet() {
+		o.Refusal = quota.HTTPRefusal()
+	}
+	door, err := e.Listen(s.Listen, o)
 	if err != nil {
 		return nil, err
 	}
-	ln := lingerListener{plain}
+	ln := lingerListener{door}
 	if !s.TLS.IsSet() {
 		return ln, nil
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
@@ -27,6 +28,7 @@
 		IdleTimeout:                  idleTimeout,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
+		StreamRequestBody:            true,
 		NoDefaultServerHeader:        true,
 	}
 }
@@ -49,8 +51,43 @@
 	}
 }
 
-// handle dispatches a call by its path.
+// handle serves a call, which holds memory from its head to the end of its answer.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	c := quota.Of(ctx.Conn())
+	c.Begin()
+	e.dispatchPath(ctx)
+	if c.GivesWay() {
+		ctx.SetConnectionClose()
+	}
+	if hasUnreadBody(ctx) {
+		ctx.SetConnectionClose()
+		setLinger(ctx.Conn())
+	}
+	end := func() { c.End(int64(max(ctx.Request.Header.ContentLength(), -1)), ctx.Response.ConnectionClose()) }
+	if stream, ok := ctx.Response.BodyStream().(*answerReader); ok {
+		stream.onClose = end
+		return
+	}
+	end()
+}
+
+// prefetchedBytes is how much of a body the HTTP server reads before it calls the handler.
+const prefetchedBytes = 8 << 10
+
+// hasUnreadBody reports whether the rest of a body may still arrive.
+func hasUnreadBody(ctx *fasthttp.RequestCtx) bool {
+	if n := ctx.Request.Header.ContentLength(); n >= 0 && n <= prefetchedBytes {
+		return false
+	}
+	read, ok := ctx.UserValue(bodyReadKey{}).(bool)
+	return ctx.RequestBodyStream() != nil && !(ok && read)
+}
+
+// bodyReadKey is the user value that says that the body was read to its end.
+type bodyReadKey struct{}
+
+// dispatchPath dispatches a call by its path.
+func (e *Entry) dispatchPath(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
 	case path == "/healthz":
@@ -95,6 +132,9 @@
 		return
 	}
 	call, key, err := e.parseHeaders(ctx, workspace)
+	if err == nil {
+		call.Body, err = e.readBody(ctx)
+	}
 	if err == nil {
 		err = e.parseChat(&call)
 	}
@@ -115,6 +155,9 @@
 	if err == nil {
 		err = e.parseService(ctx, &call)
 	}
+	if err == nil {
+		call.Body, err = e.readBody(ctx)
+	}
 	if err != nil {
 		e.refuse(ctx, err)
 		return
--- a/internal/entry/linger.go
+++ b/internal/entry/linger.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/pkg/config"
 )
 
@@ -53,10 +54,15 @@
 	}
 }
 
+// NetConn returns the connection beneath.
+func (c *lingerConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection. If it lingers, Close first ends the sending side and
 // discards up to maxLingerBytes for at most lingerTimeout.
 func (c *lingerConn) Close() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok && c.lingers.Load() {
+	if q := quota.Of(c.Conn); q != nil && c.lingers.Load() {
+		// What is discarded is not charged.
+		t := q.TCPConn
 		// An error here only ends the wait, as the connection is closed anyway.
 		if t.CloseWrite() == nil && t.SetReadDeadline(lingerTimeout.After(time.Now())) == nil {
 			_, _ = io.CopyN(io.Discard, t, maxLingerBytes)
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -5,11 +5,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
@@ -50,7 +52,42 @@
 	return workspace, nil
 }
 
-// parseHeaders reads the headers and the body that chat requests and service calls have in
+// bodyCopies is how many times a body is in memory while its call is served: as it was read, in the message to the guard,
+// where it is encoded, and in the buffer of the link.
+const bodyCopies = 4
+
+// readBody reads the body of a call whose caller is known. It charges the memory to the caller's connection until the end
+// of the call.
+func (e *Entry) readBody(ctx *fasthttp.RequestCtx) ([]byte, *fault.Error) {
+	length := ctx.Request.Header.ContentLength()
+	c, stream := quota.Of(ctx.Conn()), ctx.RequestBodyStream()
+	var body []byte
+	var err error
+	if stream != nil && length != 0 {
+		body, err = c.ReadBody(stream, quota.Body{Length: int64(length), MaxBytes: e.settings.MaxBody, Copies: bodyCopies})
+	}
+	if err == nil {
+		ctx.SetUserValue(bodyReadKey{}, true)
+		err = c.BeginService()
+	}
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, quota.ErrNoMemory):
+		return nil, e.noMemory()
+	case errors.Is(err, quota.ErrTooLarge):
+		return nil, fault.New(fault.TooLarge, fault.NotRun, "The body has more than %d bytes.", e.settings.MaxBody)
+	default:
+		return nil, fault.New(fault.BadRequest, fault.NotRun, "The request could not be read.")
+	}
+}
+
+// noMemory returns the answer to a call for which there is no memory.
+func (e *Entry) noMemory() *fault.Error {
+	return fault.New(fault.Overloaded, fault.NotRun, "The memory for callers is used up by other requests.").WithRetryAt(defaultRetryAfter.After(e.Now()))
+}
+
+// parseHeaders reads the headers that chat requests and service calls have in
 // common. It returns the call and the caller's key, which is empty without one.
 func (e *Entry) parseHeaders(ctx *fasthttp.RequestCtx, workspace string) (wire.Call, string, *fault.Error) {
 	h := &ctx.Request.Header
@@ -61,7 +98,6 @@
 		Priority:    string(h.Peek(headerPriority)),
 		Method:      string(ctx.Method()),
 		ContentType: string(h.ContentType()),
-		Body:        append([]byte(nil), ctx.PostBody()...),
 	}
 	if c.Priority != "" && c.Priority != config.Interactive && c.Priority != config.Patient {
 		return c, "", fault.New(fault.BadRequest, fault.NotRun, "%s is %s or %s.", headerPriority, config.Interactive, config.Patient)
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/traildrift/traildrift/internal/elems"
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/logs"
+	"github.com/traildrift/traildrift/internal/quota"
 	"github.com/traildrift/traildrift/internal/secure"
 	"github.com/traildrift/traildrift/internal/spread"
 	"github.com/traildrift/traildrift/internal/store"
@@ -58,6 +60,11 @@
 	Pool *ants.Pool
 	// Tasks owns every goroutine of the process that is not a handler.
 	Tasks tasks.Group
+	// Account is what callers of all listeners hold, Limits its bounds.
+	Account *quota.Account
+	Limits  quota.Limits
+	// doors are the listeners on Account. They do not change after Start.
+	doors []*quota.Door
 	// linkLn and adminLn are the listeners for peers and for operators.
 	linkLn   net.Listener
 	adminLn  net.Listener
@@ -90,6 +97,9 @@
 	if c.WriteEvery == 0 {
 		c.WriteEvery = defaultWriteEvery
 	}
+	if c.MemoryMB == 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
 	var keys Keys
 	if err := Load(c.Keys, &keys); err != nil {
 		return nil, err
@@ -123,22 +133,38 @@
 	}
 	p.Local.Mux = link.NewMux(p.Pool.Submit, p.Holder.CatchUp)
 	link.Handle(p.Local.Mux, wire.MethodDelta, p.Holder.Serve)
+	p.Limits = quota.Settings{MemoryMB: c.MemoryMB, CallersMB: c.CallersMB, Descriptors: c.MaxDescriptors, CallersConns: c.CallersConns}.Limits()
+	p.Account = quota.NewAccount(p.Limits.Bytes)
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * memoryLimitPercent / 100)
 	if err := p.listen(o); err != nil {
 		return nil, err
 	}
 	return p, nil
 }
 
+// memoryLimitPercent is the percentage of Common.MemoryMB above which the garbage collector runs more often. The rest is for
+// the program itself and for bytes that wait in receive buffers.
+const memoryLimitPercent = 60
+
+// Listen opens a listener whose connections are on Account. It must be called before Start.
+func (p *Proc) Listen(addr netip.AddrPort, o quota.Options) (*quota.Door, error) {
+	d, err := p.Account.Listen(addr.String(), o)
+	if err == nil {
+		p.doors = append(p.doors, d)
+	}
+	return d, err
+}
+
 // listen opens the listeners and creates Admin and Scope.
 func (p *Proc) listen(o Options) error {
 	token, err := readToken(p.Common.OperatorsToken)
 	if err != nil {
 		return err
 	}
-	if p.linkLn, err = net.Listen("tcp", p.Common.Link.String()); err != nil {
+	if p.linkLn, err = p.Listen(p.Common.Link, quota.Options{Name: "links", MaxConns: p.Limits.Peers}); err != nil {
 		return err
 	}
-	if p.adminLn, err = net.Listen("tcp", p.Common.Operators.String()); err != nil {
+	if p.adminLn, err = p.Listen(p.Common.Operators, quota.Options{Name: "operators", MaxConns: p.Limits.Few, Refusal: quota.HTTPRefusal()}); err != nil {
 		_ = p.linkLn.Close()
 		return err
 	}
@@ -160,6 +186,7 @@
 // Start serves peers and operators in goroutines of p.Tasks. They end once ctx is done and
 // Close is called.
 func (p *Proc) Start(ctx context.Context) {
+	p.Tasks.Go(ctx, "account of callers", quota.Record(p.Account, p.Log, p.Scope, p.doors...).Run)
 	p.Tasks.Go(ctx, "links", func(ctx context.Context) error {
 		return p.Local.Serve(ctx, p.linkLn, p.onProven)
 	})
--- a/internal/proc/settings.go
+++ b/internal/proc/settings.go
@@ -30,9 +30,16 @@
 	LinkTLS          secure.Files   `yaml:"linkTLS,omitempty" doc:"Files cert, key and ca for mutual TLS between processes; the same everywhere or nowhere."`
 	StopWithin       config.Span    `yaml:"stopWithin,omitempty" doc:"How long a planned stop may take, counted from the signal."`
 	WriteEvery       config.Span    `yaml:"writeEvery,omitempty" doc:"How long bills and trail are gathered before they are written; 5s if left out."`
+	MemoryMB         int            `yaml:"memoryMB,omitempty" doc:"Memory that the process may use; 128 if left out."`
+	MaxDescriptors   int            `yaml:"maxDescriptors,omitempty" doc:"File descriptors that the process may use; the limit of its environment if left out or greater."`
+	CallersMB        int            `yaml:"callersMB,omitempty" doc:"Memory that callers, operators and strangers may hold together, for connections, heads and bodies; 35 % of memoryMB if left out."`
+	CallersConns     int            `yaml:"callersConns,omitempty" doc:"Connections that callers may have open; if left out a third of the descriptors, or fewer where these would take more than half of callersMB."`
 	LogLevel         string         `yaml:"logLevel,omitempty" doc:"debug, info, warn or error."`
 }
 
+// defaultMemoryMB is the default of MemoryMB. An entry of a fleet of full size takes some 54 MB.
+const defaultMemoryMB = 128
+
 // Check calls report for each key whose value is missing or not allowed.
 func (c *Common) Check(report func(key, message string)) {
 	for key, name := range map[string]string{"vm": c.VM, "availabilityZone": c.AvailabilityZone, "keys": c.Keys} {
@@ -50,6 +57,14 @@
 			report(key, "0s (the default) or more is allowed")
 		}
 	}
+	for key, n := range map[string]int{"memoryMB": c.MemoryMB, "maxDescriptors": c.MaxDescriptors, "callersMB": c.CallersMB, "callersConns": c.CallersConns} {
+		if n < 0 {
+			report(key, "0 (the default) or more is allowed")
+		}
+	}
+	if c.CallersMB > max(c.MemoryMB, defaultMemoryMB)/2 {
+		report("callersMB", "at most half of memoryMB is allowed")
+	}
 	c.checkAccess(report)
 	switch c.LogLevel {
 	case "", "debug", "info", "warn", "error":
