quota: Leave links of the own fleet a third of the descriptors

A ninth is too few where the environment allows 1,024: an entry links to up to 24 endpoints of each pool, and operators' tools open links to every process. Found by reading; no caller saw it.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	if p.linkLn, err = p.Listen(p.Common.Link, quota.Options{Name: "links", MaxConns: p.Limits.Peers}); err != nil {
+	if p.linkLn, err = p.Listen(p.Common.Link, quota.Options{Name: "links", MaxConns: p.Limits.Links}); err != nil {
 		return err
 	}
 	if p.adminLn, err = p.Listen(p.Common.Operators, quota.Options{Name: "operators", MaxConns: p.Limits.Few, Refusal: quota.HTTPRefusal()}); err != nil {
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -24,9 +24,9 @@
 type Limits struct {
 	// Bytes is the bound of the account.
 	Bytes int64
-	// Callers, Peers and Few are the greatest numbers of connections of callers, of other processes of the fleet, and of
-	// a balancer or operators.
-	Callers, Peers, Few int
+	// Callers, Peers, Links and Few are the greatest numbers of connections of callers, of other routers, of processes of
+	// the own fleet, and of a balancer or operators.
+	Callers, Peers, Links, Few int
 }
 
 const (
@@ -37,10 +37,10 @@
 	defaultCallersMB = 256
 	// fewConns is the greatest number of connections of doors that few processes use.
 	fewConns = 64
-	// descriptorParts divides the descriptors: callers have six parts, the connections to endpoints six, other
-	// processes of the fleet two, each of the two doors that few processes use one at most, and files and the store what
-	// is left.
-	descriptorParts, callersParts, peersParts, fewParts = 18, 6, 2, 1
+	// descriptorParts divides the descriptors: callers have six parts, the connections to endpoints six, other routers
+	// two, each of the two doors that few processes use one at most, and files and the store what is left. A process of the
+	// own fleet has links in place of connections to endpoints.
+	descriptorParts, callersParts, linksParts, peersParts, fewParts = 18, 6, 6, 2, 1
 )
 
 // Limits returns the bounds for a process with these settings.
@@ -59,6 +59,7 @@
 		l.Callers = s.CallersConns
 	}
 	l.Callers = max(l.Callers, 1)
+	l.Links = max(fds*linksParts/descriptorParts, 1)
 	l.Peers = max(fds*peersParts/descriptorParts, 1)
 	l.Few = max(min(fds*fewParts/descriptorParts, fewConns), 1)
 	return l
