entry: Do not keep the items of a chat request's list of messages

Cause: the entry decoded the list into an element each, with two dozen bytes and the growth of the slice, only to see that there are any. Fix: it looks whether the list has items, and passes the body on as it did.

--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"strings"
@@ -124,10 +125,27 @@
 
 // chatBody holds the fields of a chat request that the entry reads.
 type chatBody struct {
-	Model     string            `json:"model"`
-	Messages  []json.RawMessage `json:"messages"`
-	MaxTokens int               `json:"max_tokens"`
-	Stream    bool              `json:"stream"`
+	Model     string   `json:"model"`
+	Messages  anyItems `json:"messages"`
+	MaxTokens int      `json:"max_tokens"`
+	Stream    bool     `json:"stream"`
+}
+
+// anyItems says whether a JSON array has items. These are not kept: very many short ones would take many times the memory
+// of the body.
+type anyItems bool
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *anyItems) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" {
+		*a = false
+		return nil
+	}
+	if len(text) == 0 || text[0] != '[' {
+		return errors.New("entry: no list")
+	}
+	*a = len(bytes.TrimSpace(text[1:len(text)-1])) > 0
+	return nil
 }
 
 // parseChat reads the body of a chat request. The model it names is a workload of the
@@ -137,7 +155,7 @@
 	if err := json.Unmarshal(c.Body, &b); err != nil {
 		return fault.New(fault.BadRequest, fault.NotRun, "The body is no JSON of a chat request.")
 	}
-	if b.Model == "" || len(b.Messages) == 0 {
+	if b.Model == "" || !bool(b.Messages) {
 		return fault.New(fault.BadRequest, fault.NotRun, "model and messages are required.")
 	}
 	if b.MaxTokens < 0 {
--- a/internal/rig/crowd_test.go
+++ b/internal/rig/crowd_test.go
@@ -4,8 +4,10 @@
 package rig
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +69,12 @@
 		{"entryBodiesInChunks", store.RoleEntry, callers, 200, crowd.ShortInChunks(crowdHeads("/svc/fetch/x"), 1<<20)},
 		{"entryBodiesHalf", store.RoleEntry, callers, 200, crowd.Half(crowdHeads("/svc/fetch/x"), crowdBody)},
 		{"entryBodiesOver", store.RoleEntry, callers, 200, crowd.Over(crowdHeads("/svc/fetch/x"))},
+		{"entryManyMessages", store.RoleEntry, callers, 30, func(c *crowd.Conn) {
+			items := "{\"model\":\"none\",\"messages\":[" + strings.Repeat("0,", crowdBody/2-100) + "0]}"
+			if c.Send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", crowdHeads("/v1/chat/completions")(c), len(items), items)) {
+				c.Drain()
+			}
+		}},
 		{"entryFieldsShort", store.RoleEntry, callers, 300, crowd.Fields(crowdHeads("/svc/fetch/x"), crowdHead, true, false)},
 		{"entryFieldsWhole", store.RoleEntry, callers, 300, crowd.Fields(crowdHeads("/svc/fetch/x"), crowdHead, true, true)},
 		{"entryHeadsSlow", store.RoleEntry, callers, 600, crowd.SlowHead(crowdHeads("/svc/fetch/x"))},
