--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -144,7 +144,7 @@
 
 // memoryLimitPercent is the percentage of Common.MemoryMB above which the garbage collector runs more often. The rest is for
 // the program itself and for bytes that wait in receive buffers.
-const memoryLimitPercent = 60
+const memoryLimitPercent = 55
 
 // Listen opens a listener whose connections are on Account. It must be called before Start.
 func (p *Proc) Listen(addr netip.AddrPort, o quota.Options) (*quota.Door, error) {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -42,7 +42,7 @@
 
 // The events: a connection that was closed as it was accepted; memory that was not granted; and connections that gave way,
 // which are one that was refused and waited for its close, one without a request, one with a part of a head, and ones with
-// a body or an answer of which nothing moved.
+// a body or an answer of which nothing moved; and an answer of which the caller took nothing for the time of a write.
 const (
 	RefusedConnection What = "refusedConnection"
 	RefusedMemory     What = "refusedMemory"
@@ -51,6 +51,7 @@
 	EvictedHead       What = "evictedHead"
 	EvictedBody       What = "evictedBody"
 	EvictedAnswer     What = "evictedAnswer"
+	TimedOutAnswer    What = "timedOutAnswer"
 )
 
 // stage is what a connection waits for.
@@ -79,11 +80,11 @@
 	// stallTime is how long a connection must have gone without progress before it gives way to others for its memory. It
 	// is longer than a packet that was lost and sent again delays a sender.
 	stallTime = time.Second
-	// roomTime is the same where a door has no connection left. It is shorter, as each of the connections shuts others out,
-	// who have no other way to be served. It is long enough for a caller that has just connected to send a request.
-	// fewRoomTime is that of a door with few connections, whose callers are near.
-	roomTime    = 100 * time.Millisecond
-	fewRoomTime = 20 * time.Millisecond
+	// admitsPerSecond is the number of new connections that a door without room takes, in place of the oldest ones: these
+	// give way the sooner, the fewer connections the door may have, but not before minRoomTime, in which a caller that has
+	// just connected can send a request.
+	admitsPerSecond = 2000
+	minRoomTime     = 20 * time.Millisecond
 	// pressTime is how long after a connection found no room others are closed after their requests.
 	pressTime = time.Second
 )
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -159,13 +159,13 @@
 	if err := h.sendHead(third, thirdOut, "GET / HTTP/1.1\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	h.now = h.now.Add(fewRoomTime / 2)
+	h.now = h.now.Add(minRoomTime / 2)
 	h.open()
 	if !isClosed(secondOut) || isClosed(thirdOut) || isClosed(firstOut) {
 		t.Errorf("closed: got %v, %v, %v; want the silent one only", isClosed(firstOut), isClosed(secondOut), isClosed(thirdOut))
 	}
 	h.check("evictedIdle", 1)
-	h.now = h.now.Add(fewRoomTime)
+	h.now = h.now.Add(minRoomTime)
 	h.open()
 	if !isClosed(thirdOut) {
 		t.Error("the connection with a part of a head: got it open, want it closed")
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,10 +21,10 @@
 	// LineBytes is what a line of a head is charged beyond its bytes: the parsed field, and its copies in the request and
 	// in an attempt.
 	LineBytes = 400
+	// ElementBytes is what an element of a list in a field is charged: a list of parts of a prompt is decoded.
+	ElementBytes = 64
 	// RequestBytes is what a request in service is charged: its goroutines, and its connection to an endpoint.
 	RequestBytes = 32 << 10
-	// writeTimeout bounds the time of one write, in which the caller takes a part of an answer.
-	writeTimeout = 15 * time.Second
 )
 
 // Conn is a connection of a caller. The server of the door calls Begin and End around each request; what it reads
@@ -89,11 +90,13 @@
 	return a.grant(c, lineCost(p), forWaiting)
 }
 
-// lineEnd ends a line of a head.
-var lineEnd = []byte{'\n'}
+// lineEnd ends a line of a head, and separator an element of a list in a field.
+var lineEnd, separator = []byte{'\n'}, []byte{','}
 
 // lineCost returns the charge for bytes that may be those of a head.
-func lineCost(p []byte) int64 { return 2*int64(len(p)) + int64(bytes.Count(p, lineEnd))*LineBytes }
+func lineCost(p []byte) int64 {
+	return 2*int64(len(p)) + int64(bytes.Count(p, lineEnd))*LineBytes + int64(bytes.Count(p, separator))*ElementBytes
+}
 
 // scanHead looks for the empty line at the end of a head, and returns what follows it.
 func (c *Conn) scanHead(p []byte) (rest []byte) {
@@ -121,7 +124,8 @@
 	}
 }
 
-// Write implements net.Conn. A caller that takes nothing of an answer gives way, and is left after writeTimeout.
+// Write implements net.Conn. A caller that takes nothing of an answer gives way, and is left after the
+// time that Door.SetWriteTimeout sets.
 func (c *Conn) Write(p []byte) (int, error) {
 	a := c.door.a
 	a.mu.Lock()
@@ -129,13 +133,16 @@
 	if before == service {
 		a.setStage(c, answer)
 	}
-	_ = c.TCPConn.SetWriteDeadline(earlier(c.writeBy, time.Now().Add(writeTimeout)))
+	_ = c.TCPConn.SetWriteDeadline(earlier(c.writeBy, time.Now().Add(c.door.writeTimeout)))
 	a.mu.Unlock()
 	n, err := c.TCPConn.Write(p)
 	a.mu.Lock()
 	if before == service && c.stage == answer {
 		a.setStage(c, service)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.evicted && c.writeBy.IsZero() {
+		a.report(c.door, TimedOutAnswer, c.heldBytes)
+	}
 	a.mu.Unlock()
 	return n, err
 }
--- a/internal/quota/door.go
+++ b/internal/quota/door.go
@@ -22,6 +22,8 @@
 	// last ended, and when a connection last found no room.
 	maxConns, conns    int
 	endedAt, pressedAt time.Time
+	// writeTimeout bounds the time of one write.
+	writeTimeout time.Duration
 	// refusal is sent to connections that are refused before they are handed to a server, and to those that give way with
 	// a part of a head; nil for nothing.
 	refusal []byte
@@ -50,6 +52,10 @@
 	// sendBufferBytes is the size of the send buffer of a caller's connection, which holds what it has not read of its
 	// answers.
 	sendBufferBytes = 64 << 10
+	// backlog is the number of connections that may wait to be accepted.
+	backlog = 512
+	// defaultWriteTimeout is the default of Door.SetWriteTimeout.
+	defaultWriteTimeout = 15 * time.Second
 	// refusalTime bounds the sending of a refusal.
 	refusalTime = 10 * time.Millisecond
 	// acceptPause is the time before a listener tries again after an error that passes.
@@ -63,11 +69,22 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Door{Listener: ln, a: a, name: o.Name, maxConns: o.MaxConns, refusal: o.Refusal}
+	setBacklog(ln.(*net.TCPListener))
+	d := &Door{Listener: ln, a: a, name: o.Name, maxConns: o.MaxConns, writeTimeout: defaultWriteTimeout, refusal: o.Refusal}
 	d.closed, d.setClosed = context.WithCancel(context.Background())
 	return d, nil
 }
 
+// setBacklog bounds the connections that wait to be accepted, as these hold unread bytes that nobody is charged for.
+func setBacklog(ln *net.TCPListener) {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Without it the queue has the length that the system sets.
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
+}
+
 // Buffers returns a function for net.ListenConfig.Control and net.Dialer.Control that sets the sizes of the receive buffer
 // and of the send buffer, in bytes. The kernel doubles them, and takes about half for its own data.
 func Buffers(receive, send int) func(network, addr string, raw syscall.RawConn) error {
@@ -134,10 +151,7 @@
 
 // roomTime returns how long a connection of the door must have gone without progress before it gives way to new ones.
 func (d *Door) roomTime() time.Duration {
-	if d.maxConns <= fewConns {
-		return fewRoomTime
-	}
-	return roomTime
+	return min(max(time.Duration(d.maxConns)*time.Second/admitsPerSecond, minRoomTime), stallTime)
 }
 
 // admit returns a connection on the account, or nil if it was refused. Connections that are about to give way are waited
@@ -190,6 +204,13 @@
 	return true, at
 }
 
+// SetWriteTimeout sets how long a caller may take nothing of an answer; 15 s if it is not called.
+func (d *Door) SetWriteTimeout(t time.Duration) {
+	d.a.mu.Lock()
+	defer d.a.mu.Unlock()
+	d.writeTimeout = t
+}
+
 // Conns returns the number of open connections.
 func (d *Door) Conns() int {
 	d.a.mu.Lock()
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -46,6 +46,9 @@
 	if b.IdleTimeout == 0 {
 		b.IdleTimeout = defaultIdleTimeout
 	}
+	if d, ok := r.caller.(*quota.Door); ok {
+		d.SetWriteTimeout(time.Duration(b.IdleTimeout))
+	}
 	return &http.Server{
 		Handler:           http.HandlerFunc(r.serveCaller),
 		ReadHeaderTimeout: time.Duration(b.HeaderTimeout),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,7 +168,7 @@
 
 // memoryLimitPercent is the percentage of Settings.MemoryMB above which the garbage collector runs
 // more often. The rest is for the program itself and for bytes that wait in receive buffers.
-const memoryLimitPercent = 60
+const memoryLimitPercent = 55
 
 // Main runs a router with the settings in a file until a signal ends it. wire returns the protocols of
 // the platform for the settings. Main returns errors of the settings file and of New.
