quota: Keep an account of their own for readiness, metrics, peers and links

Fix: a seventh of the memory is the account of the other doors. Requests there are charged by their heads and bodies alone, as they have no connection to an endpoint; a process that has proved the link key is not charged.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -87,11 +87,6 @@
 	if c := quota.Of(ctx.Conn()); c != nil {
 		defer c.End(int64(len(ctx.Request.Body())), false)
 		c.Begin()
-		if c.BeginService() != nil {
-			ctx.SetConnectionClose()
-			ctx.Error("others use the memory for callers", fasthttp.StatusServiceUnavailable)
-			return
-		}
 	}
 	if !s.authorized(ctx) {
 		ctx.Error("the operators' token is required", fasthttp.StatusUnauthorized)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,7 +151,7 @@
 	if !s.TLS.IsSet() {
 		o.Refusal = quota.HTTPRefusal()
 	}
-	door, err := e.Listen(s.Listen, o)
+	door, err := e.Listen(e.Callers, s.Listen, o)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -60,10 +60,10 @@
 	Pool *ants.Pool
 	// Tasks owns every goroutine of the process that is not a handler.
 	Tasks tasks.Group
-	// Account is what callers of all listeners hold, Limits its bounds.
-	Account *quota.Account
-	Limits  quota.Limits
-	// doors are the listeners on Account. They do not change after Start.
+	// Callers is what callers of an entry hold, others what operators and strangers on links do, Limits their bounds.
+	Callers, others *quota.Account
+	Limits          quota.Limits
+	// doors are the listeners on both. They do not change after Start.
 	doors []*quota.Door
 	// linkLn and adminLn are the listeners for peers and for operators.
 	linkLn   net.Listener
@@ -134,7 +134,7 @@
 	p.Local.Mux = link.NewMux(p.Pool.Submit, p.Holder.CatchUp)
 	link.Handle(p.Local.Mux, wire.MethodDelta, p.Holder.Serve)
 	p.Limits = quota.Settings{MemoryMB: c.MemoryMB, CallersMB: c.CallersMB, Descriptors: c.MaxDescriptors, CallersConns: c.CallersConns}.Limits()
-	p.Account = quota.NewAccount(p.Limits.Bytes)
+	p.Callers, p.others = quota.NewAccount("callers", p.Limits.CallersBytes), quota.NewAccount("others", p.Limits.OthersBytes)
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * memoryLimitPercent / 100)
 	if err := p.listen(o); err != nil {
 		return nil, err
@@ -146,9 +146,9 @@
 // the program itself and for bytes that wait in receive buffers.
 const memoryLimitPercent = 55
 
-// Listen opens a listener whose connections are on Account. It must be called before Start.
-func (p *Proc) Listen(addr netip.AddrPort, o quota.Options) (*quota.Door, error) {
-	d, err := p.Account.Listen(addr.String(), o)
+// Listen opens a listener whose connections are on an account. It must be called before Start.
+func (p *Proc) Listen(a *quota.Account, addr netip.AddrPort, o quota.Options) (*quota.Door, error) {
+	d, err := a.Listen(addr.String(), o)
 	if err == nil {
 		p.doors = append(p.doors, d)
 	}
@@ -161,10 +161,10 @@
 	if err != nil {
 		return err
 	}
-	if p.linkLn, err = p.Listen(p.Common.Link, quota.Options{Name: "links", MaxConns: p.Limits.Links}); err != nil {
+	if p.linkLn, err = p.Listen(p.others, p.Common.Link, quota.Options{Name: "links", MaxConns: p.Limits.Links}); err != nil {
 		return err
 	}
-	if p.adminLn, err = p.Listen(p.Common.Operators, quota.Options{Name: "operators", MaxConns: p.Limits.Few, Refusal: quota.HTTPRefusal()}); err != nil {
+	if p.adminLn, err = p.Listen(p.others, p.Common.Operators, quota.Options{Name: "operators", MaxConns: p.Limits.Few, Refusal: quota.HTTPRefusal()}); err != nil {
 		_ = p.linkLn.Close()
 		return err
 	}
@@ -186,7 +186,7 @@
 // Start serves peers and operators in goroutines of p.Tasks. They end once ctx is done and
 // Close is called.
 func (p *Proc) Start(ctx context.Context) {
-	p.Tasks.Go(ctx, "account of callers", quota.Record(p.Account, p.Log, p.Scope, p.doors...).Run)
+	p.Tasks.Go(ctx, "account of callers", quota.Record(p.Log, p.Scope, p.doors...).Run)
 	p.Tasks.Go(ctx, "links", func(ctx context.Context) error {
 		return p.Local.Serve(ctx, p.linkLn, p.onProven)
 	})
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -11,8 +11,10 @@
 	"time"
 )
 
-// Account is the memory that callers of all doors of a process hold. Create it with NewAccount.
+// Account is the memory that the callers of some doors hold. Create it with NewAccount.
 type Account struct {
+	// name is the name in metrics and log lines.
+	name string
 	// Now returns the time; tests replace it.
 	Now func() time.Time
 	// OnEvent is called for each connection that is refused or gives way; nil for no call. It must not block, and must
@@ -89,11 +91,10 @@
 	pressTime = time.Second
 )
 
-// NewAccount returns an account of maxBytes of memory; 0 for no bound.
-func NewAccount(maxBytes int64) *Account { return &Account{Now: time.Now, maxBytes: maxBytes} }
-
-// MaxBytes returns the bound of the memory; 0 for none.
-func (a *Account) MaxBytes() int64 { return a.maxBytes }
+// NewAccount returns an account of maxBytes of memory; 0 for no bound. The name is that in metrics and log lines.
+func NewAccount(name string, maxBytes int64) *Account {
+	return &Account{Now: time.Now, name: name, maxBytes: maxBytes}
+}
 
 // UsedBytes returns the memory that is held.
 func (a *Account) UsedBytes() int64 {
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -25,7 +25,7 @@
 }
 
 func newHouse(t *testing.T, maxBytes int64, maxConns int) *house {
-	h := &house{t: t, a: NewAccount(maxBytes), now: time.Now(), events: make(map[What]int)}
+	h := &house{t: t, a: NewAccount("callers", maxBytes), now: time.Now(), events: make(map[What]int)}
 	h.a.Now = func() time.Time { return h.now }
 	h.a.OnEvent = func(e Event) { h.events[e.What]++ }
 	d, err := h.a.Listen("127.0.0.1:0", Options{Name: "callers", MaxConns: maxConns, Refusal: HTTPRefusal()})
@@ -325,7 +325,7 @@
 		if l.Callers < 333 {
 			t.Errorf("%+v: got %d connections, want 333 or more", s, l.Callers)
 		}
-		a := NewAccount(l.Bytes)
+		a := NewAccount("callers", l.CallersBytes)
 		c := &Conn{door: &Door{a: a}, stage: service}
 		r := io.LimitReader(zeroes{}, largestBody)
 		for _, length := range []int64{largestBody, -1} {
--- a/internal/quota/body_test.go
+++ b/internal/quota/body_test.go
@@ -36,7 +36,7 @@
 // Guards against bodies of all current requests that together take more than the memory for them.
 func TestBodiesAreBounded(t *testing.T) {
 	const mb = 1 << 20
-	a := NewAccount(8 * mb)
+	a := NewAccount("callers", 8*mb)
 	before := a.UsedBytes()
 	for _, row := range []struct {
 		length int64
@@ -68,7 +68,7 @@
 
 // Guards against a body that is cut short and taken for whole.
 func TestShortBodyIsNotWhole(t *testing.T) {
-	c := acceptOne(t, NewAccount(1<<20))
+	c := acceptOne(t, NewAccount("callers", 1<<20))
 	if _, err := c.ReadBody(strings.NewReader("abc"), Body{Length: 4, MaxBytes: 4, Copies: 1}); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("body without its end: got %v, want %v", err, io.ErrUnexpectedEOF)
 	}
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -256,7 +256,7 @@
 	return c.door.conns >= c.door.maxConns && a.Now().Before(c.door.pressedAt.Add(pressTime))
 }
 
-// Keep says that the connection does not give way any more, and that what it reads is not charged.
+// Keep says that the connection is that of a process which is known: it does not give way any more, and is not charged.
 func (c *Conn) Keep() {
 	a := c.door.a
 	a.mu.Lock()
@@ -266,8 +266,8 @@
 	}
 	c.inRequest = true
 	a.setStage(c, service)
-	a.usedBytes += ConnBytes - c.heldBytes
-	c.heldBytes = ConnBytes
+	a.usedBytes -= c.heldBytes
+	c.heldBytes = 0
 }
 
 // refuse answers a connection whose head can't be read for want of memory.
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -22,8 +22,8 @@
 
 // Limits are the bounds that follow from Settings.
 type Limits struct {
-	// Bytes is the bound of the account.
-	Bytes int64
+	// CallersBytes is the bound of the account of callers, OthersBytes that of the other doors together.
+	CallersBytes, OthersBytes int64
 	// Callers, Peers, Links and Few are the greatest numbers of connections of callers, of other routers, of processes of
 	// the own fleet, and of a balancer or operators.
 	Callers, Peers, Links, Few int
@@ -33,6 +33,9 @@
 	// callersMemoryPercent is the part of the memory that callers may hold. What is collected as garbage takes as much again,
 	// and the process itself some 20 MB.
 	callersMemoryPercent = 35
+	// othersPart is the part of the memory of callers that is left to the other doors, so that these answer while callers
+	// hold all that they may.
+	othersPart = 7
 	// defaultCallersMB is the memory of callers if that of the process is not bounded.
 	defaultCallersMB = 256
 	// fewConns is the greatest number of connections of doors that few processes use.
@@ -52,9 +55,10 @@
 			mb = defaultCallersMB
 		}
 	}
-	l := Limits{Bytes: int64(mb) << 20}
+	l := Limits{OthersBytes: int64(mb) << 20 / othersPart}
+	l.CallersBytes = int64(mb)<<20 - l.OthersBytes
 	fds := s.descriptors()
-	l.Callers = min(fds*callersParts/descriptorParts, int(l.Bytes/ConnBytes/2))
+	l.Callers = min(fds*callersParts/descriptorParts, int(l.CallersBytes/ConnBytes/2))
 	if s.CallersConns > 0 {
 		l.Callers = s.CallersConns
 	}
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,14 +13,15 @@
 	"go.uber.org/zap"
 )
 
-// Recorder counts the events of an account and logs them, a line for each recordInterval at most. It must be created
-// with Record.
+// Recorder counts the events of accounts and logs them, a line for each recordInterval at most. It must be created with
+// Record.
 type Recorder struct {
-	a     *Account
 	doors []*Door
-	log   *zap.Logger
-	scope tally.Scope
-	mu    sync.Mutex
+	// accounts are those of the doors.
+	accounts []*Account
+	log      *zap.Logger
+	scope    tally.Scope
+	mu       sync.Mutex
 	// unlogged counts the events since the last line.
 	unlogged map[Event]int64
 }
@@ -27,17 +29,24 @@
 // recordInterval is the time between two log lines, and between two values of the gauges.
 const recordInterval = time.Second
 
-// Record returns the recorder of an account and its doors, of which none may accept connections yet.
-func Record(a *Account, log *zap.Logger, scope tally.Scope, doors ...*Door) *Recorder {
-	r := &Recorder{a: a, doors: doors, log: log, scope: scope, unlogged: make(map[Event]int64)}
-	a.OnEvent = func(e Event) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.unlogged[Event{Door: e.Door, What: e.What}]++
+// Record returns the recorder of doors and their accounts. None may accept connections yet.
+func Record(log *zap.Logger, scope tally.Scope, doors ...*Door) *Recorder {
+	r := &Recorder{doors: doors, log: log, scope: scope, unlogged: make(map[Event]int64)}
+	for _, d := range doors {
+		if !slices.Contains(r.accounts, d.a) {
+			r.accounts = append(r.accounts, d.a)
+			d.a.OnEvent = r.count
+		}
 	}
 	return r
 }
 
+func (r *Recorder) count(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unlogged[Event{Door: e.Door, What: e.What}]++
+}
+
 // Run writes metrics and log lines until ctx is done.
 func (r *Recorder) Run(ctx context.Context) error {
 	t := time.NewTicker(recordInterval)
@@ -54,7 +63,9 @@
 }
 
 func (r *Recorder) flush() {
-	r.scope.Gauge("callers_bytes").Update(float64(r.a.UsedBytes()))
+	for _, a := range r.accounts {
+		r.scope.Tagged(map[string]string{"account": a.name}).Gauge("callers_bytes").Update(float64(a.UsedBytes()))
+	}
 	for _, d := range r.doors {
 		r.scope.Tagged(map[string]string{"door": d.name}).Gauge("callers_connections").Update(float64(d.Conns()))
 	}
@@ -65,7 +76,10 @@
 	if len(events) == 0 {
 		return
 	}
-	fields := []zap.Field{zap.Int64("heldBytes", r.a.UsedBytes()), zap.Int64("maxBytes", r.a.MaxBytes())}
+	var fields []zap.Field
+	for _, a := range r.accounts {
+		fields = append(fields, zap.Int64(a.name+"HeldBytes", a.UsedBytes()), zap.Int64(a.name+"MaxBytes", a.maxBytes))
+	}
 	for e, n := range events {
 		r.scope.Tagged(map[string]string{"door": e.Door, "what": string(e.What)}).Counter("callers_limited").Inc(n)
 		fields = append(fields, zap.Int64(e.Door+"."+string(e.What), n))
--- a/internal/router/doors.go
+++ b/internal/router/doors.go
@@ -17,30 +17,37 @@
 	"github.com/traildrift/traildrift/internal/quota"
 )
 
-// listen opens the listeners for which the settings name an address. Their connections are on one account.
+// listen opens the listeners for which the settings name an address. Those for other processes have an account of their
+// own, so that they answer while callers hold all that they may.
 func (r *Router) listen() error {
 	s := &r.settings
 	limits := quota.Settings{MemoryMB: s.MemoryMB, CallersMB: s.CallersMB, Descriptors: s.MaxDescriptors, CallersConns: s.CallersConns}.Limits()
-	r.account = quota.NewAccount(limits.Bytes)
+	callers, others := quota.NewAccount("callers", limits.CallersBytes), quota.NewAccount("others", limits.OthersBytes)
 	refusal := quota.HTTPRefusal()
 	var doors []*quota.Door
 	for _, l := range []struct {
-		name  string
-		addr  netip.AddrPort
-		dst   *net.Listener
-		conns int
-	}{{"callers", s.Listen, &r.caller, limits.Callers}, {"readiness", s.Readiness, &r.ready, limits.Few}, {"peers", s.Peers, &r.peer, limits.Peers}, {"metrics", s.Metrics, &r.metrics, limits.Few}} {
+		name    string
+		account *quota.Account
+		addr    netip.AddrPort
+		dst     *net.Listener
+		conns   int
+	}{
+		{"callers", callers, s.Listen, &r.caller, limits.Callers},
+		{"readiness", others, s.Readiness, &r.ready, limits.Few},
+		{"peers", others, s.Peers, &r.peer, limits.Peers},
+		{"metrics", others, s.Metrics, &r.metrics, limits.Few},
+	} {
 		if !l.addr.IsValid() {
 			continue
 		}
-		d, err := r.account.Listen(l.addr.String(), quota.Options{Name: l.name, MaxConns: l.conns, Refusal: refusal})
+		d, err := l.account.Listen(l.addr.String(), quota.Options{Name: l.name, MaxConns: l.conns, Refusal: refusal})
 		if err != nil {
 			return errors.Wrap(err, "router")
 		}
 		*l.dst = d
 		doors = append(doors, d)
 	}
-	r.accountRecorder = quota.Record(r.account, r.Log, r.admin.Scope, doors...)
+	r.accountRecorder = quota.Record(r.Log, r.admin.Scope, doors...)
 	return nil
 }
 
@@ -70,9 +77,6 @@
 		c := quota.FromContext(q.Context())
 		c.Begin()
 		status := readSmallBody(w, q, c)
-		if status == 0 && c.BeginService() != nil {
-			status = http.StatusServiceUnavailable
-		}
 		defer func() { c.End(q.ContentLength, status != 0) }()
 		if status != 0 {
 			w.Header().Set("Connection", "close")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,7 +47,6 @@
 	puller          *peers.Puller
 	transport       *peers.Transport
 	traffic         peers.Traffic
-	account         *quota.Account
 	accountRecorder *quota.Recorder
 	// reloads receives the signals to read the settings file again; nil for none.
 	reloads <-chan os.Signal
