quota: Give back what a refused request held at once, and write refusals without waiting

Found by reading: the memory of a refused request was charged until its connection was closed, half a second later; the rest of its body counted as a head, so that the connection no longer gave way first; a refusal to a connection with a part of a head was written with a deadline of 10 ms while all other connections waited for the account. TestRefusedRequestGivesBack failed before: 434,666 bytes charged in place of 16,384, and then it waited for ever for the refused connection to give way.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -219,9 +219,7 @@
 		return
 	}
 	if s == head && c.door.refusal != nil {
-		// The send buffer of a connection without an answer has room for it.
-		_ = c.TCPConn.SetWriteDeadline(a.Now().Add(refusalTime))
-		_, _ = c.TCPConn.Write(c.door.refusal)
+		writeNow(c.TCPConn, c.door.refusal)
 	}
 	_ = c.TCPConn.Close()
 }
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -258,6 +258,34 @@
 	}
 }
 
+// Guards against the rest of a refused request that is charged as a head, and against memory that a refused request keeps
+// until its connection is closed.
+func TestRefusedRequestGivesBack(t *testing.T) {
+	h := newHouse(t, 1<<20, 2)
+	c, out := h.open()
+	before := h.a.UsedBytes()
+	if err := h.sendHead(c, out, "POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.Begin()
+	if err := c.Grant(9000); err != nil {
+		t.Fatal(err)
+	}
+	c.End(9000, true)
+	if err := h.sendHead(c, out, strings.Repeat("a:\r\n", 1000)); err != nil {
+		t.Errorf("the rest of the body: got %v, want no error", err)
+	}
+	if got := h.a.UsedBytes(); got != before {
+		t.Errorf("after the refusal: got %d bytes charged, want %d", got, before)
+	}
+	h.open()
+	h.open()
+	if !isClosed(out) {
+		t.Error("the refused connection: got it open, want it closed for another")
+	}
+	h.check("evictedClosing", 1)
+}
+
 // Guards against callers that take nothing of their answers and keep their connections.
 func TestUnreadAnswerGivesWay(t *testing.T) {
 	h := newHouse(t, 0, 1)
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // ErrNoMemory means that the account has no memory for what a connection wants.
@@ -80,6 +81,10 @@
 		c.recordBody(p)
 		return true
 	}
+	if c.stage == closing {
+		// The rest of a refused request is dropped.
+		return true
+	}
 	if c.stage != head && !c.evicted {
 		a.setStage(c, head)
 	}
@@ -223,15 +228,17 @@
 	defer a.mu.Unlock()
 	c.inRequest = false
 	c.door.endedAt = a.Now()
-	if last {
-		if !c.closed {
-			a.setStage(c, closing)
-		}
-		return
+	if last && !c.closed {
+		a.setStage(c, closing)
 	}
 	if c.evicted {
 		return
 	}
+	a.usedBytes += ConnBytes - c.heldBytes
+	c.heldBytes = ConnBytes
+	if last {
+		return
+	}
 	// What was read ahead stays charged until the server reads again.
 	if c.readHead {
 		c.aheadBytes = 0
@@ -241,8 +248,6 @@
 	}
 	c.readHead, c.headEnded, c.lineBegun, c.afterHead, c.lastCost = false, false, false, 0, 0
 	a.setStage(c, idle)
-	a.usedBytes += ConnBytes - c.heldBytes
-	c.heldBytes = ConnBytes
 	if !a.grant(c, c.aheadBytes, forWaiting) {
 		a.evict(c, true)
 	}
@@ -275,11 +280,22 @@
 	if c.door.refusal == nil {
 		return
 	}
-	_ = c.TCPConn.SetWriteDeadline(time.Now().Add(refusalTime))
-	_, _ = c.TCPConn.Write(c.door.refusal)
+	writeNow(c.TCPConn, c.door.refusal)
 	_ = c.TCPConn.CloseWrite()
 }
 
+// writeNow writes as much of text as the send buffer has room for.
+func writeNow(c *net.TCPConn, text []byte) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Write(func(fd uintptr) bool {
+		_, _ = unix.SendmsgN(int(fd), text, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+		return true
+	})
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	a := c.door.a
--- a/internal/quota/door.go
+++ b/internal/quota/door.go
@@ -56,8 +56,6 @@
 	backlog = 512
 	// defaultWriteTimeout is the default of Door.SetWriteTimeout.
 	defaultWriteTimeout = 15 * time.Second
-	// refusalTime bounds the sending of a refusal.
-	refusalTime = 10 * time.Millisecond
 	// acceptPause is the time before a listener tries again after an error that passes.
 	acceptPause = 10 * time.Millisecond
 )
@@ -165,8 +163,7 @@
 			return c
 		case at.IsZero() || d.closed.Err() != nil:
 			if d.refusal != nil {
-				_ = raw.SetWriteDeadline(time.Now().Add(refusalTime))
-				_, _ = raw.Write(d.refusal)
+				writeNow(raw, d.refusal)
 			}
 			_ = raw.Close()
 			return nil
