router, admin: Close connections at the readiness and operators' addresses after an answer while others find no room

Cause: a connection in service does not give way, and one that always has a next request is always in service; the callers' door closes such connections after an answer while new ones find no room, these two did not.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -87,6 +87,9 @@
 	if c := quota.Of(ctx.Conn()); c != nil {
 		defer c.End(int64(len(ctx.Request.Body())), false)
 		c.Begin()
+		if c.GivesWay() {
+			ctx.SetConnectionClose()
+		}
 	}
 	if !s.authorized(ctx) {
 		ctx.Error("the operators' token is required", fasthttp.StatusUnauthorized)
--- a/internal/router/doors.go
+++ b/internal/router/doors.go
@@ -77,9 +77,12 @@
 		c := quota.FromContext(q.Context())
 		c.Begin()
 		status := readSmallBody(w, q, c)
-		defer func() { c.End(q.ContentLength, status != 0) }()
-		if status != 0 {
+		last := status != 0 || c.GivesWay()
+		defer func() { c.End(q.ContentLength, last) }()
+		if last {
 			w.Header().Set("Connection", "close")
+		}
+		if status != 0 {
 			w.WriteHeader(status)
 			return
 		}
