review: case 5, answers lost when a crowd of connections comes

Cause: a connection whose last answer is still to be written already counts as closing, and a full door closes such connections at once.

--- a/review/testdata/platform/stage2/main.go
+++ b/review/testdata/platform/stage2/main.go
@@ -66,6 +66,7 @@
 // cases are the cases by name. Each returns the number of times that the rule was broken.
 var cases = map[string]func(s *stage) (broken int, err error){
 	"reborn": playReborn,
+	"crowd":  playCrowd,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
