--- a/review/testdata/platform/stage2/crowd.go
+++ b/review/testdata/platform/stage2/crowd.go
@@ -115,7 +115,7 @@
 		s.add(p.process)
 		s.list(id, addr)
 	}
-	r, err := startRouter(s.dir, "front-1", "zone-a", s.store.addr(), false)
+	r, err := startRouter(s.dir, "front-1", "zone-a", s.store.addr(), padLima)
 	if r != nil && r.process != nil {
 		s.add(r.process)
 	}
--- a/review/testdata/platform/stage2/main.go
+++ b/review/testdata/platform/stage2/main.go
@@ -67,6 +67,7 @@
 var cases = map[string]func(s *stage) (broken int, err error){
 	"reborn": playReborn,
 	"crowd":  playCrowd,
+	"burst":  playBurst,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/testdata/platform/stage2/procs.go
+++ b/review/testdata/platform/stage2/procs.go
@@ -128,17 +128,26 @@
 exposeShare: 0.15
 exposeSlack: 30
 configWithin: 2000ms
-memoryMB: 284
-maxDescriptors: 4200
+memoryMB: %d
+maxDescriptors: %d
 cpuShare: 0.304
-firstStart: %t
+firstStart: false
 `
 
+// machine is what the settings say of a front machine.
+type machine struct{ memoryMB, descriptors int }
+
+// The front machines of the sites pad-lima and kst-mapview.
+var (
+	padLima    = machine{284, 4200}
+	kstMapview = machine{134, 4100}
+)
+
 // startRouter starts a router and waits until it is ready. It must be called at the root of the repository.
-func startRouter(dir, name, zone, store string, first bool) (*routerProcess, error) {
+func startRouter(dir, name, zone, store string, m machine) (*routerProcess, error) {
 	r := &routerProcess{name: name, http: freeAddr(), ready: freeAddr()}
 	file := filepath.Join(dir, name+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, r.http, r.ready, freeAddr(), freeAddr(), store, first)
+	text := fmt.Sprintf(settingsText, name, zone, r.http, r.ready, freeAddr(), freeAddr(), store, m.memoryMB, m.descriptors)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/testdata/platform/stage2/reborn.go
+++ b/review/testdata/platform/stage2/reborn.go
@@ -123,7 +123,7 @@
 	}
 	var routers []*routerProcess
 	for i, zone := range []string{"zone-a", "zone-b"} {
-		r, err := startRouter(s.dir, fmt.Sprint("front-", i+1), zone, s.store.addr(), false)
+		r, err := startRouter(s.dir, fmt.Sprint("front-", i+1), zone, s.store.addr(), padLima)
 		if r != nil && r.process != nil {
 			s.add(r.process)
 		}
