--- a/review/testdata/platform/stage2/crowd.go
+++ b/review/testdata/platform/stage2/crowd.go
@@ -27,7 +27,7 @@
 	crowdStay  = 3 * time.Second
 	crowdAway  = 3 * time.Second
 	crowdAgain = 500 * time.Millisecond
-	crowdWaves = 6
+	crowdWaves = 14
 	// fetchPieces is the number of pieces of an answer, some 800 bytes.
 	fetchPieces = 32
 	// maxLost is how many requests on kept connections the rule allows to be lost.
