relay: Log which incarnation an attempt was sent to and which is listed at the check of its end

Each such attempt now has the start of the endpoint by the entry it was sent by (sentStart), by the one listed at the check (listedStart), and the time that the check took (checkMs). No logic is changed.

--- a/internal/relay/alive.go
+++ b/internal/relay/alive.go
@@ -58,7 +58,10 @@
 	if x.headSent && x.told != endConnection {
 		return errEndUnannounced
 	}
+	ended := x.e.Now()
 	t.Liveness = x.e.checkAlive(ctx, a)
+	t.CheckMillis = x.e.Now().Sub(ended).Milliseconds()
+	t.SentStart, t.ListedStart = a.Endpoint.StartedAt, x.e.listedStart(a.Endpoint.ID)
 	x.e.metrics.count("unannounced_ends", x.route.Name, string(t.Liveness))
 	if t.Liveness != Alive && t.Liveness != Held {
 		return errEndUnconfirmed
@@ -145,10 +148,29 @@
 	close(c.done)
 }
 
-// livenessField returns the log field of what was found of an endpoint; it is skipped if that was not checked.
-func livenessField(l Liveness) zap.Field {
-	if l == "" {
+// livenessFields returns the log fields of what was found of the endpoint after an unannounced end; none if that was not
+// checked.
+func (t *attemptRecord) livenessFields() []zap.Field {
+	if t.Liveness == "" {
+		return nil
+	}
+	return []zap.Field{zap.String("endpointAfter", string(t.Liveness)), zap.Int64("checkMs", t.CheckMillis), startField("sentStart", t.SentStart), startField("listedStart", t.ListedStart)}
+}
+
+// startField returns the log field of when an incarnation started; it is skipped if that is not known.
+func startField(name string, at time.Time) zap.Field {
+	if at.IsZero() {
 		return zap.Skip()
 	}
-	return zap.String("endpointAfter", string(l))
+	return zap.Time(name, at)
+}
+
+// listedStart returns when the listed incarnation of an endpoint started; zero if it is not listed.
+func (e *Engine) listedStart(id string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.book.Get(id); p != nil {
+		return p.StartedAt
+	}
+	return time.Time{}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -241,6 +241,11 @@
 	Framing, BodyEnd bodyEnd
 	// Liveness is what was found of the endpoint after an unannounced end; empty if that was not checked.
 	Liveness Liveness
+	// SentStart is when the endpoint's incarnation had started by the entry that the attempt was sent by, ListedStart by
+	// the entry that was listed when Liveness was found; zero where the entry does not tell. CheckMillis is the time
+	// from the end of the body until Liveness was found, in milliseconds.
+	SentStart, ListedStart time.Time
+	CheckMillis            int64
 	// Pace is the shortest of the first times between reads of the stream; 0 if there were fewer of
 	// them than needed.
 	Pace time.Duration
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -294,9 +294,10 @@
 	f := []zap.Field{zap.String("request", request), zap.Int("attempt", n), zap.String("endpoint", t.Endpoint), zap.Bool("far", t.CrossZone),
 		zap.String("version", t.Version), zap.String("model", t.Model), zap.String("why", string(t.Why)), zap.Int64("load", int64(t.Load)),
 		zap.Int("unread", t.UnreadTokens), zap.Int64("waitMs", millis(t.Wait)), zap.Int64("readMs", millis(t.ReadTime)), zap.Float64("times", t.PaceFactor),
-		zap.Time("at", t.At), zap.Int("status", t.Status), zap.Int("confidence", t.Confidence), zap.Float64("good", round(t.GoodProb)), zap.Float64("keepWorth", round(t.KeepWorth)), zap.Float64("askWorth", round(t.AskWorth)), zap.Int64("headMs", t.HeadMillis), zap.Int64("pauseMs", t.PauseMillis), zap.Int("events", t.Events), zap.String("firstEvent", t.FirstEvent), zap.String("lastEvent", t.LastEvent), zap.String("framing", string(t.Framing)), zap.String("bodyEnd", string(t.BodyEnd)), livenessField(t.Liveness), zap.Int64("paceUs", t.Pace.Microseconds()), zap.String("weighed", t.CountedAs),
+		zap.Time("at", t.At), zap.Int("status", t.Status), zap.Int("confidence", t.Confidence), zap.Float64("good", round(t.GoodProb)), zap.Float64("keepWorth", round(t.KeepWorth)), zap.Float64("askWorth", round(t.AskWorth)), zap.Int64("headMs", t.HeadMillis), zap.Int64("pauseMs", t.PauseMillis), zap.Int("events", t.Events), zap.String("firstEvent", t.FirstEvent), zap.String("lastEvent", t.LastEvent), zap.String("framing", string(t.Framing)), zap.String("bodyEnd", string(t.BodyEnd)), zap.Int64("paceUs", t.Pace.Microseconds()), zap.String("weighed", t.CountedAs),
 		zap.Int("sentBytes", t.Sent), zap.Int("gotBytes", t.Received), zap.String("outcome", t.Outcome), faultField(t.Err)}
 	f = append(append(f, t.End.fields()...), t.leftFields()...)
+	f = append(f, t.livenessFields()...)
 	if t.Joint {
 		f = append(f, zap.Bool("joint", true))
 	}
