pool, relay: Drop what is known of an endpoint's earlier incarnation

What callers saw: requests placed by what a process held that is gone. After an endpoint had started again under its ID it still counted as the holder of its prompt prefixes for 20 s, as warm, with the load of the process before, and as ejected for that one's failures; answers, failures and ends of attempts at the old process were recorded for the new one.

Cause: only announcements, pace and place were bound to an incarnation, the rest to the ID.

Fix: Book.Put begins all of it anew (also where the entry was removed meanwhile), prefixes count from the first entry of the incarnation on, and outcomes of attempts apply to the incarnation that they were sent to (Book.Same). Failures in a row still count, so that an endpoint that ends again and again gets one attempt at a time until it answers.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -14,13 +14,14 @@
 )
 
 // recordHead applies what the head of an answer reports on its endpoint: its load, its pace and its
-// notices. It is called for every answer, including those that are not passed on.
+// notices. It is called for every answer, including those that are not passed on. An answer of an earlier incarnation
+// reports nothing on the present one.
 func (e *Engine) recordHead(a *Attempt, t *attemptRecord, reply *Reply, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.book.Get(a.Endpoint.ID)
+	p := e.book.Same(&a.Endpoint)
 	if p == nil {
-		if reply.Notice.Leaving {
+		if reply.Notice.Leaving && e.book.Get(a.Endpoint.ID) == nil {
 			e.book.RecordLeaving(a.Endpoint)
 		}
 		return
@@ -34,9 +35,7 @@
 		}
 	}
 	e.recordRoom(a, t, p, reply, now)
-	if a.Endpoint.StartedAt.Equal(p.StartedAt) {
-		e.recordNotice(p, a.Request.ID, reply.Notice, t.At, now)
-	}
+	e.recordNotice(p, a.Request.ID, reply.Notice, t.At, now)
 }
 
 // recordAnswer records the head of an answer that may be passed on. head is the time to it.
@@ -45,7 +44,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.addHeadEvidence(a, route, false, head)
-	if p := e.book.Get(a.Endpoint.ID); p != nil {
+	if p := e.book.Same(&a.Endpoint); p != nil {
 		p.Trust.RecordSuccess(now)
 	}
 	// A version on trial is expected to be as fast as the old one, so its own times are not learned.
@@ -90,7 +89,7 @@
 	defer e.mu.Unlock()
 	e.addFailureEvidence(a, route, err, t, now)
 	e.observeFailedWait(a, route, err, t, now)
-	p := e.book.Get(a.Endpoint.ID)
+	p := e.book.Same(&a.Endpoint)
 	if a.warming && t.Outcome == outcomeSilent || t.Joint {
 		// An endpoint that warms up may be slow. One that was found silent by joint evidence was ejected then.
 		return
@@ -110,7 +109,7 @@
 func (e *Engine) endPromptWait(a *Attempt, headCame bool, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.book.Get(a.Endpoint.ID)
+	p := e.book.Same(&a.Endpoint)
 	switch {
 	case p == nil:
 	case !headCame:
@@ -129,7 +128,7 @@
 	defer e.mu.Unlock()
 	e.trackEnded(a, e.Now())
 	e.endObservation(a, e.Now())
-	if p := e.book.Get(a.Endpoint.ID); p != nil {
+	if p := e.book.Same(&a.Endpoint); p != nil {
 		// An endpoint that lapsed and was listed again starts at 0.
 		p.Load.InFlight = max(p.Load.InFlight-1, 0)
 	}
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -62,6 +62,9 @@
 	// leaving is set once the endpoint was listed as leaving, announced it, or was removed while the list
 	// was readable; it is never reset within an incarnation.
 	leaving bool
+	// emptySince is when the first entry of this incarnation was received, if there was an incarnation before: what was sent
+	// to the endpoint earlier is not in its memory. It is zero for the first incarnation.
+	emptySince time.Time
 	// graceUntil is when an endpoint that was removed during an outage of the list is dropped; zero
 	// for a listed one.
 	graceUntil time.Time
@@ -88,8 +91,8 @@
 	// removed maps removed endpoints to the revision of their removal, so that an older entry that
 	// arrives late does not list them again.
 	removed map[string]epoch.Revision
-	// unlisted holds what endpoints that are no longer listed announced. The list may lag by any time
-	// and list them again in their state from before the announcement.
+	// unlisted holds when endpoints that are no longer listed had started and what they announced. The list may lag by any
+	// time and list them again in their state from before the announcement.
 	unlisted map[string]pastAnnounced
 	// pendingNotices holds notices that peers relayed for incarnations that are not listed here yet, by
 	// the incarnation's hash.
@@ -129,9 +132,9 @@
 		// Processes of an earlier release send entries without a start time.
 		e.StartedAt = p.StartedAt
 	}
-	if !p.StartedAt.IsZero() && !e.StartedAt.Equal(p.StartedAt) {
-		// Announcements, pace and place of an earlier incarnation do not apply to this one.
-		changed, p.leaving, p.announced, p.Pace, p.Place = true, false, announced{}, Pace{}, room.Place{}
+	if !e.StartedAt.Equal(p.StartedAt) && !p.StartedAt.IsZero() {
+		changed = true
+		p.begin(e.ReceivedAt)
 	}
 	p.Entry = e
 	p.leaving = p.leaving || e.Leaving
@@ -139,12 +142,23 @@
 	return changed
 }
 
+// begin drops what is known of an earlier incarnation and does not apply to the one whose first entry was received at now.
+func (p *Endpoint) begin(now time.Time) {
+	p.leaving, p.announced, p.Load, p.Pace, p.Place = false, announced{}, Load{}, Pace{}, room.Place{}
+	p.Trust.begin()
+	p.warming, p.emptySince = warming{firstSeenAt: now}, now
+}
+
 // add inserts the entry of an endpoint that is not in the book.
 func (b *Book) add(e Entry) {
 	p := &Endpoint{Entry: e, zoneState: b.zone(e.Zone), warmup: b.warmup(e.Service), senders: b.senders}
 	p.firstSeenAt = e.ReceivedAt
-	if s, ok := b.unlisted[e.ID]; ok && (e.StartedAt.IsZero() || s.startedAt.Equal(e.StartedAt)) {
+	switch s, ok := b.unlisted[e.ID]; {
+	case !ok:
+	case e.StartedAt.IsZero() || s.startedAt.Equal(e.StartedAt):
 		p.announced = s.announced
+	case !s.startedAt.IsZero():
+		p.emptySince = e.ReceivedAt
 	}
 	p.leaving = e.Leaving || p.announced.leaving
 	if _, wasRemoved := b.removed[e.ID]; wasRemoved && e.Restored {
@@ -189,7 +203,7 @@
 
 func (b *Book) drop(p *Endpoint, revision epoch.Revision) {
 	putBounded(b.removed, p.ID, revision)
-	if p.announced.isSet() {
+	if p.announced.isSet() || !p.StartedAt.IsZero() {
 		putBounded(b.unlisted, p.ID, pastAnnounced{p.StartedAt, p.announced})
 	}
 	delete(b.byID, p.ID)
@@ -227,6 +241,21 @@
 	}
 }
 
+// Same returns the endpoint of an entry that was taken from the book earlier; nil if it is not listed, or if another
+// incarnation of it is.
+func (b *Book) Same(e *Entry) *Endpoint {
+	if b.Restarted(e) {
+		return nil
+	}
+	return b.byID[e.ID]
+}
+
+// Restarted reports whether another incarnation is listed than that of an entry that was taken from the book earlier.
+func (b *Book) Restarted(e *Entry) bool {
+	p := b.byID[e.ID]
+	return p != nil && !e.StartedAt.IsZero() && !e.StartedAt.Equal(p.StartedAt)
+}
+
 // Get returns the endpoint with an ID; nil if there is none.
 func (b *Book) Get(id string) *Endpoint { return b.byID[id] }
 
--- a/pkg/pool/loss.go
+++ b/pkg/pool/loss.go
@@ -138,7 +138,7 @@
 	}
 	for _, h := range in {
 		p := b.byHash[h.endpoint]
-		if p == nil || now.Sub(h.at) > prefixTTL || p.Service != w.Service || !p.fits(now, w) {
+		if p == nil || now.Sub(h.at) > prefixTTL || h.at.Before(p.emptySince) || p.Service != w.Service || !p.fits(now, w) {
 			continue
 		}
 		if trust == nil || trust(p, now) {
--- a/pkg/pool/trust.go
+++ b/pkg/pool/trust.go
@@ -131,6 +131,12 @@
 	return n
 }
 
+// begin begins the time of another incarnation of the endpoint. An ejection was for the last one; the failures still count,
+// so that one that ends again and again gets one attempt at a time until it answers.
+func (t *Trust) begin() {
+	*t = Trust{failureRate: t.failureRate, failuresInRow: t.failuresInRow}
+}
+
 // LastSuccess returns when an attempt of this process was last answered; zero if none was.
 func (t *Trust) LastSuccess() time.Time { return t.lastSuccess }
 
