relay: Tell an end that was not announced only if the process that made the answer outlived it

Their endpoint crashed behind a cut, or while the router stood still, and had started again under its ID and address when the router read the end.

Cause: the check of such an end asks whoever serves at the address now. The next process answers it as the last one would, with the same ID; nothing that was checked differs between the two.

Fix: the router holds a connection to the endpoint beside an answer that may have no announced end. It ends with the process that accepted it, so an answer on it after the end shows that one process has lived since it was opened; the request arrived at a process that lived after it was sent. Without such a connection only the lack of time for another process counts. Where nothing shows it, the answer is one that broke off: it goes on elsewhere, or its caller sees it cut.

--- a/internal/relay/alive.go
+++ b/internal/relay/alive.go
@@ -43,14 +43,18 @@
 
 // errEndUnconfirmed ends an answer without an announced end of whose endpoint it is not known that it outlived the
 // answer.
-var errEndUnconfirmed = errors.New("relay: the connection was closed, and the endpoint was not heard of since")
+var errEndUnconfirmed = errors.New("relay: the connection was closed, and nothing shows that the endpoint's process outlived it")
+
+// errNoProbe is the error of opening a ProbeConn where there are none.
+var errNoProbe = errors.New("relay: no probe connections")
 
 // errEndUnannounced ends a stream whose caller was promised an announced end, if the endpoint that went on with it has
 // announced none.
 var errEndUnannounced = errors.New("relay: the rest of the stream has no announced end")
 
 // confirmEnd returns nil if the caller may be told the end of an answer that was read to its end: the endpoint has
-// announced it, or, where neither it nor the head that the caller has announces an end, the endpoint outlived it.
+// announced it, or, where neither it nor the head that the caller has announces an end, the endpoint's process outlived
+// it. The next process of an endpoint has the same ID and address.
 func (x *run) confirmEnd(ctx context.Context, a *Attempt, reply *Reply, t *attemptRecord) error {
 	if !reply.Unframed {
 		return nil
@@ -59,22 +63,20 @@
 		return errEndUnannounced
 	}
 	ended := x.e.Now()
-	t.Liveness = x.e.checkAlive(ctx, a)
+	t.Liveness, t.Continuity = x.e.checkOutlived(ctx, a)
 	t.CheckMillis = x.e.Now().Sub(ended).Milliseconds()
 	t.SentStart, t.ListedStart = a.Endpoint.StartedAt, x.e.listedStart(a.Endpoint.ID)
-	x.e.metrics.count("unannounced_ends", x.route.Name, string(t.Liveness))
-	if t.Liveness != Alive && t.Liveness != Held {
+	if t.Continuity == notContinuous {
+		x.e.metrics.count("unannounced_ends", x.route.Name, string(t.Liveness))
 		return errEndUnconfirmed
 	}
+	x.e.metrics.count("unannounced_ends", x.route.Name, string(t.Continuity))
 	return nil
 }
 
-// checkAlive checks whether the endpoint of an attempt outlives the call. It ends within twice aliveTimeout.
+// checkAlive checks whether a process serves as the endpoint of an attempt after the call. It ends within twice aliveTimeout.
 func (e *Engine) checkAlive(ctx context.Context, a *Attempt) Liveness {
-	path := defaultHealthPath
-	if t := e.table.Load(); t != nil {
-		path = t.healthPath(a.Endpoint.Service)
-	}
+	path := e.healthPath(a.Endpoint.Service)
 	return e.aliveChecks.do(ctx, a.hash, func(ctx context.Context) Liveness {
 		ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 		defer cancel()
@@ -82,6 +84,14 @@
 	})
 }
 
+// healthPath returns the path of the health check of a service's endpoints.
+func (e *Engine) healthPath(service string) string {
+	if t := e.table.Load(); t != nil {
+		return t.healthPath(service)
+	}
+	return defaultHealthPath
+}
+
 // aliveChecks runs one check at a time of each endpoint. All callers that come while one is running share the next,
 // which begins after they came. The zero value is ready to use.
 type aliveChecks struct {
@@ -154,7 +164,7 @@
 	if t.Liveness == "" {
 		return nil
 	}
-	return []zap.Field{zap.String("endpointAfter", string(t.Liveness)), zap.Int64("checkMs", t.CheckMillis), startField("sentStart", t.SentStart), startField("listedStart", t.ListedStart)}
+	return []zap.Field{zap.String("endpointAfter", string(t.Liveness)), zap.String("sameProcess", string(t.Continuity)), zap.Int64("checkMs", t.CheckMillis), startField("sentStart", t.SentStart), startField("listedStart", t.ListedStart)}
 }
 
 // startField returns the log field of when an incarnation started; it is skipped if that is not known.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -43,8 +43,10 @@
 	SendTrialReport    func(r roll.Report)
 	// CheckEnded reports whether the process of an endpoint has ended.
 	CheckEnded CheckEnded
-	// CheckAlive checks whether the process of an endpoint is alive.
+	// CheckAlive checks whether a process serves as an endpoint. OpenProbe opens a connection that tells whether it is
+	// the same one all the while.
 	CheckAlive CheckAlive
+	OpenProbe  OpenProbe
 	// Quarantines sends other routers reports on requests that crash endpoints.
 	Quarantines QuarantineHooks
 	// Notifier sends other routers the notices that endpoints gave about themselves.
@@ -94,6 +96,8 @@
 	failureReports *rate.Limiter
 	metrics        metrics
 	aliveChecks    aliveChecks
+	lives          lives
+	framings       framings
 
 	// silenceUsed is closed, by startSilence, once silence is looked for.
 	silenceUsed chan struct{}
@@ -191,6 +195,7 @@
 		OnRequestStarted:   func(string, time.Time) {},
 		CheckEnded:         func(context.Context, pool.Entry) (gone, known bool) { return false, true },
 		CheckAlive:         func(context.Context, pool.Entry, string) Liveness { return Alive },
+		OpenProbe:          func(context.Context, pool.Entry, string) (*ProbeConn, error) { return nil, errNoProbe },
 		budgets:            make(map[string]*budget.Window),
 		headTimes:          make(map[string]*timeMean),
 		readSpeeds:         make(map[string]*readSpeed),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -141,6 +141,11 @@
 	countedAs string
 	// rejected says that the endpoint proved that it did not run the request, as it was full.
 	rejected bool
+	// life is that of the endpoint while the attempt is under way; nil if its answer is expected to announce its end.
+	life *life
+	// sentAt is when the attempt began, waitedAt when bytes of its answer last arrived that were waited for, zero if none
+	// did; both by the clock Engine.Boot.
+	sentAt, waitedAt time.Duration
 }
 
 // Reply is the answer of an endpoint once its head has been received. Send sets it.
@@ -246,6 +251,8 @@
 	// from the end of the body until Liveness was found, in milliseconds.
 	SentStart, ListedStart time.Time
 	CheckMillis            int64
+	// Continuity is what showed that the process found alive is the one that made the answer; empty if nothing did.
+	Continuity continuity
 	// Pace is the shortest of the first times between reads of the stream; 0 if there were fewer of
 	// them than needed.
 	Pace time.Duration
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -150,6 +150,8 @@
 	a.leaving = x.leaving
 	s := x.startSilenceTimer(ctx, a, cancel)
 	defer s.stop()
+	x.beginLife(ctx, a)
+	defer a.endLife()
 	reply, sendErr := x.sendWatched(ctx, a, cancel)
 	now := x.e.Now()
 	if sendErr == nil {
@@ -178,6 +180,7 @@
 		return false
 	}
 	a.gotHead = true
+	x.watchLife(ctx, a, reply)
 	x.recordHeadTime(a, now)
 	x.e.recordAnswer(a, x.route, now.Sub(t.At), now)
 	t.CountedAs = a.countedAs
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -88,7 +88,7 @@
 	r := &Router{Log: log, file: file, settings: s, wire: w, lines: lines, configured: make(chan struct{}), lostPeers: make(map[string]time.Time)}
 	r.admin = admin.NewMetrics()
 	r.Engine = relay.New(log, r.admin.Scope, s.limits(w.ContentionRule))
-	r.Engine.Send, r.Engine.WriteTrial, r.Engine.CheckEnded, r.Engine.CheckAlive = w.Send, w.WriteTrial, w.Gone, w.Alive
+	r.Engine.Send, r.Engine.WriteTrial, r.Engine.CheckEnded, r.Engine.CheckAlive, r.Engine.OpenProbe = w.Send, w.WriteTrial, w.Gone, w.Alive, w.OpenProbe
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -58,6 +58,8 @@
 	Gone relay.CheckEnded
 	// Alive checks whether the process of an endpoint is alive.
 	Alive relay.CheckAlive
+	// OpenProbe opens a connection that tells one process of an endpoint from the next.
+	OpenProbe relay.OpenProbe
 	// Duties makes the calls for the duties that one VM at a time performs.
 	Duties DutyWire
 	// ContentionRule is the name in Settings.Rules that says that callers compete for endpoints; empty
