relay: Take the next incarnation of an endpoint for no sign of life of the last

What callers saw (by reading, then the tests): a silent stream was left to wait until its deadline at a process that is gone, as the next one at its address answered the health check; and a request that crashes endpoints that are back before the probe was not seen to crash them.

Fix: once the list has a later start than the entry that an attempt was sent by, its endpoint is lost to a silent attempt; and connections that were lost at an endpoint whose next incarnation is listed after that broke off in a crash, which counts for the requests of that incarnation whose connections were open when the first one was lost, not for those that the next process was sent. Until the entry is read, nothing changes.

Evidence: TestCrashBeforeTheProbe (got 0 crashes, want 1, in two rows) and TestNextIncarnationIsNoSignOfLife (got alive) fail on the code before.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -58,8 +58,12 @@
 	// unconfirmed says that the answer ended with its connection, as one that breaks off may. Whether
 	// the endpoint has ended tells the two apart.
 	unconfirmed bool
+	// startedAt is the start of the endpoint's incarnation by the entry that the request was sent by.
+	startedAt time.Time
 	// sentAt is when the endpoint was chosen and the attempt began.
 	sentAt time.Time
+	// lostAt is when the connection of the request was lost; zero if it was not.
+	lostAt time.Time
 	// openedAt is when the connection was open; zero before. Nothing of the request was at the
 	// endpoint until then.
 	openedAt time.Time
@@ -135,7 +139,7 @@
 	if len(b.requests) >= maxInFlight {
 		b.requests = b.requests[1:]
 	}
-	a.sent = &sentRequest{attempt: a, id: a.Request.ID, service: a.Endpoint.Service, workspace: a.Workspace, subjects: a.Request.subjectsOf(a.Endpoint.Service, a.Workspace), sentAt: e.Now(), suspect: !e.crashes.Empty() && e.crashes.Crashes(a.fingerprint()) > 0}
+	a.sent = &sentRequest{attempt: a, id: a.Request.ID, service: a.Endpoint.Service, workspace: a.Workspace, subjects: a.Request.subjectsOf(a.Endpoint.Service, a.Workspace), startedAt: a.Endpoint.StartedAt, sentAt: e.Now(), suspect: !e.crashes.Empty() && e.crashes.Crashes(a.fingerprint()) > 0}
 	b.requests = append(b.requests, a.sent)
 	a.OnConnected = func() { e.trackOpened(a.sent) }
 }
@@ -209,6 +213,7 @@
 		a.sent.markOpened(a.sent.sentAt)
 	}
 	now := e.Now()
+	a.sent.lostAt = now
 	if !b.hasUncounted(now) {
 		e.mu.Unlock()
 		return
@@ -253,6 +258,9 @@
 		b.goneAt = e.Now()
 		e.metrics.count("endpoints_crashed", "", p.Service)
 		e.countCrash(&p, b, b.goneAt)
+	case e.book.Restarted(&p):
+		// What listens there now is the next process.
+		e.countRestart(&p, b, e.Now())
 	case known:
 		e.confirmAnswers(&p, b)
 	}
@@ -312,6 +320,26 @@
 	}
 }
 
+// countRestart counts the end of an incarnation of an endpoint after which the next one was listed, if connections were lost
+// then and no probe has found the endpoint gone; last is the entry of the one that has ended. mu is held.
+func (e *Engine) countRestart(last *pool.Entry, b *inFlight, now time.Time) {
+	var lostAt time.Time
+	for _, s := range b.requests {
+		if s.counted || s.lostAt.IsZero() || s.expired(now) || !s.startedAt.Equal(last.StartedAt) {
+			continue
+		}
+		if lostAt.IsZero() || s.lostAt.Before(lostAt) {
+			lostAt = s.lostAt
+		}
+	}
+	if lostAt.IsZero() {
+		return
+	}
+	b.goneAt = lostAt
+	e.metrics.count("endpoints_crashed", "", last.Service)
+	e.countCrash(last, b, now)
+}
+
 // handleProbe probes whether an endpoint has ended, unless a probe of it is in progress.
 func (e *Engine) handleProbe(ctx context.Context, p pool.Entry) {
 	e.mu.Lock()
@@ -334,7 +362,7 @@
 	}
 	var counted []*sentRequest
 	for _, s := range b.requests {
-		if s.counted || s.expired(now) || !s.mayHaveCrashed(b.goneAt) {
+		if s.counted || s.expired(now) || !s.mayHaveCrashed(b.goneAt) || !s.startedAt.Equal(p.StartedAt) {
 			continue
 		}
 		s.counted = true
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -291,3 +291,60 @@
 		t.Error("a waiting request: got not woken")
 	}
 }
+
+// An endpoint that crashes and starts again under its ID before it is probed has crashed all the same, as the entry of its
+// next incarnation shows. The crash counts for the requests whose connections were open when the first was lost, not for
+// those that the next process was sent.
+//
+// Guards against a request that crashes endpoint after endpoint unseen, as they are back before the probe.
+func TestCrashBeforeTheProbe(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// again says that the endpoint has started again, listedFirst that its entry is read before the connection is lost.
+		again, listedFirst bool
+		broken, later      int
+	}{
+		{"started again", true, false, 1, 0},
+		{"started again, as was listed before the connection was lost", true, true, 1, 0},
+		{"the connection alone was lost", false, false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newCrashFixture()
+			now := time.Now()
+			s.e.Now = func() time.Time { return now }
+			s.p.StartedAt = time.Unix(1, 0)
+			s.e.PutEndpoint(s.p)
+			broken := s.send("broken off")
+			broken.OnConnected()
+			list := func() {
+				s.p.Revision++
+				if c.again {
+					s.p.StartedAt = time.Unix(2, 0)
+				}
+				s.e.PutEndpoint(s.p)
+			}
+			now = now.Add(time.Millisecond)
+			if c.listedFirst {
+				list()
+			}
+			later := s.send("later")
+			if !c.listedFirst {
+				s.e.checkCrashed(t.Context(), broken)
+				s.e.recordAttemptEnd(broken)
+				now = now.Add(time.Millisecond)
+				later.OnConnected()
+				list()
+			} else {
+				later.OnConnected()
+				s.e.checkCrashed(t.Context(), broken)
+				s.e.recordAttemptEnd(broken)
+			}
+			if got := s.crashes(broken); got != c.broken {
+				t.Errorf("crashes of the request that was broken off: got %d, want %d", got, c.broken)
+			}
+			if got := s.crashes(later); got != c.later {
+				t.Errorf("crashes of the request after it: got %d, want %d", got, c.later)
+			}
+		})
+	}
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -233,8 +233,18 @@
 func (e *Engine) PutEndpoint(p pool.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var last pool.Entry
+	if known := e.book.Get(p.ID); known != nil {
+		last = known.Entry
+	}
+	changed := e.book.Put(p)
+	if changed && e.book.Restarted(&last) {
+		if b := e.inFlight[pool.HashOf(p.ID)]; b != nil {
+			e.countRestart(&last, b, e.Now())
+		}
+	}
 	// The first list is logged as a whole.
-	if e.book.Put(p) && e.initialized.Load() {
+	if changed && e.initialized.Load() {
 		e.Log.Info("relay: An endpoint has changed.", zap.String("endpoint", p.ID), zap.String("service", p.Service),
 			zap.String("version", p.Version), zap.Bool("leaving", p.Leaving), zap.Stringer("revision", p.Revision))
 	}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -102,8 +102,12 @@
 }
 
 // checkAlive checks whether the endpoint is alive. One that accepts or refuses connections counts as Held at least: it may
-// reset those that it has no room for.
+// reset those that it has no room for. One that has started again, as its listed entry shows, does not go on with the answer.
 func (s *silenceTimer) checkAlive() Liveness {
+	if s.e.restarted(&s.attempt.Endpoint) {
+		s.e.metrics.count("silent_endpoints_restarted", s.attempt.Endpoint.Service, "")
+		return LivenessUnknown
+	}
 	alive := s.e.checkAlive(s.ctx, s.attempt)
 	if alive != LivenessUnknown {
 		return alive
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -100,3 +100,23 @@
 		}
 	}
 }
+
+// A silent endpoint that has started again is not alive for the attempts that were sent to the process before, whatever
+// answers its health check.
+//
+// Guards against a stream that is left to wait at a process that is gone, as the next one answers.
+func TestNextIncarnationIsNoSignOfLife(t *testing.T) {
+	e := engine(Route{Kind: Stream}, nil)
+	p := e.book.Get("e").Entry
+	p.StartedAt = time.Unix(1, 0)
+	e.PutEndpoint(p)
+	s := &silenceTimer{e: e, ctx: t.Context(), attempt: &Attempt{Endpoint: p, hash: pool.HashOf("e")}}
+	if got := s.checkAlive(); got != Alive {
+		t.Errorf("before the restart: got %s, want %s", got, Alive)
+	}
+	p.StartedAt = time.Unix(2, 0)
+	e.PutEndpoint(p)
+	if got := s.checkAlive(); got != LivenessUnknown {
+		t.Errorf("after the restart: got %s, want %s", got, LivenessUnknown)
+	}
+}
