guard: Read at most 256 KiB of an engine's short answer

What would be seen: an engine in trouble that answers a probe without end takes the memory of its VM, as io.ReadAll kept up to a gigabyte of it.

--- a/internal/guard/endpoint.go
+++ b/internal/guard/endpoint.go
@@ -58,6 +58,9 @@
 // errDial marks errors of connections that were not made, so that nothing was sent.
 var errDial = errors.New("guard: could not connect to the endpoint")
 
+// errLongShortAnswer is the error of a short call whose answer is longer than maxShortAnswer.
+var errLongShortAnswer = errors.New("guard: the engine's answer to a short call is too long")
+
 const (
 	// dialTimeout bounds the opening of a connection to the endpoint, and each short call to it.
 	dialTimeout = time.Second
@@ -67,6 +70,8 @@
 	maxIdleResumes = 3
 	// readBufferBytes is the maximum length of one read of an answer.
 	readBufferBytes = 16 << 10
+	// maxShortAnswer is the maximum length of the answer to a short call, in bytes: a list of versions.
+	maxShortAnswer = 256 << 10
 )
 
 // NewEndpoint returns an Endpoint of the given kind, KindEngine or KindService, at
@@ -148,7 +153,10 @@
 		return nil, err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	out, err := io.ReadAll(bodyOf(resp))
+	out, err := io.ReadAll(io.LimitReader(bodyOf(resp), maxShortAnswer+1))
+	if len(out) > maxShortAnswer {
+		return nil, errLongShortAnswer
+	}
 	if err == nil && resp.StatusCode() != fasthttp.StatusOK {
 		err = errors.Newf("guard: the engine answered status %d", resp.StatusCode())
 	}
