--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -119,6 +119,8 @@
 	storePollInterval = config.Span(50 * time.Millisecond)
 	// maxResponseBytes is the maximum length of a response, and of what is decompressed from it.
 	maxResponseBytes = 16 << 20
+	// maxResponseHeader is the maximum size of a response's header, in bytes.
+	maxResponseHeader = 64 << 10
 )
 
 // NewPuller returns a Puller for the mirror m and the given kinds, of which freshnessKind is one. A
@@ -129,7 +131,7 @@
 		Log: log, Fleet: f, Mirror: m, Kinds: kinds, FreshnessKind: freshnessKind, Traffic: &Traffic{}, OnVerdicts: func([]poison.Verdict) {}, OnUnreadable: func(string, string, error) {}, sweepSize: maxSweepSize,
 		readStoreAt: startReadDelay.After(now).Add(rand.N(startReadJitter)), readStoreBy: maxStartReadDelay.After(now),
 	}
-	pl.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}
+	pl.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader}}
 	return pl
 }
 
