quota: Let a connection rest only once its answer is written

Cause: Conn.End, at the end of the handler, took the connection for one at rest, or about to be closed, while net/http had still to write the answer. At seven eighths of the memory it was denied 0 bytes and closed itself; with a full door it gave way at once to a new connection.

Fix: from End until the server rests (ConnState), ends the writing side or closes, the connection is one whose caller reads an answer. Memory is asked for what was read ahead only, and once the connection rests. No time is waited.

Tests of the account call Rest and CloseWrite where they stood in for the server, and are as strict as before.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -59,7 +59,7 @@
 	s.metrics = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "traildrift", ReadTimeout: readTimeout, WriteTimeout: readTimeout, MaxRequestBodySize: maxRequestBytes,
-		CloseOnShutdown: true, NoDefaultDate: true,
+		CloseOnShutdown: true, NoDefaultDate: true, ConnState: quota.OnFastState,
 	}
 	return s
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -30,6 +30,7 @@
 		DisablePreParseMultipartForm: true,
 		StreamRequestBody:            true,
 		NoDefaultServerHeader:        true,
+		ConnState:                    quota.OnFastState,
 	}
 }
 
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -218,6 +218,7 @@
 	}
 	c.Begin()
 	c.End(0, false)
+	c.Rest()
 	if got := h.a.UsedBytes(); got != before {
 		t.Errorf("after the request: got %d bytes charged, want %d", got, before)
 	}
@@ -243,12 +244,14 @@
 	}
 	c.Begin()
 	c.End(0, false)
+	c.Rest()
 	if got, want := h.a.UsedBytes()-before, lineCost([]byte(ahead)); got != want {
 		t.Errorf("read ahead: got %d bytes charged, want %d", got, want)
 	}
 	// The next request was read with the first.
 	c.Begin()
 	c.End(0, false)
+	c.Rest()
 	if got, want := h.a.UsedBytes()-before, lineCost([]byte(ahead)); got != want {
 		t.Errorf("read ahead, after another request: got %d bytes charged, want %d", got, want)
 	}
@@ -272,6 +275,9 @@
 		t.Fatal(err)
 	}
 	c.End(9000, true)
+	if err := c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
 	if err := h.sendHead(c, out, strings.Repeat("a:\r\n", 1000)); err != nil {
 		t.Errorf("the rest of the body: got %v, want no error", err)
 	}
--- a/internal/quota/body_test.go
+++ b/internal/quota/body_test.go
@@ -56,6 +56,8 @@
 		}
 		second.End(0, false)
 		first.End(0, false)
+		second.Rest()
+		first.Rest()
 		if n, err := read(second, row.size); n != row.size || err != nil {
 			t.Errorf("body after the other was given back: got %d bytes, %v; want all and no error", n, err)
 		}
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -8,10 +8,12 @@
 	"container/list"
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 )
 
@@ -28,8 +30,9 @@
 	RequestBytes = 32 << 10
 )
 
-// Conn is a connection of a caller. The server of the door calls Begin and End around each request; what it reads
-// otherwise is taken for heads.
+// Conn is a connection of a caller. The server of the door calls Begin and End around each request, and Rest once it has
+// written the answer to one after which the connection stays open; what it reads after that is taken for heads. Servers
+// write the end of an answer after their handlers, so after End.
 type Conn struct {
 	*net.TCPConn
 	door *Door
@@ -45,8 +48,11 @@
 	element *list.Element
 	// closed says that the connection is closed, and not counted any more.
 	closed bool
-	// inRequest is set from Begin to End.
-	inRequest bool
+	// inRequest is set from Begin to End, ending from End until the answer is written: to Rest, CloseWrite or Close.
+	inRequest, ending bool
+	// bodyBytes and last are those of the last call of End.
+	bodyBytes int64
+	last      bool
 	// readHead says that a part of a head was read since the last request. lineBegun says that its present line is not
 	// empty, headEnded that an empty line was read.
 	readHead, lineBegun, headEnded bool
@@ -77,11 +83,11 @@
 	a := c.door.a
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c.inRequest {
+	if c.inRequest || c.ending && !c.last {
 		c.recordBody(p)
 		return true
 	}
-	if c.stage == closing {
+	if c.stage == closing || c.ending {
 		// The rest of a refused request is dropped.
 		return true
 	}
@@ -135,7 +141,7 @@
 	a := c.door.a
 	a.mu.Lock()
 	before := c.stage
-	if before == service {
+	if before == service || c.ending && before == answer {
 		a.setStage(c, answer)
 	}
 	_ = c.TCPConn.SetWriteDeadline(earlier(c.writeBy, time.Now().Add(c.door.writeTimeout)))
@@ -181,6 +187,10 @@
 	a := c.door.a
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if c.ending {
+		// The next request was read with the last one, and the server has not rested between them.
+		c.rest()
+	}
 	c.inRequest = true
 	if !c.evicted {
 		a.setStage(c, service)
@@ -221,38 +231,67 @@
 }
 
 // End ends the service of a request, whose body has bodyBytes as it was sent, or -1 if that is not known, and gives back
-// what it held. last says that the connection is about to be closed: it then gives way first.
+// what it held. last says that the connection is closed after the answer. Until the answer is written, the connection gives
+// way only as one whose caller takes nothing of its answer.
 func (c *Conn) End(bodyBytes int64, last bool) {
 	a := c.door.a
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.inRequest = false
 	c.door.endedAt = a.Now()
-	if last && !c.closed {
-		a.setStage(c, closing)
+	c.ending, c.bodyBytes, c.last = true, bodyBytes, last
+	if !c.evicted || last && !c.closed {
+		a.setStage(c, answer)
 	}
 	if c.evicted {
 		return
 	}
 	a.usedBytes += ConnBytes - c.heldBytes
 	c.heldBytes = ConnBytes
-	if last {
+}
+
+// Rest says that the answer to the last request is written, and that the connection stays open for another.
+func (c *Conn) Rest() {
+	a := c.door.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.ending {
+		c.rest()
+	}
+}
+
+// rest ends the answer to a request. mu of the account must be held.
+func (c *Conn) rest() {
+	c.ending = false
+	if c.evicted {
 		return
 	}
 	// What was read ahead stays charged until the server reads again.
 	if c.readHead {
 		c.aheadBytes = 0
-		if bodyBytes < 0 || c.afterHead > bodyBytes {
+		if c.bodyBytes < 0 || c.afterHead > c.bodyBytes {
 			c.aheadBytes = c.lastCost
 		}
 	}
 	c.readHead, c.headEnded, c.lineBegun, c.afterHead, c.lastCost = false, false, false, 0, 0
+	a := c.door.a
 	a.setStage(c, idle)
-	if !a.grant(c, c.aheadBytes, forWaiting) {
+	if c.aheadBytes > 0 && !a.grant(c, c.aheadBytes, forWaiting) {
 		a.evict(c, true)
 	}
 }
 
+// CloseWrite ends the writing side of the connection, after the answer to its last request: it gives way first.
+func (c *Conn) CloseWrite() error {
+	a := c.door.a
+	a.mu.Lock()
+	if c.ending && !c.closed {
+		a.setStage(c, closing)
+	}
+	a.mu.Unlock()
+	return c.TCPConn.CloseWrite()
+}
+
 // GivesWay reports whether the connection is to be closed after the present request, as others find no room.
 func (c *Conn) GivesWay() bool {
 	a := c.door.a
@@ -305,6 +344,20 @@
 	return c.TCPConn.Close()
 }
 
+// OnState calls Rest for connections that have become idle; for http.Server.ConnState.
+func OnState(c net.Conn, s http.ConnState) {
+	if q := Of(c); q != nil && s == http.StateIdle {
+		q.Rest()
+	}
+}
+
+// OnFastState is OnState for fasthttp.Server.ConnState.
+func OnFastState(c net.Conn, s fasthttp.ConnState) {
+	if q := Of(c); q != nil && s == fasthttp.StateIdle {
+		q.Rest()
+	}
+}
+
 // connKey is the context key of a connection.
 type connKey struct{}
 
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -57,6 +57,7 @@
 		ErrorLog:          logs.NewStdLog(r.Log, "callers"),
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 		ConnContext:       quota.WithConn,
+		ConnState:         quota.OnState,
 	}
 }
 
--- a/internal/router/doors.go
+++ b/internal/router/doors.go
@@ -67,7 +67,7 @@
 func (r *Router) newSmallServer(name string, h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: accounted(h), ReadHeaderTimeout: smallRequestTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: smallHeaderBytes,
-		ErrorLog: logs.NewStdLog(r.Log, name), ConnContext: quota.WithConn,
+		ErrorLog: logs.NewStdLog(r.Log, name), ConnContext: quota.WithConn, ConnState: quota.OnState,
 	}
 }
 
