relay: Read when a life began only once its connection is open

A check that ended with its request before the first connection of a life was open read the field beside its writer; the result was not used. Found by reading.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -63,7 +63,8 @@
 	mu sync.Mutex
 	// conn is nil before the first connection is open, and after the last one has ended.
 	conn *ProbeConn
-	// since is when the first connection was open, by the clock Engine.Boot. It does not change after opened is closed.
+	// since is when the first connection was open, by the clock Engine.Boot. It is written before opened is closed, and needs
+	// no lock after that.
 	since time.Duration
 	// users counts the attempts that may need the connection, idleSince is when the last of them ended.
 	users     int
@@ -271,7 +272,18 @@
 	tooSoon continuity = "tooSoon"
 )
 
-// heldContinuity returns what the life of the attempt's endpoint shows, if that life has outlived the answer.
+// checkHeld returns what is known of the process that has accepted the connection of the attempt's life, and what that
+// shows if it lives.
+func (a *Attempt) checkHeld(ctx context.Context) (Liveness, continuity) {
+	held := a.life.check(ctx)
+	if held != Alive && held != Held {
+		return held, notContinuous
+	}
+	return held, a.heldContinuity()
+}
+
+// heldContinuity returns what the life of the attempt's endpoint shows if it has outlived the answer. The life must be
+// opened.
 func (a *Attempt) heldContinuity() continuity {
 	switch since := a.life.since; {
 	case since <= a.sentAt:
@@ -289,13 +301,9 @@
 // process is the one that made the answer. It ends within thrice aliveTimeout.
 func (e *Engine) checkOutlived(ctx context.Context, a *Attempt) (Liveness, continuity) {
 	if a.life != nil {
-		held := a.life.check(ctx)
-		by := a.heldContinuity()
-		switch {
-		case by == notContinuous:
-		case held == Alive:
+		if held, by := a.checkHeld(ctx); held == Alive && by != notContinuous {
 			return Alive, by
-		case held == Held && e.checkAlive(ctx, a) == Held:
+		} else if held == Held && by != notContinuous && e.checkAlive(ctx, a) == Held {
 			// It answers on no connection, as all its slots are taken or it is suspended.
 			return Held, by
 		}
