relay: Count no crash for an endpoint that had left before it started again

Reading the diff showed that the state of leaving ends with the incarnation, so that connections that were cut at a planned end counted as lost in a crash once the next entry came. The book keeps whether the last incarnation was leaving. Two rows of TestCrashBeforeTheProbe fail without it (got 1, want 0).

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -321,8 +321,12 @@
 }
 
 // countRestart counts the end of an incarnation of an endpoint after which the next one was listed, if connections were lost
-// then and no probe has found the endpoint gone; last is the entry of the one that has ended. mu is held.
+// then and no probe has found the endpoint gone, unless it was leaving; last is the entry of the one that has ended. mu is
+// held.
 func (e *Engine) countRestart(last *pool.Entry, b *inFlight, now time.Time) {
+	if p := e.book.Get(last.ID); p == nil || p.LastLeft() {
+		return
+	}
 	var lostAt time.Time
 	for _, s := range b.requests {
 		if s.counted || s.lostAt.IsZero() || s.expired(now) || !s.startedAt.Equal(last.StartedAt) {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -300,13 +300,16 @@
 func TestCrashBeforeTheProbe(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// again says that the endpoint has started again, listedFirst that its entry is read before the connection is lost.
-		again, listedFirst bool
-		broken, later      int
+		// again says that the endpoint has started again, listedFirst that its entry is read before the connection is lost,
+		// left that it was leaving before.
+		again, listedFirst, left bool
+		broken, later            int
 	}{
-		{"started again", true, false, 1, 0},
-		{"started again, as was listed before the connection was lost", true, true, 1, 0},
-		{"the connection alone was lost", false, false, 0, 0},
+		{"started again", true, false, false, 1, 0},
+		{"started again, as was listed before the connection was lost", true, true, false, 1, 0},
+		{"started again after it had left", true, false, true, 0, 0},
+		{"started again after it had left, as was listed before the connection was lost", true, true, true, 0, 0},
+		{"the connection alone was lost", false, false, false, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newCrashFixture()
@@ -316,6 +319,11 @@
 			s.e.PutEndpoint(s.p)
 			broken := s.send("broken off")
 			broken.OnConnected()
+			if c.left {
+				left := s.p
+				left.Leaving = true
+				s.e.PutEndpoint(left)
+			}
 			list := func() {
 				s.p.Revision++
 				if c.again {
--- a/pkg/pool/book.go
+++ b/pkg/pool/book.go
@@ -65,6 +65,8 @@
 	// emptySince is when the first entry of this incarnation was received, if there was an incarnation before: what was sent
 	// to the endpoint earlier is not in its memory. It is zero for the first incarnation.
 	emptySince time.Time
+	// lastLeft says that the incarnation before was leaving when this one was listed.
+	lastLeft bool
 	// graceUntil is when an endpoint that was removed during an outage of the list is dropped; zero
 	// for a listed one.
 	graceUntil time.Time
@@ -144,6 +146,7 @@
 
 // begin drops what is known of an earlier incarnation and does not apply to the one whose first entry was received at now.
 func (p *Endpoint) begin(now time.Time) {
+	p.lastLeft = p.leaving
 	p.leaving, p.announced, p.Load, p.Pace, p.Place = false, announced{}, Load{}, Pace{}, room.Place{}
 	p.Trust.begin()
 	p.warming, p.emptySince = warming{firstSeenAt: now}, now
@@ -316,6 +319,9 @@
 // list was readable.
 func (p *Endpoint) IsLeaving() bool { return p.leaving }
 
+// LastLeft reports whether the incarnation before this one was leaving, so that it ended as planned.
+func (p *Endpoint) LastLeft() bool { return p.lastLeft }
+
 // usable reports whether the endpoint may get new work: its zone is open, and it is listed.
 func (p *Endpoint) usable(now time.Time) bool { return !p.zoneState.closed && p.listed(now) }
 
