relay: Take the end of a held connection for a sign that the process has ended

The held connection had ended, but the check on a new one was answered less than 0.1 s after the sending, which counted as too soon for another process.

Cause: the weaker evidence was used where the stronger one contradicted it.

Fix: a held connection that was open and has ended decides. One that could not be opened still says nothing.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -63,7 +63,7 @@
 	mu sync.Mutex
 	// conn is nil before the first connection is open, and after the last one has ended.
 	conn *ProbeConn
-	// since is when the first connection was open, by the clock Engine.Boot. It is written before opened is closed, and needs
+	// since is when the first connection was open, by the clock Engine.Boot; zero if it could not be opened. It is written before opened is closed, and needs
 	// no lock after that.
 	since time.Duration
 	// users counts the attempts that may need the connection, idleSince is when the last of them ended.
@@ -273,13 +273,18 @@
 )
 
 // checkHeld returns what is known of the process that has accepted the connection of the attempt's life, and what that
-// shows if it lives.
+// shows if it lives. A connection that has ended is a sign that the process has, however soon another one answers; one that
+// could not be opened says nothing.
 func (a *Attempt) checkHeld(ctx context.Context) (Liveness, continuity) {
 	held := a.life.check(ctx)
-	if held != Alive && held != Held {
+	switch {
+	case held == Alive || held == Held:
+		return held, a.heldContinuity()
+	case held == Ended && a.life.since == 0:
+		return LivenessUnknown, notContinuous
+	default:
 		return held, notContinuous
 	}
-	return held, a.heldContinuity()
 }
 
 // heldContinuity returns what the life of the attempt's endpoint shows if it has outlived the answer. The life must be
@@ -301,9 +306,14 @@
 // process is the one that made the answer. It ends within thrice aliveTimeout.
 func (e *Engine) checkOutlived(ctx context.Context, a *Attempt) (Liveness, continuity) {
 	if a.life != nil {
-		if held, by := a.checkHeld(ctx); held == Alive && by != notContinuous {
+		held, by := a.checkHeld(ctx)
+		switch {
+		case held == Ended:
+			return Ended, notContinuous
+		case by == notContinuous:
+		case held == Alive:
 			return Alive, by
-		} else if held == Held && by != notContinuous && e.checkAlive(ctx, a) == Held {
+		case held == Held && e.checkAlive(ctx, a) == Held:
 			// It answers on no connection, as all its slots are taken or it is suspended.
 			return Held, by
 		}
