upconn: Take a head that is none of HTTP/1 for no answer, wherever it is read

What callers saw: of a runner in trouble that sent a status of 000, the answer as a whole one of 200 (behind a guard); of one in whose head the name of a field held a blank, an answer of 200 without that line (at routers), or, where the line framed or encoded the body (`Content-Length : n`, `Transfer-Encoding : chunked`, `Content-Encoding : gzip`), with a body that was not the runner's, also with 500.

Cause: neither net/http nor fasthttp is strict, and neither has a switch for it. net/http drops lines with a blank in their names and takes any version; fasthttp cuts blanks off, takes any three digits for a status, and gives 200 for 000, so that the code behind it cannot tell.

Change: one check in internal/upconn, on the bytes as they come in, so that no client's parser decides. Refused are another version than HTTP/1.x, a status that is not of three digits from 100 to 599, 101 (nobody asks for another protocol), a name that is no token, a line without a name or colon, a control byte other than a tab in a line, a CR within it, and Transfer-Encoding in HTTP/1.0, whose chunks became the body. Heads of interim answers are checked alike. Folded values, a missing reason and lines that end with LF are taken as before. A body is never checked; on a kept connection the check begins again with the next request.

The attempt fails as one that may have run and counts against its endpoint, as with heads that net/http refuses itself; its log line names the rule. Guards log the cause of a failed run, which they dropped.

--- a/internal/desk/explain.go
+++ b/internal/desk/explain.go
@@ -17,6 +17,7 @@
 	"github.com/traildrift/traildrift/internal/elems"
 	"github.com/traildrift/traildrift/internal/ledger"
 	"github.com/traildrift/traildrift/internal/store"
+	"github.com/traildrift/traildrift/internal/upconn"
 	"github.com/traildrift/traildrift/pkg/bill"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/trail"
@@ -28,6 +29,9 @@
 // fetchTimeout is the timeout of one call to a process.
 const fetchTimeout = 5 * time.Second
 
+// fetcher makes the calls of Fetch.
+var fetcher = fasthttp.Client{Dial: upconn.DialSequential}
+
 // Fetch returns the body at a path of a process's operators' listener. token is sent as a bearer
 // token unless it is empty. Fetch returns an error if the process does not answer within
 // fetchTimeout or answers with a status other than 200.
@@ -39,7 +43,7 @@
 	if token != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
 	}
-	if err := fasthttp.DoDeadline(req, resp, time.Now().Add(fetchTimeout)); err != nil {
+	if err := fetcher.DoDeadline(req, resp, time.Now().Add(fetchTimeout)); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/drive/caller.go
+++ b/internal/drive/caller.go
@@ -22,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/internal/upconn"
 	"github.com/traildrift/traildrift/pkg/fault"
 )
 
@@ -39,6 +40,7 @@
 // NewCaller returns a caller of addr over plain HTTP that never retries a request.
 func NewCaller(addr netip.AddrPort, key string) *Caller {
 	return &Caller{Addr: addr, Key: key, scheme: "http://", http: &fasthttp.Client{
+		Dial:               upconn.DialSequential,
 		StreamResponseBody: true,
 		MaxConnsPerHost:    8192,
 		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -50,6 +52,7 @@
 func (c *Caller) UseTLS() {
 	c.scheme = "https://"
 	c.http.TLSConfig = &tls.Config{InsecureSkipVerify: true}
+	c.http.Dial = nil // the bytes on the connection are those of TLS
 }
 
 // readyInterval is the interval between readiness probes.
--- a/internal/guard/endpoint.go
+++ b/internal/guard/endpoint.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/traildrift/traildrift/internal/upconn"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/fault"
 	"github.com/traildrift/traildrift/pkg/stream"
@@ -84,7 +85,13 @@
 		StreamResponseBody:  true,
 		MaxResponseBodySize: maxAnswerBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                dialEndpoint,
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := dialEndpoint(addr)
+			if err != nil {
+				return nil, err
+			}
+			return upconn.NewSequential(conn), nil
+		},
 		// A request on a kept connection that the endpoint has closed meanwhile
 		// fails as one that may have run, although it did not start.
 		MaxIdleConnDuration: time.Second,
@@ -272,7 +279,7 @@
 	case errors.Is(err, fasthttp.ErrTimeout) && !time.Now().Before(deadline):
 		return fault.New(fault.DeadlinePassed, fault.MayHaveRun, "The endpoint did not answer before the deadline.")
 	default:
-		return fault.New(fault.EndpointLost, fault.MayHaveRun, "The connection to the endpoint broke.")
+		return fault.New(fault.EndpointLost, fault.MayHaveRun, "The connection to the endpoint broke.").WithCause(err)
 	}
 }
 
@@ -307,7 +314,7 @@
 			return nil
 		}
 		if err != nil {
-			return fault.New(fault.NotWhole, fault.Ran, "The connection to the endpoint broke during the answer.")
+			return fault.New(fault.NotWhole, fault.Ran, "The connection to the endpoint broke during the answer.").WithCause(err)
 		}
 	}
 }
--- a/internal/guard/handle.go
+++ b/internal/guard/handle.go
@@ -11,6 +11,7 @@
 
 	"github.com/traildrift/traildrift/internal/assert"
 	"github.com/traildrift/traildrift/internal/link"
+	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/tasks"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/admit"
@@ -161,6 +162,9 @@
 	g.detectCrash(r, startedAt, err)
 	g.detectRefusal(err)
 	if err != nil {
+		if err.Cause != nil {
+			g.Log.Info("guard: A run has failed at the endpoint.", zap.String("run", runID(r.key)), logs.Err(err))
+		}
 		g.announceDown(g.ownerOf(r))
 	}
 	g.end(r, usage, err)
--- a/internal/peers/puller.go
+++ b/internal/peers/puller.go
@@ -23,6 +23,7 @@
 	"github.com/traildrift/traildrift/internal/logs"
 	"github.com/traildrift/traildrift/internal/mirror"
 	"github.com/traildrift/traildrift/internal/tasks"
+	"github.com/traildrift/traildrift/internal/upconn"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/poison"
 )
@@ -131,7 +132,7 @@
 		Log: log, Fleet: f, Mirror: m, Kinds: kinds, FreshnessKind: freshnessKind, Traffic: &Traffic{}, OnVerdicts: func([]poison.Verdict) {}, OnUnreadable: func(string, string, error) {}, sweepSize: maxSweepSize,
 		readStoreAt: startReadDelay.After(now).Add(rand.N(startReadJitter)), readStoreBy: maxStartReadDelay.After(now),
 	}
-	pl.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader}}
+	pl.HTTP = &http.Client{Transport: upconn.Transport{Transport: &http.Transport{DialContext: upconn.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader}}}
 	return pl
 }
 
--- a/internal/store/conns.go
+++ b/internal/store/conns.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/traildrift/traildrift/internal/upconn"
 )
 
 // dialTimeout bounds the opening of a connection.
@@ -36,7 +38,7 @@
 		_ = conn.Close()
 		return nil, errors.Mark(net.ErrClosed, ErrUnavailable)
 	}
-	k := &trackedConn{Conn: conn, set: c}
+	k := &trackedConn{Conn: upconn.NewSequential(conn), set: c}
 	c.open[k] = struct{}{}
 	return k, nil
 }
