link: Send the head of an answer without a body

What callers saw: any answer of a service behind a guard that had no body came as 200, also one of 500, 502 or 404.

Cause: the head of an answer goes with its first bytes, so that an answer without bytes had none at the entry, which makes 200 of a status of 0.

Change: at the end of an answer its head is sent in an empty chunk if it has not been sent.

The fakes learn to answer with given bytes, and to reset the connection after them.

--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -214,6 +214,10 @@
 
 // sendFrom sends the answer from an offset in bytes on, as it is generated.
 func (e *Engine) sendFrom(ctx *fasthttp.RequestCtx, a *answer, offset int, f Faults) {
+	if f.Raw != "" {
+		sendRaw(ctx, f)
+		return
+	}
 	if a.json {
 		ctx.SetContentType("application/json")
 	} else {
--- a/internal/fakes/faults.go
+++ b/internal/fakes/faults.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -38,6 +40,11 @@
 	// Unframed makes Engine send answers with neither a length nor chunks, which end with their
 	// connection.
 	Unframed bool `json:"unframed"`
+	// Raw makes Engine and Plain answer runs with these bytes, and end the connection after them; empty for answers of
+	// their own.
+	Raw string `json:"raw"`
+	// Reset makes the connection end with a reset after Raw.
+	Reset bool `json:"reset"`
 	// Slowdown multiplies the time of every step of Engine; values below 1, such as 0, count as 1.
 	Slowdown float64 `json:"slow"`
 }
@@ -91,6 +98,17 @@
 	return true
 }
 
+// sendRaw sends f.Raw in place of an answer.
+func sendRaw(ctx *fasthttp.RequestCtx, f Faults) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		if tcp, ok := c.(interface{ UnsafeConn() net.Conn }).UnsafeConn().(*net.TCPConn); ok && f.Reset {
+			_ = tcp.SetLinger(0)
+		}
+		_, _ = io.WriteString(c, f.Raw)
+	})
+}
+
 // sleep waits for s; it returns at once if s is not positive.
 func sleep(s config.Span) {
 	if s > 0 {
--- a/internal/fakes/plain.go
+++ b/internal/fakes/plain.go
@@ -97,6 +97,10 @@
 	}
 	sleep(s.work)
 	sleep(f.Delay)
+	if f.Raw != "" {
+		sendRaw(ctx, f)
+		return
+	}
 	if s.draw(f.FailureRate) {
 		_ = ctx.Conn().Close()
 		return
--- a/internal/link/answer.go
+++ b/internal/link/answer.go
@@ -14,9 +14,10 @@
 const maxChunkBytes = 256 << 10
 
 // SendAnswer sends the answer in b over c as wire.Chunk notifications with the
-// given key, from a byte offset on and as the bytes arrive. It returns when the
-// answer has ended and all of it is sent, when the link breaks or when ctx is
-// done. The receiver gets the end of the answer with the reply to its call.
+// given key, from a byte offset on and as the bytes arrive. The head of an answer
+// without bytes is sent in an empty chunk. It returns when the answer has ended
+// and all of it is sent, when the link breaks or when ctx is done. The receiver
+// gets the end of the answer with the reply to its call.
 func SendAnswer(ctx context.Context, c *Conn, key wire.RunKey, b *stream.Buffer, offset int) {
 	var sent stream.Head
 	for {
@@ -38,6 +39,9 @@
 			p = p[n:]
 		}
 		if end != nil {
+			if head != sent {
+				_ = c.Notify(ctx, wire.MethodChunk, wire.Chunk{Stamp: c.local.stamp(), Key: key, Offset: offset, Head: &head})
+			}
 			return
 		}
 	}
