entry: Tell no caller that a request has not run whose earlier attempt may have

What callers saw: 503 noVersion with "notRun" for a chat whose only endpoint had run it and sent a broken answer. Who may not repeat a run took it for allowed.

Cause: after an attempt that may have run, the entry looks for another endpoint. Where there is none, the error of that search, which is true of itself alone, became the answer.

Change: the entry keeps the error of the last attempt that may have run, and answers with it if the request ends without an answer. Routers did so already (relay.fail).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -25,12 +25,19 @@
 		return
 	}
 	var tried []string
+	// failure is the error of the last attempt that may have run; nil before it.
+	var failure *fault.Error
 	for {
 		length, err := e.attempt(r, &tried)
 		if err == nil {
 			e.recordSuccess(r)
+		} else if err.Run != fault.NotRun {
+			failure = err
 		}
 		if err == nil || !e.shouldRetry(r, err, len(tried)) {
+			if err != nil && failure != nil {
+				err = failure
+			}
 			e.finish(r, length, err)
 			return
 		}
--- a/internal/rig/broken_test.go
+++ b/internal/rig/broken_test.go
@@ -8,9 +8,33 @@
 	"net/http"
 	"testing"
 
+	"github.com/traildrift/traildrift/internal/broken"
 	"github.com/traildrift/traildrift/internal/fakes"
+	"github.com/traildrift/traildrift/pkg/fault"
 )
 
+// Guards against an answer of an engine or a service with a broken head that reaches callers through guard and entry, or
+// of which they are told that the run has not run.
+func TestBrokenHeadsAreNoAnswers(t *testing.T) {
+	f := startFleet(t, Options{Entries: 1, Pools: testPools(1)})
+	for _, a := range broken.Answers() {
+		for _, s := range f.Services {
+			s.Set(fakes.Faults{Raw: a.Text("")})
+		}
+		for _, e := range f.Engines {
+			e.Set(fakes.Faults{Raw: a.Text("")})
+		}
+		for kind, q := range map[string]<-chan outcome{
+			"service": send(f, 0, note("", a.Name)), "engine": send(f, 0, chat("history", a.Name, false)), "stream": send(f, 0, chat("history", a.Name, true)),
+		} {
+			got := <-q
+			if got.answer.Err == nil || got.answer.Err.Run == fault.NotRun || got.answer.Status < 500 {
+				t.Errorf("%s of a %s: got %s, status %d, %q, want an error that may have run", a.Name, kind, got.result, got.answer.Status, got.answer.Body)
+			}
+		}
+	}
+}
+
 // Guards against the status of an answer without a body, such as a failure, that callers get as 200.
 func TestStatusOfEmptyAnswers(t *testing.T) {
 	f := startFleet(t, Options{Entries: 1, Pools: testPools(1)})
