entry: Refuse what guards of earlier releases pass on as a status

What callers saw: an answer of a service with the status 001 or 099 as one of 200, through an entry, which makes 200 of any lower status.

Cause: a guard passed the number on, and the entry took it. Guards refuse such heads now, but in a fleet that is being updated earlier ones still answer.

Change: the entry asks upconn.IsStatus, by which heads are checked, and ends the answer as one that may have run. No status at all stays 200, as earlier guards send none for an answer without a body.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/traildrift/traildrift/internal/link"
 	"github.com/traildrift/traildrift/internal/tasks"
+	"github.com/traildrift/traildrift/internal/upconn"
 	"github.com/traildrift/traildrift/internal/wire"
 	"github.com/traildrift/traildrift/pkg/config"
 	"github.com/traildrift/traildrift/pkg/fault"
@@ -163,6 +164,11 @@
 		return
 	}
 	if p.Head != nil {
+		// Guards of earlier releases pass on what their endpoints call a status.
+		if n := p.Head.Status; n != 0 && !upconn.IsStatus(n) {
+			b.Finish(0, fault.New(fault.EndpointFailed, fault.MayHaveRun, "The endpoint answered with status %d.", n))
+			return
+		}
 		b.SetHead(p.Key.Attempt, *p.Head)
 	}
 	if err := b.Append(p.Key.Attempt, p.Offset, p.Data); err != nil {
--- a/internal/upconn/head.go
+++ b/internal/upconn/head.go
@@ -39,6 +39,9 @@
 	switchingProtocols   = 101
 )
 
+// IsStatus reports whether n is a status of an answer.
+func IsStatus(n int) bool { return n >= minStatus && n <= maxStatus }
+
 // encodingField is the name of the field that says that a body comes in chunks, which HTTP/1.0 does not have.
 const encodingField = "transfer-encoding"
 
@@ -123,7 +126,7 @@
 	if h.n++; h.n < 3 {
 		return ""
 	}
-	if h.status < minStatus || h.status > maxStatus {
+	if !IsStatus(h.status) {
 		return fmt.Sprintf("the status %03d is not from %d to %d", h.status, minStatus, maxStatus)
 	}
 	if h.status == switchingProtocols {
