--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/traildrift/traildrift/internal/broken"
 	"github.com/traildrift/traildrift/internal/fakes"
 	"github.com/traildrift/traildrift/internal/rig"
 	"github.com/traildrift/traildrift/internal/store"
@@ -60,6 +61,10 @@
 	{"engineCutsUnframed", func(in *injector) func() {
 		return in.engine(fakes.Faults{Unframed: true, DisconnectAfter: 1 + in.rnd.IntN(4)})
 	}},
+	{"engineBrokenHead", func(in *injector) func() {
+		list := broken.Answers()
+		return in.engine(fakes.Faults{Raw: list[in.rnd.IntN(len(list))].Text(""), Reset: in.rnd.IntN(2) == 0})
+	}},
 	{"mostAtOneEntry", func(in *injector) func() {
 		in.busiest.Store(int64(1 + in.rnd.IntN(len(in.f.Entries))))
 		return func() { in.busiest.Store(0) }
