--- a/internal/broken/answers.go
+++ b/internal/broken/answers.go
@@ -1,11 +1,10 @@
 // Copyright 2026 The traildrift authors.
 // SPDX-License-Identifier: BSD-3-Clause
 
-// Package broken holds answers of HTTP/1 as bytes for tests: such as servers in trouble send them, and unusual ones that are
-// sound.
+// Package broken holds answers of HTTP/1 for tests, as bytes: those of servers in trouble, and unusual ones that are sound.
 package broken
 
-// SoundBody is the body of a SoundAnswers element, whose end is that of an event.
+// SoundBody is the body of each element of SoundAnswers; its end is that of an event.
 const SoundBody = "answer\n\n"
 
 // Answer is an answer as bytes on the connection.
@@ -45,17 +44,18 @@
 	for _, status := range []string{"000", "001", "020", "099", "+20", "-20", "20", "2000", "abc", "600", "999"} {
 		list = append(list, Answer{"status" + status, "HTTP/1.1 " + status + " OK", length, text})
 	}
-	for name, field := range map[string]string{
-		"blankInName": "X Bad: 1", "blankAfterName": "X-Bad : 1", "tabAfterName": "X-Bad\t: 1", "emptyName": ": 1", "controlInName": "X-\x01Bad: 1",
-		"DELInName": "X-\x7fBad: 1", "byteOver127InName": "X-\xfcBad: 1", "separatorInName": "X-(Bad: 1", "NULInName": "X-\x00Bad: 1",
+	for _, f := range []struct{ name, field string }{
+		{"blankInName", "X Bad: 1"}, {"blankAfterName", "X-Bad : 1"}, {"tabAfterName", "X-Bad\t: 1"}, {"emptyName", ": 1"}, {"controlInName", "X-\x01Bad: 1"},
+		{"DELInName", "X-\x7fBad: 1"}, {"byteOver127InName", "X-\xfcBad: 1"}, {"separatorInName", "X-(Bad: 1"}, {"NULInName", "X-\x00Bad: 1"},
 	} {
-		list = append(list, Answer{name, okLine, length + field + "\r\n", text}, Answer{name + "First", okLine, field + "\r\n" + length, text})
+		list = append(list, Answer{f.name, okLine, length + f.field + "\r\n", text}, Answer{f.name + "First", okLine, f.field + "\r\n" + length, text})
 	}
-	for name, line := range map[string]string{"": okLine, "500": failedLine} {
+	for _, line := range []string{okLine, failedLine} {
+		status := line[len("HTTP/1.1 "):][:3]
 		list = append(list,
-			Answer{"blankAfterLength" + name, line, "Content-Length : 8\r\n", text + "beyond the length"},
-			Answer{"blankAfterEncoding" + name, line, "Transfer-Encoding : chunked\r\n", chunks},
-			Answer{"blankAfterContentEncoding" + name, line, length + "Content-Encoding : gzip\r\n", "\x1f\x8b\x08\x00zz"},
+			Answer{"blankAfterLength" + status, line, "Content-Length : 8\r\n", text + "beyond the length"},
+			Answer{"blankAfterEncoding" + status, line, "Transfer-Encoding : chunked\r\n", chunks},
+			Answer{"blankAfterContentEncoding" + status, line, length + "Content-Encoding : gzip\r\n", "\x1f\x8b\x08\x00zz"},
 		)
 	}
 	return list
--- a/internal/upconn/head.go
+++ b/internal/upconn/head.go
@@ -14,7 +14,7 @@
 // Error implements error.
 func (e HeadError) Error() string { return "upconn: the answer has an invalid head: " + string(e) }
 
-// headState is what the next byte of a head belongs to.
+// headState is the part of a head to which the next byte belongs.
 type headState int
 
 const (
@@ -177,7 +177,7 @@
 	case b == ':' && h.n == 0:
 		return "a field has no name"
 	case b == ':' && h.matched == len(encodingField) && h.minor == '0':
-		return "an encoding of the transfer in HTTP/1.0"
+		return "a Transfer-Encoding in HTTP/1.0"
 	case b == ':':
 		h.enter(inValue)
 		return ""
