upconn: Close a test's connection only once it has unread bytes

TestEndIsToldBesideWrites/closed_with_unread_bytes got EOF in 1 of 24 plays, six at once beside 2 busy processes, and in 1 of 300, forty at once beside 8. The line of the second one shows the cause: the write had returned neither a reset nor EPIPE but "use of closed network connection", so it had not begun when the other side closed after 5 ms. Without unread bytes the kernel sends a FIN, and EOF is right. The line of a failure names the error of the write.

--- a/internal/upconn/conn_test.go
+++ b/internal/upconn/conn_test.go
@@ -76,7 +76,8 @@
 			_ = server.Close()
 		}, syscall.ECONNRESET},
 		{"closed with unread bytes", func(server *net.TCPConn) {
-			<-time.After(5 * time.Millisecond)
+			// Without unread bytes the kernel sends a FIN.
+			_, _ = server.Read(make([]byte, 1))
 			_ = server.Close()
 		}, syscall.ECONNRESET},
 		{"fin, reads on", func(server *net.TCPConn) {
@@ -108,12 +109,12 @@
 					defer close(ended)
 					e.end(server)
 				}()
-				if n, err = c.Read(p); n != 0 || !errors.Is(err, e.want) {
-					t.Errorf("end: got %d bytes, %v, want %v", n, err, e.want)
-				}
+				n, err = c.Read(p)
 				_ = c.Close()
 				<-ended
-				<-written
+				if writeErr := <-written; n != 0 || !errors.Is(err, e.want) {
+					t.Errorf("end: got %d bytes, %v, beside a write that returned %v, want %v", n, err, writeErr, e.want)
+				}
 			}
 		})
 	}
